--- a/aggregator.go
+++ b/aggregator.go
@@ -1,4 +1,4 @@
-// Package violetquay makes the decisions of an aggregator: which replica gets which part of a query, for how
+// Package eiderwinch makes the decisions of an aggregator: which replica gets which part of a query, for how
 // long, and when and how each query ends. Its interface, settings, events and actions, is in api.go.
 //
 // A broker makes one Aggregator with New and calls Turn whenever something has happened, with all that has
@@ -14,7 +14,7 @@
 //
 // An Aggregator is deterministic, does no I/O and is for one goroutine only. Unknown ids and repeated or
 // late events are ignored.
-package violetquay
+package eiderwinch
 
 import (
 	"cmp"
--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-package violetquay
+package eiderwinch
 
 import "time"
 
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -7,8 +7,8 @@
 	"io"
 	"os"
 
-	"violetquay"
-	"violetquay/internal/wire"
+	"eiderwinch"
+	"eiderwinch/internal/wire"
 )
 
 func main() {
@@ -21,7 +21,7 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	r, w := wire.NewReader(in), wire.NewWriter(out)
-	hosted := make(map[string]*violetquay.Aggregator)
+	hosted := make(map[string]*eiderwinch.Aggregator)
 	for {
 		b, err := r.Next()
 		if err == io.EOF {
@@ -35,7 +35,7 @@
 				delete(hosted, n.Instance)
 			}
 			if n.Init != nil {
-				hosted[n.Instance] = violetquay.New(*n.Init)
+				hosted[n.Instance] = eiderwinch.New(*n.Init)
 			}
 			if a := hosted[n.Instance]; a != nil {
 				w.Actions(n.Instance, a.Turn(b.Clock, n.Events))
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,5 +1,5 @@
 // Package wire translates between the simulator's text lines and the events
-// and actions of package violetquay. It decides nothing.
+// and actions of package eiderwinch. It decides nothing.
 package wire
 
 import (
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"violetquay"
+	"eiderwinch"
 )
 
 // Batch is one batch of the simulator: the clock and, in order, the news of
@@ -31,14 +31,14 @@
 type News struct {
 	Instance string
 	Halted   bool
-	Init     *violetquay.Settings
-	Events   []violetquay.Event
+	Init     *eiderwinch.Settings
+	Events   []eiderwinch.Event
 }
 
 // Reader reads batches.
 type Reader struct {
 	in    *bufio.Reader
-	lists map[int][]violetquay.Replica
+	lists map[int][]eiderwinch.Replica
 	hosts map[string]*host
 	line  int
 }
@@ -56,7 +56,7 @@
 
 // gathered is a query whose parts are coming, or, with the ID alone, its second step.
 type gathered struct {
-	violetquay.Query
+	eiderwinch.Query
 	second bool
 }
 
@@ -69,7 +69,7 @@
 func NewReader(in io.Reader) *Reader {
 	return &Reader{
 		in:    bufio.NewReaderSize(in, 1<<20),
-		lists: make(map[int][]violetquay.Replica),
+		lists: make(map[int][]eiderwinch.Replica),
 		hosts: make(map[string]*host),
 	}
 }
@@ -163,11 +163,11 @@
 		return r.changed(n, p)
 	case "ring":
 		p.int(1)
-		n.Events = append(n.Events, violetquay.Woken{})
+		n.Events = append(n.Events, eiderwinch.Woken{})
 	case "dropped":
-		n.Events = append(n.Events, violetquay.Gone{Query: p.id(1)})
+		n.Events = append(n.Events, eiderwinch.Gone{Query: p.id(1)})
 	case "attempt_end":
-		n.Events = append(n.Events, violetquay.Outcome{
+		n.Events = append(n.Events, eiderwinch.Outcome{
 			Part:    p.id(1),
 			Attempt: int(p.int(2)),
 			Replica: p.text(3),
@@ -205,7 +205,7 @@
 func (r *Reader) deliver(n *News, h *host) {
 	for _, number := range h.order {
 		if q := h.queries[number]; q.second {
-			n.Events = append(n.Events, violetquay.SecondStep{Query: q.ID, Parts: q.Parts})
+			n.Events = append(n.Events, eiderwinch.SecondStep{Query: q.ID, Parts: q.Parts})
 		} else {
 			n.Events = append(n.Events, q.Query)
 		}
@@ -249,7 +249,7 @@
 	if slot < 0 || slot > 15 || count < 0 {
 		return fmt.Errorf("slot %d with %d entries", slot, count)
 	}
-	var list []violetquay.Replica
+	var list []eiderwinch.Replica
 	for i := int64(0); i < count; i++ {
 		f, err := r.fields()
 		if err != nil {
@@ -259,7 +259,7 @@
 			return fmt.Errorf("want entry %d, have %q", i, f[0])
 		}
 		e := &parser{f: f}
-		list = append(list, violetquay.Replica{
+		list = append(list, eiderwinch.Replica{
 			ID:      e.text(1),
 			Zone:    e.optional(2),
 			Cell:    int(e.int(4)),
@@ -279,12 +279,12 @@
 	if p.err != nil {
 		return p.err
 	}
-	kinds := []violetquay.ListKind{violetquay.Changes, violetquay.Whole, violetquay.Stale, violetquay.NoList}
+	kinds := []eiderwinch.ListKind{eiderwinch.Changes, eiderwinch.Whole, eiderwinch.Stale, eiderwinch.NoList}
 	if kind < 0 || kind >= int64(len(kinds)) {
 		return fmt.Errorf("unknown kind %d", kind)
 	}
-	change := violetquay.ListChange{Kind: kinds[kind]}
-	if change.Kind != violetquay.NoList {
+	change := eiderwinch.ListChange{Kind: kinds[kind]}
+	if change.Kind != eiderwinch.NoList {
 		list, ok := r.lists[int(p.int(2))]
 		if p.err != nil {
 			return p.err
@@ -312,7 +312,7 @@
 	}
 	if shard < 0 {
 		h.order = append(h.order, number)
-		h.queries[number] = &gathered{Query: violetquay.Query{
+		h.queries[number] = &gathered{Query: eiderwinch.Query{
 			ID: id, Class: index, Key: key, Left: time.Duration(left), Repeat: flags&2 != 0,
 			Tenant: h.tenants[p.optional(3)],
 		}}
@@ -326,12 +326,12 @@
 	q := h.queries[number]
 	if w, ok := h.later[number]; q == nil && ok {
 		delete(h.later, number)
-		q = &gathered{Query: violetquay.Query{ID: w.id}, second: true}
+		q = &gathered{Query: eiderwinch.Query{ID: w.id}, second: true}
 		h.order = append(h.order, number)
 		h.queries[number] = q
 	}
 	if q != nil {
-		q.Parts = append(q.Parts, violetquay.Part{ID: id, Shard: int(shard), Weight: amount})
+		q.Parts = append(q.Parts, eiderwinch.Part{ID: id, Shard: int(shard), Weight: amount})
 	} else if number > h.highest {
 		return fmt.Errorf("part %d comes without its query", id)
 	}
@@ -407,7 +407,7 @@
 	return v
 }
 
-func (p *parser) status(i int) violetquay.Status {
+func (p *parser) status(i int) eiderwinch.Status {
 	s := p.text(i)
 	v, ok := statuses[s]
 	if !ok {
@@ -416,29 +416,29 @@
 	return v
 }
 
-func (p *parser) state(i int) violetquay.State {
+func (p *parser) state(i int) eiderwinch.State {
 	switch s := p.text(i); s {
 	case "0":
-		return violetquay.Removed
+		return eiderwinch.Removed
 	case "1":
-		return violetquay.Ready
+		return eiderwinch.Ready
 	case "2":
-		return violetquay.Draining
+		return eiderwinch.Draining
 	default:
 		p.fail("unknown state %q", s)
-		return violetquay.Removed
+		return eiderwinch.Removed
 	}
 }
 
-var statuses = map[string]violetquay.Status{
-	"GOOD":   violetquay.OK,
-	"BAD":    violetquay.Failed,
-	"FULL":   violetquay.Full,
-	"LATE":   violetquay.TimedOut,
-	"NOCONN": violetquay.NoConnection,
-	"RST":    violetquay.Reset,
-	"CXL":    violetquay.Cancelled,
-	"NOP":    violetquay.NotSent,
+var statuses = map[string]eiderwinch.Status{
+	"GOOD":   eiderwinch.OK,
+	"BAD":    eiderwinch.Failed,
+	"FULL":   eiderwinch.Full,
+	"LATE":   eiderwinch.TimedOut,
+	"NOCONN": eiderwinch.NoConnection,
+	"RST":    eiderwinch.Reset,
+	"CXL":    eiderwinch.Cancelled,
+	"NOP":    eiderwinch.NotSent,
 }
 
 // env is the part of the start settings that is used.
@@ -501,12 +501,12 @@
 }
 
 // Settings reads the start settings of an instance.
-func Settings(text []byte) (violetquay.Settings, error) {
+func Settings(text []byte) (eiderwinch.Settings, error) {
 	var e env
 	if err := json.Unmarshal(text, &e); err != nil {
-		return violetquay.Settings{}, fmt.Errorf("settings: %v", err)
+		return eiderwinch.Settings{}, fmt.Errorf("settings: %v", err)
 	}
-	s := violetquay.Settings{
+	s := eiderwinch.Settings{
 		Brokers: e.Brokers, Number: e.Number, Zone: e.Zone, Tick: time.Duration(e.Tick),
 		Shards: e.Domain.Shards, Cells: e.Domain.Cells, Reach: e.Domain.Reach,
 		Batch: e.Domain.Batch, CallCost: time.Duration(e.Domain.CallCost),
@@ -528,10 +528,10 @@
 		return s, fmt.Errorf("settings: unknown membership_mode %q", e.ListMode)
 	}
 	for _, t := range e.Parties {
-		s.Tenants = append(s.Tenants, violetquay.Tenant(t))
+		s.Tenants = append(s.Tenants, eiderwinch.Tenant(t))
 	}
-	effects := map[string]violetquay.Effect{
-		"safe": violetquay.Safe, "keyed": violetquay.Keyed, "unsafe": violetquay.Unsafe,
+	effects := map[string]eiderwinch.Effect{
+		"safe": eiderwinch.Safe, "keyed": eiderwinch.Keyed, "unsafe": eiderwinch.Unsafe,
 	}
 	for i, c := range e.Classes {
 		effect, ok := effects[c.Effect]
@@ -541,7 +541,7 @@
 		if c.Aim <= 0 || c.Deadline <= 0 {
 			return s, fmt.Errorf("settings: class %q needs an aim and a deadline above 0", c.Name)
 		}
-		s.Classes = append(s.Classes, violetquay.Class{
+		s.Classes = append(s.Classes, eiderwinch.Class{
 			Name: c.Name, Aim: time.Duration(c.Aim), Deadline: time.Duration(c.Deadline),
 			Worth: c.Worth, LateWorth: c.Late, Effect: effect, RepeatWindow: time.Duration(c.Window),
 			Need: at(e.Domain.Need, i), Floor: at(e.Domain.Floor, i), Partial: at(e.Domain.Partial, i),
@@ -568,34 +568,34 @@
 func NewWriter(out io.Writer) *Writer { return &Writer{bufio.NewWriterSize(out, 1<<16)} }
 
 // Actions writes the actions of one instance.
-func (w *Writer) Actions(instance string, actions []violetquay.Action) {
+func (w *Writer) Actions(instance string, actions []eiderwinch.Action) {
 	if len(actions) == 0 {
 		return
 	}
 	fmt.Fprintf(w.out, "from\t%s\n", instance)
 	for _, a := range actions {
 		switch a := a.(type) {
-		case violetquay.Send:
+		case eiderwinch.Send:
 			fmt.Fprintf(w.out, "hand_off\t%d\t%s\t%d\n", a.Part, a.Replica, int64(a.TimeOut))
-		case violetquay.Cancel:
+		case eiderwinch.Cancel:
 			fmt.Fprintf(w.out, "recall\t%d\t%d\n", a.Part, a.Attempt)
-		case violetquay.Answer:
+		case eiderwinch.Answer:
 			whole := 0
 			if a.Whole {
 				whole = 1
 			}
 			fmt.Fprintf(w.out, "conclude\t%d\t%d\n", a.Query, whole)
-		case violetquay.Refuse:
+		case eiderwinch.Refuse:
 			fmt.Fprintf(w.out, "say_no\t%d\t%d\n", a.Query, int64(a.RetryAfter))
-		case violetquay.Fail:
+		case eiderwinch.Fail:
 			fmt.Fprintf(w.out, "drop_request\t%d\n", a.Query)
-		case violetquay.Subscribe:
+		case eiderwinch.Subscribe:
 			fmt.Fprintf(w.out, "listen\t1\n")
-		case violetquay.Disconnect:
+		case eiderwinch.Disconnect:
 			fmt.Fprintf(w.out, "free_links\t%s\n", a.Replica)
-		case violetquay.Wake:
+		case eiderwinch.Wake:
 			fmt.Fprintf(w.out, "schedule\t%d\t0\n", int64(a.After))
-		case violetquay.Log:
+		case eiderwinch.Log:
 			fmt.Fprintf(w.out, "log\t%s\n", a.Text)
 		}
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"violetquay"
+	"eiderwinch"
 )
 
 const settings = `{"az":"z1","parties":[{"name":"ann","share":0.4,"quota_rps":3},{"name":"bob","share":0.6}],"over_share_worth":0.2,"balancers":2,"membership_mode":"pushed","tick":5000000,"unknown":{"x":1},` +
@@ -38,17 +38,17 @@
 	if b.Clock != 5 || len(b.News) != 1 {
 		t.Fatalf("batch %+v", b)
 	}
-	want := []violetquay.Event{
-		violetquay.ListChange{Kind: violetquay.Stale, Replicas: []violetquay.Replica{
-			{ID: "10.0.0.1:1", Zone: "z1", Cell: 3, State: violetquay.Ready},
-			{ID: "10.0.0.2:1", Zone: "z2", State: violetquay.Draining, Started: 44},
+	want := []eiderwinch.Event{
+		eiderwinch.ListChange{Kind: eiderwinch.Stale, Replicas: []eiderwinch.Replica{
+			{ID: "10.0.0.1:1", Zone: "z1", Cell: 3, State: eiderwinch.Ready},
+			{ID: "10.0.0.2:1", Zone: "z2", State: eiderwinch.Draining, Started: 44},
 		}},
-		violetquay.Query{ID: 7, Key: "k-1", Left: 900, Repeat: true, Tenant: 2, Parts: []violetquay.Part{
+		eiderwinch.Query{ID: 7, Key: "k-1", Left: 900, Repeat: true, Tenant: 2, Parts: []eiderwinch.Part{
 			{ID: 8, Shard: 5, Weight: 0.5}, {ID: 9, Shard: 6, Weight: 0.5},
 		}},
-		violetquay.Outcome{Part: 3, Attempt: 1, Replica: "10.0.0.1:1", Status: violetquay.NoConnection, Took: 12},
-		violetquay.Gone{Query: 4},
-		violetquay.Woken{},
+		eiderwinch.Outcome{Part: 3, Attempt: 1, Replica: "10.0.0.1:1", Status: eiderwinch.NoConnection, Took: 12},
+		eiderwinch.Gone{Query: 4},
+		eiderwinch.Woken{},
 	}
 	if !reflect.DeepEqual(b.News[0].Events, want) {
 		t.Errorf("have %+v\nwant %+v", b.News[0].Events, want)
@@ -66,9 +66,9 @@
 		"order\t7\tread\t-\t-\t900\t-\t214\t-1\t1\t0\norder\t8\tread\t-\t-\t900\t-\t214\t5\t1\t0\nflush\n" +
 		"clock\t6\nfor\tbroker_1\norder\t9\tread\t-\t-\t900\t-\t214\t5\t1\t0\nflush\n" +
 		"clock\t7\nfor\tbroker_1\norder\t10\tread\t-\t-\t900\t-\t214\t5\t1\t0\nflush\n"))
-	want := [][]violetquay.Event{
-		{violetquay.Query{ID: 7, Left: 900, Parts: []violetquay.Part{{ID: 8, Shard: 5, Weight: 1}}}},
-		{violetquay.SecondStep{Query: 7, Parts: []violetquay.Part{{ID: 9, Shard: 5, Weight: 1}}}},
+	want := [][]eiderwinch.Event{
+		{eiderwinch.Query{ID: 7, Left: 900, Parts: []eiderwinch.Part{{ID: 8, Shard: 5, Weight: 1}}}},
+		{eiderwinch.SecondStep{Query: 7, Parts: []eiderwinch.Part{{ID: 9, Shard: 5, Weight: 1}}}},
 		nil, // of a query that is over
 	}
 	for i, events := range want {
@@ -87,7 +87,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := []violetquay.Event{violetquay.Query{ID: 7, Left: 900}} // of an unknown tenant, without parts
+	want := []eiderwinch.Event{eiderwinch.Query{ID: 7, Left: 900}} // of an unknown tenant, without parts
 	if !reflect.DeepEqual(b.News[0].Events, want) {
 		t.Errorf("have %+v\nwant %+v", b.News[0].Events, want)
 	}
@@ -139,11 +139,11 @@
 	var out bytes.Buffer
 	w := NewWriter(&out)
 	w.Actions("broker_2", nil)
-	w.Actions("broker_1", []violetquay.Action{
-		violetquay.Send{Part: 3, Replica: "n:1", TimeOut: 80}, violetquay.Cancel{Part: 3, Attempt: 1},
-		violetquay.Answer{Query: 1, Whole: true}, violetquay.Answer{Query: 2}, violetquay.Refuse{Query: 4, RetryAfter: 5},
-		violetquay.Fail{Query: 6}, violetquay.Subscribe{}, violetquay.Wake{After: 7}, violetquay.Log{Text: "a b"},
-		violetquay.Disconnect{Replica: "n:1"},
+	w.Actions("broker_1", []eiderwinch.Action{
+		eiderwinch.Send{Part: 3, Replica: "n:1", TimeOut: 80}, eiderwinch.Cancel{Part: 3, Attempt: 1},
+		eiderwinch.Answer{Query: 1, Whole: true}, eiderwinch.Answer{Query: 2}, eiderwinch.Refuse{Query: 4, RetryAfter: 5},
+		eiderwinch.Fail{Query: 6}, eiderwinch.Subscribe{}, eiderwinch.Wake{After: 7}, eiderwinch.Log{Text: "a b"},
+		eiderwinch.Disconnect{Replica: "n:1"},
 	})
 	if err := w.End(); err != nil {
 		t.Fatal(err)
