--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,223 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"eiderwinch"
+)
+
+// Settings is the settings object of the config file, which the simulator
+// hands to its instances in the same form.
+type Settings struct {
+	Module eiderwinch.Settings // what the decisions need
+	Limits Limits              // what the gatherer round them needs
+}
+
+// Limits holds what a real gatherer keeps to beside the decisions.
+type Limits struct {
+	Tick           time.Duration // turns come at most this often
+	MaxOpen        int           // queries and parts held at once; 0 means no limit
+	Multiplex      int           // parts that one connection carries at once
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration // searchers close connections idle for so long
+	DrainGrace     time.Duration // sends to a draining or gone searcher must end by then
+	AnswerSlack    time.Duration // a final answer may be so late
+}
+
+// Defaults for settings that may be absent.
+const (
+	defaultTick           = 5 * time.Millisecond
+	defaultMultiplex      = 32
+	defaultConnectTimeout = 250 * time.Millisecond
+	defaultConnIdle       = 30 * time.Second
+	defaultDrainGrace     = 500 * time.Millisecond
+	defaultAnswerSlack    = 20 * time.Millisecond
+)
+
+// nanos is a time span in the settings: whole nanoseconds.
+type nanos = int64
+
+// settings is the part of the settings object that is used.
+type settings struct {
+	Zone     string `json:"az"`
+	Brokers  int    `json:"balancers"`
+	Number   int    `json:"my_number"`
+	ListMode string `json:"membership_mode"`
+	Tick     nanos  `json:"tick"`
+	Classes  []struct {
+		Name     string  `json:"name"`
+		Aim      nanos   `json:"aim"`
+		Deadline nanos   `json:"deadline"`
+		Effect   string  `json:"effect"`
+		Late     float64 `json:"late_worth"`
+		Window   nanos   `json:"repeat_window"`
+		Worth    float64 `json:"worth"`
+	} `json:"classes"`
+	Domain struct {
+		Batch    int       `json:"per_call"`
+		CallCost nanos     `json:"call_cost"`
+		Cells    int       `json:"places"`
+		Reach    int       `json:"in_a_row"`
+		Shards   int       `json:"shards"`
+		Need     []float64 `json:"whole_at"`
+		Floor    []float64 `json:"floor_by_class"`
+		Partial  []float64 `json:"class_partial"`
+		Fetch    []int     `json:"class_fetch"`
+		Warm     bool      `json:"warm_keys"`
+	} `json:"domain"`
+	Limits struct {
+		Attempts       int   `json:"attempts_cap"`
+		Cancel         bool  `json:"cancel"`
+		SecondCopies   bool  `json:"second_copies"`
+		RetryAfter     bool  `json:"retry_after"`
+		MaxRetry       nanos `json:"max_retry_after"`
+		MaxOpen        int   `json:"max_open"`
+		Multiplex      int   `json:"multiplex"`
+		ConnectTimeout nanos `json:"connect_timeout"`
+		ConnIdle       nanos `json:"conn_idle"`
+	} `json:"policy_limits"`
+	OverShare float64 `json:"over_share_worth"`
+	Parties   []struct {
+		Name  string  `json:"name"`
+		Share float64 `json:"share"`
+	} `json:"parties"`
+	Callers struct {
+		Marks bool `json:"marks_retry"`
+	} `json:"callers"`
+	Prices struct {
+		CrossZone float64 `json:"cross_zone"`
+	} `json:"prices"`
+	Rules struct {
+		AnswerSlack  nanos   `json:"answer_slack"`
+		AskWithin    nanos   `json:"ask_within"`
+		BudgetFree   float64 `json:"budget_free"`
+		BudgetRatio  float64 `json:"repeat_ratio"`
+		BudgetWindow nanos   `json:"counted_over"`
+		ColdFor      nanos   `json:"cold"`
+		ColdShare    float64 `json:"start_capacity"`
+		DrainGrace   nanos   `json:"drain_grace"`
+		Multiple     float64 `json:"fall_multiple"`
+		Overload     nanos   `json:"overload_for"`
+	} `json:"rules"`
+}
+
+var effects = map[string]eiderwinch.Effect{
+	"safe": eiderwinch.Safe, "keyed": eiderwinch.Keyed, "unsafe": eiderwinch.Unsafe,
+}
+
+// ParseSettings reads, checks and completes a settings object.
+func ParseSettings(text []byte) (Settings, error) {
+	var e settings
+	if err := json.Unmarshal(text, &e); err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	if err := e.check(); err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Settings{Module: e.module(), Limits: e.limits()}, nil
+}
+
+func (e *settings) check() error {
+	switch {
+	case e.Domain.Cells < 1 || e.Domain.Reach < 1 || e.Domain.Shards < 1:
+		return errors.New("domain.shards, domain.places and domain.in_a_row must be above 0")
+	case e.ListMode != "on_request" && e.ListMode != "pushed":
+		return fmt.Errorf("unknown membership_mode %q", e.ListMode)
+	}
+	for _, at := range []struct {
+		key   string
+		value int64
+	}{
+		{"tick", e.Tick},
+		{"domain.per_call", int64(e.Domain.Batch)},
+		{"policy_limits.max_open", int64(e.Limits.MaxOpen)},
+		{"policy_limits.multiplex", int64(e.Limits.Multiplex)},
+		{"policy_limits.connect_timeout", e.Limits.ConnectTimeout},
+		{"policy_limits.conn_idle", e.Limits.ConnIdle},
+		{"policy_limits.attempts_cap", int64(e.Limits.Attempts)},
+		{"rules.drain_grace", e.Rules.DrainGrace},
+		{"rules.answer_slack", e.Rules.AnswerSlack},
+	} {
+		if at.value < 0 {
+			return fmt.Errorf("%s is negative", at.key)
+		}
+	}
+	for i, c := range e.Classes {
+		_, ok := effects[c.Effect]
+		switch {
+		case c.Name == "":
+			return fmt.Errorf("classes[%d].name is missing", i)
+		case !ok:
+			return fmt.Errorf("classes[%d].effect: class %q has unknown effect %q", i, c.Name, c.Effect)
+		case c.Aim <= 0 || c.Deadline <= 0:
+			return fmt.Errorf("classes[%d]: class %q needs an aim and a deadline above 0", i, c.Name)
+		}
+	}
+	return nil
+}
+
+func (e *settings) module() eiderwinch.Settings {
+	s := eiderwinch.Settings{
+		Brokers: e.Brokers, Number: e.Number, Zone: e.Zone, Tick: time.Duration(e.Tick),
+		Shards: e.Domain.Shards, Cells: e.Domain.Cells, Reach: e.Domain.Reach,
+		Batch: e.Domain.Batch, CallCost: time.Duration(e.Domain.CallCost),
+		WarmKeys: e.Domain.Warm, CrossZoneCosts: e.Prices.CrossZone > 0,
+		MarksRepeats: e.Callers.Marks, OverShare: e.OverShare,
+		AskForList:  e.ListMode == "on_request",
+		MaxAttempts: e.Limits.Attempts, MayCancel: e.Limits.Cancel, SecondCopies: e.Limits.SecondCopies,
+		RetryAdvice: e.Limits.RetryAfter, MaxRetryAdvice: time.Duration(e.Limits.MaxRetry),
+		AskWithin:   time.Duration(e.Rules.AskWithin),
+		BudgetRatio: e.Rules.BudgetRatio, BudgetFree: e.Rules.BudgetFree,
+		BudgetWindow: time.Duration(e.Rules.BudgetWindow),
+		ColdShare:    e.Rules.ColdShare, ColdFor: time.Duration(e.Rules.ColdFor),
+		ColdMultiple: e.Rules.Multiple, ColdOverloads: time.Duration(e.Rules.Overload),
+	}
+	for _, t := range e.Parties {
+		s.Tenants = append(s.Tenants, eiderwinch.Tenant{Name: t.Name, Share: t.Share})
+	}
+	for i, c := range e.Classes {
+		class := eiderwinch.Class{
+			Name: c.Name, Aim: time.Duration(c.Aim), Deadline: time.Duration(c.Deadline),
+			Worth: c.Worth, LateWorth: c.Late, Effect: effects[c.Effect], RepeatWindow: time.Duration(c.Window),
+			Need: at(e.Domain.Need, i), Floor: at(e.Domain.Floor, i), Partial: at(e.Domain.Partial, i),
+		}
+		if i < len(e.Domain.Fetch) {
+			class.Fetch = e.Domain.Fetch[i]
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	return s
+}
+
+func (e *settings) limits() Limits {
+	span := func(n nanos, absent time.Duration) time.Duration {
+		if n == 0 {
+			return absent
+		}
+		return time.Duration(n)
+	}
+	l := Limits{
+		Tick:           span(e.Tick, defaultTick),
+		MaxOpen:        e.Limits.MaxOpen,
+		Multiplex:      e.Limits.Multiplex,
+		ConnectTimeout: span(e.Limits.ConnectTimeout, defaultConnectTimeout),
+		ConnIdle:       span(e.Limits.ConnIdle, defaultConnIdle),
+		DrainGrace:     span(e.Rules.DrainGrace, defaultDrainGrace),
+		AnswerSlack:    span(e.Rules.AnswerSlack, defaultAnswerSlack),
+	}
+	if l.Multiplex == 0 {
+		l.Multiplex = defaultMultiplex
+	}
+	return l
+}
+
+// at returns the value of class i; where the settings name none, all parts are needed.
+func at(values []float64, i int) float64 {
+	if i < len(values) {
+		return values[i]
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/frame/frame.go
@@ -0,0 +1,185 @@
+// Package frame holds an incremental parser and encoders for the frames that
+// gatherers and searchers exchange. It does no I/O.
+package frame
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+)
+
+// The letters of frames.
+const (
+	Call   = 'q' // from a gatherer: the parts of one call
+	Cancel = 'c' // from a gatherer: the id of a part that is given up
+	Probe  = 'p' // both ways
+	Load   = 'l' // both ways
+	Answer = 'a' // from a searcher: the answer to one part
+	Error  = 'e' // from a searcher: the frame before could not be used
+)
+
+// MaxFrame bounds a frame's length.
+const MaxFrame = 256 << 10
+
+const lengthSize = 4
+
+// Frame is one frame. Rest is valid until the parser's next use.
+type Frame struct {
+	Letter byte
+	Rest   []byte
+}
+
+// Parser parses the frames that come on one connection.
+type Parser struct {
+	buf  []byte
+	used int
+}
+
+// Feed adds bytes that have come.
+func (p *Parser) Feed(b []byte) {
+	p.buf = append(p.buf[:0], p.buf[p.used:]...)
+	p.used = 0
+	p.buf = append(p.buf, b...)
+}
+
+// Next returns the next frame; ok is false until it is whole. After an error
+// the connection can't be read any further.
+func (p *Parser) Next() (f Frame, ok bool, err error) {
+	b := p.buf[p.used:]
+	if len(b) < lengthSize {
+		return Frame{}, false, nil
+	}
+	n := binary.BigEndian.Uint32(b)
+	if n < 1 || n > MaxFrame {
+		return Frame{}, false, fmt.Errorf("frame of length %d", n)
+	}
+	if uint32(len(b)-lengthSize) < n {
+		return Frame{}, false, nil
+	}
+	end := lengthSize + int(n)
+	p.used += end
+	return Frame{Letter: b[lengthSize], Rest: b[lengthSize+1 : end]}, true, nil
+}
+
+// Part is one part of a call.
+type Part struct {
+	ID    string
+	Shard int
+	List  List
+	Text  string
+}
+
+// List is what a part carries beside its text.
+type List struct {
+	WaitMS int64  // how long the gatherer will wait
+	Key    string // the idempotency key; empty in classes without
+	From   []int  // second step: the shards that were in; nil in the first step
+	Whole  bool   // second step: the first step was whole
+}
+
+func (l List) append(dst []byte) []byte {
+	dst = append(dst, "d="...)
+	dst = strconv.AppendInt(dst, l.WaitMS, 10)
+	if l.Key != "" {
+		dst = append(dst, ",k="...)
+		dst = append(dst, l.Key...)
+	}
+	if l.From == nil {
+		return dst
+	}
+	dst = append(dst, ",from="...)
+	for i, shard := range l.From {
+		if i > 0 {
+			dst = append(dst, '+')
+		}
+		dst = strconv.AppendInt(dst, int64(shard), 10)
+	}
+	if l.Whole {
+		return append(dst, ",whole=1"...)
+	}
+	return append(dst, ",whole=0"...)
+}
+
+// AppendCall appends a frame with the parts of one call.
+func AppendCall(dst []byte, parts []Part) []byte {
+	return appendFrame(dst, Call, func(dst []byte) []byte {
+		for _, p := range parts {
+			dst = append(dst, p.ID...)
+			dst = append(dst, ' ')
+			dst = strconv.AppendInt(dst, int64(p.Shard), 10)
+			dst = append(dst, ' ')
+			dst = p.List.append(dst)
+			dst = append(dst, ' ')
+			dst = strconv.AppendInt(dst, int64(len(p.Text)), 10)
+			dst = append(dst, '\n')
+			dst = append(dst, p.Text...)
+		}
+		return dst
+	})
+}
+
+// AppendCancel appends a frame that gives up a part.
+func AppendCancel(dst []byte, id string) []byte {
+	return appendFrame(dst, Cancel, func(dst []byte) []byte { return append(dst, id...) })
+}
+
+func appendFrame(dst []byte, letter byte, rest func([]byte) []byte) []byte {
+	at := len(dst)
+	dst = append(dst, 0, 0, 0, 0, letter)
+	dst = rest(dst)
+	binary.BigEndian.PutUint32(dst[at:], uint32(len(dst)-at-lengthSize))
+	return dst
+}
+
+// End says how a searcher ended a part.
+type End int
+
+// The ways a searcher can end a part.
+const (
+	Served  End = iota
+	Broke       // it may have run
+	Skipped     // it never ran
+)
+
+var ends = map[string]End{"served": Served, "broke": Broke, "skipped": Skipped}
+
+// Result is a searcher's answer to one part.
+type Result struct {
+	ID    string
+	End   End
+	Score int64
+	Value string
+}
+
+var errResult = errors.New("malformed answer")
+
+// ParseAnswer reads the rest of an Answer frame. Only a served part must have
+// a score and a value of valid text.
+func ParseAnswer(rest []byte) (Result, error) {
+	line, value, ok := bytes.Cut(rest, []byte("\n"))
+	f := strings.Split(string(line), " ")
+	if !ok || len(f) != 4 || f[0] == "" {
+		return Result{}, errResult
+	}
+	end, ok := ends[f[1]]
+	if !ok {
+		return Result{}, fmt.Errorf("%w: unknown end %q", errResult, f[1])
+	}
+	r := Result{ID: f[0], End: end}
+	if end != Served {
+		return r, nil
+	}
+	score, err := strconv.ParseInt(f[2], 10, 64)
+	if err != nil {
+		return Result{}, fmt.Errorf("%w: score %q", errResult, f[2])
+	}
+	if !utf8.Valid(value) {
+		return Result{}, fmt.Errorf("%w: the value is no text", errResult)
+	}
+	r.Score, r.Value = score, string(value)
+	return r, nil
+}
--- /dev/null
+++ b/internal/gatherer/book.go
@@ -0,0 +1,146 @@
+package gatherer
+
+import (
+	"slices"
+	"time"
+
+	"eiderwinch"
+)
+
+type query struct {
+	id       uint64
+	trace    string
+	class    int
+	key      string
+	text     string
+	client   Client
+	deadline time.Time
+	parts    []*part // of the present step
+
+	second     bool // the second step has begun
+	from       []int
+	firstWhole bool
+}
+
+// backstop is when the core ends a query by itself: a little behind the
+// deadline, at which the aggregator ends it.
+func (q *query) backstop(tick time.Duration) time.Time { return q.deadline.Add(2 * tick) }
+
+// in returns the parts of the present step that are in, and their weight.
+func (q *query) in() (in []*part, weight float64) {
+	for _, p := range q.parts {
+		if p.in {
+			in = append(in, p)
+			weight += p.weight
+		}
+	}
+	return in, weight
+}
+
+type part struct {
+	id     uint64
+	query  *query
+	shard  int
+	weight float64
+	second bool
+	tries  int      // attempts so far
+	out    *Attempt // the one that is out
+	over   bool     // nothing comes of it any more
+
+	in    bool
+	score int64
+	value string
+}
+
+func (c *Core) newID() uint64 {
+	c.lastID++
+	return c.lastID
+}
+
+func (c *Core) book(a Ask, class int, client Client, deadline time.Time) *query {
+	q := &query{
+		id: c.newID(), trace: a.Trace, class: class, text: a.Text, client: client, deadline: deadline,
+	}
+	if c.set.Module.Classes[class].Effect == eiderwinch.Keyed {
+		q.key = a.Key
+	}
+	c.queries[q.id] = q
+	c.traces[q.trace] = q
+	c.open++
+	for _, p := range a.Parts {
+		c.bookPart(q, p.Shard, p.Weight, false)
+	}
+	return q
+}
+
+func (c *Core) bookPart(q *query, shard int, weight float64, second bool) *part {
+	p := &part{id: c.newID(), query: q, shard: shard, weight: weight, second: second}
+	q.parts = append(q.parts, p)
+	c.parts[p.id] = p
+	c.open++
+	return p
+}
+
+// dropParts takes the parts of a query's present step off the books. Those
+// with an attempt out stay known until it has ended.
+func (c *Core) dropParts(q *query) {
+	for _, p := range q.parts {
+		p.over = true
+		if p.out == nil {
+			delete(c.parts, p.id)
+		}
+	}
+	c.open -= len(q.parts)
+	q.parts = nil
+}
+
+func (c *Core) close(q *query) {
+	c.dropParts(q)
+	c.open--
+	delete(c.queries, q.id)
+	delete(c.traces, q.trace)
+}
+
+// sweep forgets the attempts that have ended, and the parts that waited for them.
+func (c *Core) sweep() {
+	c.attempts = slices.DeleteFunc(c.attempts, func(a *Attempt) bool {
+		if a.over && a.part.over && a.part.out == nil {
+			delete(c.parts, a.part.id)
+		}
+		return a.over
+	})
+}
+
+// member is what is known of a searcher's state.
+type member struct {
+	state   eiderwinch.State
+	leaving time.Time // when it was told that it drains or is gone
+}
+
+// told books a searcher's state. The first news of its leaving counts.
+func (c *Core) told(now time.Time, id string, s eiderwinch.State) {
+	m := member{state: s}
+	if s != eiderwinch.Ready {
+		m.leaving = now
+		if old, ok := c.members[id]; ok && old.state != eiderwinch.Ready {
+			m.leaving = old.leaving
+		}
+	}
+	c.members[id] = m
+	if s == eiderwinch.Removed && now.Sub(m.leaving) > time.Minute {
+		delete(c.members, id)
+	}
+}
+
+// barred tells that a searcher must not be sent anything: it is not known, or
+// it has been told to be leaving for the grace that is given.
+func (c *Core) barred(id string, now time.Time) bool {
+	m, ok := c.members[id]
+	return !ok || m.state != eiderwinch.Ready && now.Sub(m.leaving) >= c.set.DrainGrace
+}
+
+// Listed tells that a searcher is in the list.
+func (c *Core) Listed(id string) bool {
+	m, ok := c.members[id]
+	return ok && m.state != eiderwinch.Removed
+}
--- /dev/null
+++ b/internal/gatherer/core.go
@@ -0,0 +1,165 @@
+// Package gatherer is the core round the decisions: it holds the queries that
+// clients ask, lets an aggregator decide what becomes of them, and keeps the
+// rules that do not depend on decisions. It knows no protocol, does no I/O and
+// reads no clock; it belongs to one goroutine.
+//
+// A query passes these stages, each in a file of its own:
+//
+//	intake  checks what a client asks and what discovery tells
+//	admit   refuses at once what is over the limit on open queries
+//	route   hands the aggregator a turn and carries out its actions
+//	send    starts attempts, calls them off, times them out
+//	relay   takes in results and gives clients their final answers
+//	book    keeps the records
+package gatherer
+
+import (
+	"log/slog"
+	"time"
+
+	"eiderwinch"
+	"eiderwinch/internal/stats"
+)
+
+// Decider makes the decisions; an eiderwinch.Aggregator is one.
+type Decider interface {
+	Turn(now time.Duration, events []eiderwinch.Event) []eiderwinch.Action
+}
+
+// Searchers carries calls to the searchers. For each attempt it is given it
+// calls one of Core's Result, Unsent and Broken, unless Abandon comes first.
+// It may do so before Call returns.
+type Searchers interface {
+	// Call sends attempts to their searcher as one shared call.
+	Call(now time.Time, attempts []*Attempt)
+	// Abandon tells that nobody waits for an attempt any more.
+	Abandon(a *Attempt)
+	// CloseIdle closes the idle connections to a searcher.
+	CloseIdle(searcher string)
+}
+
+// Client is whoever has asked a query. Reply is called once at the most, with
+// the final answer, and not after Core.Gone.
+type Client interface{ Reply(Reply) }
+
+// Verdict is the kind of a final answer.
+type Verdict int
+
+// The kinds of final answers.
+const (
+	Answered Verdict = iota
+	Refused          // not done; asking again is harmless
+	Failed           // promises nothing
+)
+
+// Reply is a final answer.
+type Reply struct {
+	Verdict    Verdict
+	Whole      bool          // Answered: nothing is missing
+	Pieces     []Piece       // Answered: what the searchers gave
+	RetryAfter time.Duration // Refused: when to come back; 0 means no advice
+	Overdue    bool          // Failed: its time was over
+}
+
+// Piece is one searcher's value.
+type Piece struct {
+	Shard int
+	Value string
+}
+
+// Settings is what the core keeps to.
+type Settings struct {
+	Module     eiderwinch.Settings
+	Tick       time.Duration
+	MaxOpen    int           // queries and parts held at once; 0 means no limit
+	DrainGrace time.Duration // no send to a searcher that is leaving after that
+}
+
+// Core is the gatherer's core.
+type Core struct {
+	set       Settings
+	decide    Decider
+	searchers Searchers
+	stats     *stats.Counters
+	log       *slog.Logger
+
+	start    time.Time // turns lie on a grid of ticks from here
+	now      time.Time // of the run in hand
+	next     time.Time // no turn before
+	wakeAt   time.Time // when the aggregator wants a turn; zero if it does not
+	events   []eiderwinch.Event
+	lastID   uint64
+	queries  map[uint64]*query
+	traces   map[string]*query
+	parts    map[uint64]*part // of open queries or with an attempt out
+	attempts []*Attempt       // in the order they were sent
+	open     int              // open queries and parts
+	members  map[string]member
+}
+
+// New returns a core whose clock starts at start.
+func New(set Settings, d Decider, s Searchers, counters *stats.Counters, log *slog.Logger, start time.Time) *Core {
+	return &Core{
+		set: set, decide: d, searchers: s, stats: counters, log: log,
+		start: start, next: start,
+		queries: make(map[uint64]*query),
+		traces:  make(map[string]*query),
+		parts:   make(map[uint64]*part),
+		members: make(map[string]member),
+	}
+}
+
+// Open is how many queries wait for their final answer.
+func (c *Core) Open() int { return len(c.queries) }
+
+// Due is when Run is wanted next; zero if nothing is due.
+func (c *Core) Due() time.Time {
+	due := c.wakeAt
+	sooner := func(t time.Time) {
+		if due.IsZero() || t.Before(due) {
+			due = t
+		}
+	}
+	if len(c.events) > 0 {
+		sooner(c.next)
+	}
+	for _, a := range c.attempts {
+		if !a.over {
+			sooner(a.Deadline)
+		}
+	}
+	for _, q := range c.queries {
+		sooner(q.backstop(c.set.Tick))
+	}
+	if !due.IsZero() && due.Before(c.next) {
+		due = c.next
+	}
+	return due
+}
+
+// Run does what is due. It gives the aggregator one turn with all that has
+// happened, on a grid of ticks: what comes within a tick is decided together.
+func (c *Core) Run(now time.Time) {
+	if now.Before(c.next) {
+		return
+	}
+	c.now = now
+	c.next = c.start.Add((now.Sub(c.start)/c.set.Tick + 1) * c.set.Tick)
+	c.expire()
+	if !c.wakeAt.IsZero() && !now.Before(c.wakeAt) {
+		c.wakeAt = time.Time{}
+		c.events = append(c.events, eiderwinch.Woken{})
+	}
+	if len(c.events) > 0 {
+		c.turn()
+	}
+	c.endOverdue()
+	c.sweep()
+}
+
+// clock is the aggregator's clock: Unix time as it was at the start, carried
+// on by the monotonic clock. It is far above 0, so that the start of a
+// searcher that came up before this process is not taken for "long ago".
+func (c *Core) clock(t time.Time) time.Duration {
+	return time.Duration(c.start.UnixNano()) + t.Sub(c.start)
+}
--- /dev/null
+++ b/internal/gatherer/intake.go
@@ -0,0 +1,152 @@
+package gatherer
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"eiderwinch"
+)
+
+// Ask is a query as a client asks it.
+type Ask struct {
+	Trace   string // names the query to the searchers
+	Class   string
+	Key     string        // idempotency key; needed in keyed classes
+	About   string        // what the query is about; may be empty
+	Expires time.Duration // how long the client will wait; 0 means as long as its class allows
+	Repeat  bool          // marked as a repeat by the client
+	Tenant  string
+	Text    string // what every part carries
+	Parts   []AskPart
+}
+
+// AskPart is one part of an Ask.
+type AskPart struct {
+	Shard  int
+	Weight float64
+}
+
+// The reasons for which an Ask is not taken.
+var (
+	ErrInvalid      = errors.New("malformed query")
+	ErrUnknownClass = errors.New("unknown class")
+	ErrDuplicate    = errors.New("a query of that trace id is open")
+)
+
+// Take takes in a query whose last byte came at now, and returns its id. Where
+// it returns an error the query was not taken, and the caller owes the answer.
+func (c *Core) Take(now time.Time, a Ask, client Client) (uint64, error) {
+	class, err := c.check(a)
+	if err != nil {
+		return 0, err
+	}
+	c.stats.Taken++
+	if wait, ok := c.admit(a); !ok {
+		client.Reply(Reply{Verdict: Refused, RetryAfter: wait})
+		return 0, nil
+	}
+	if a.Expires == 0 {
+		a.Expires = c.set.Module.Classes[class].Deadline
+	}
+	q := c.book(a, class, client, now.Add(a.Expires))
+	event := eiderwinch.Query{
+		ID: q.id, Class: class, Key: a.About, Repeat: a.Repeat, Tenant: c.tenant(a.Tenant),
+	}
+	for _, p := range q.parts {
+		event.Parts = append(event.Parts, eiderwinch.Part{ID: p.id, Shard: p.shard, Weight: p.weight})
+	}
+	c.events = append(c.events, event) // Left is set when the turn comes
+	return q.id, nil
+}
+
+// check tells what is wrong with a query, and which class it has.
+func (c *Core) check(a Ask) (class int, err error) {
+	class = -1
+	for i, k := range c.set.Module.Classes {
+		if k.Name == a.Class {
+			class = i
+		}
+	}
+	if class < 0 {
+		return 0, fmt.Errorf("%w %q", ErrUnknownClass, a.Class)
+	}
+	switch {
+	case a.Trace == "":
+		return 0, fmt.Errorf("%w: no trace id", ErrInvalid)
+	case a.Key == "" && c.set.Module.Classes[class].Effect == eiderwinch.Keyed:
+		return 0, fmt.Errorf("%w: class %q needs an idempotency key", ErrInvalid, a.Class)
+	case a.Expires < 0:
+		return 0, fmt.Errorf("%w: it has expired", ErrInvalid)
+	case len(a.Parts) == 0:
+		return 0, fmt.Errorf("%w: no parts", ErrInvalid)
+	case c.traces[a.Trace] != nil:
+		return 0, ErrDuplicate
+	}
+	seen := make(map[int]bool)
+	for _, p := range a.Parts {
+		switch {
+		case p.Shard < 0 || p.Shard >= c.set.Module.Shards:
+			return 0, fmt.Errorf("%w: no shard %d", ErrInvalid, p.Shard)
+		case seen[p.Shard]:
+			return 0, fmt.Errorf("%w: shard %d comes twice", ErrInvalid, p.Shard)
+		case !(p.Weight >= 0) || math.IsInf(p.Weight, 1):
+			return 0, fmt.Errorf("%w: shard %d has weight %v", ErrInvalid, p.Shard, p.Weight)
+		}
+		seen[p.Shard] = true
+	}
+	return class, nil
+}
+
+// tenant returns a tenant's number, counted from 1; 0 if it is none.
+func (c *Core) tenant(name string) int {
+	for i, t := range c.set.Module.Tenants {
+		if t.Name == name {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// Gone tells that a query's client has left.
+func (c *Core) Gone(id uint64) {
+	if q := c.queries[id]; q != nil {
+		c.stats.Gone++
+		c.events = append(c.events, eiderwinch.Gone{Query: id})
+		c.close(q)
+	}
+}
+
+// Member is one searcher as discovery has it.
+type Member struct {
+	ID      string
+	Zone    string
+	Cell    int
+	State   eiderwinch.State
+	Started time.Time // zero means long ago
+}
+
+// List takes in a list of searchers, or changes to it, told at now.
+func (c *Core) List(now time.Time, kind eiderwinch.ListKind, list []Member) {
+	c.stats.Updates++
+	event := eiderwinch.ListChange{Kind: kind}
+	listed := make(map[string]bool)
+	for _, m := range list {
+		r := eiderwinch.Replica{ID: m.ID, Zone: m.Zone, Cell: m.Cell, State: m.State}
+		if !m.Started.IsZero() {
+			r.Started = c.clock(m.Started)
+		}
+		event.Replicas = append(event.Replicas, r)
+		listed[m.ID] = true
+		c.told(now, m.ID, m.State)
+	}
+	if kind == eiderwinch.Whole || kind == eiderwinch.Stale {
+		for id := range c.members {
+			if !listed[id] {
+				c.told(now, id, eiderwinch.Removed)
+			}
+		}
+	}
+	c.events = append(c.events, event)
+}
--- /dev/null
+++ b/internal/gatherer/relay.go
@@ -0,0 +1,121 @@
+package gatherer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"eiderwinch"
+)
+
+// slack is how far sums of weights may fall short: they are rounded on their way.
+const slack = 1e-4
+
+// Result tells that a searcher has answered an attempt: OK with a value, else
+// Failed or Full. Results of attempts that are over are passed over.
+func (c *Core) Result(now time.Time, a *Attempt, s eiderwinch.Status, score int64, value string) {
+	if c.end(now, a, s) && s == eiderwinch.OK && !a.part.over && !a.part.in {
+		a.part.in, a.part.score, a.part.value = true, score, value
+	}
+}
+
+// Unsent tells that an attempt never left: it surely has not run.
+func (c *Core) Unsent(now time.Time, a *Attempt) { c.end(now, a, eiderwinch.NoConnection) }
+
+// Broken tells that an attempt's connection broke when it may have arrived.
+func (c *Core) Broken(now time.Time, a *Attempt) { c.end(now, a, eiderwinch.Reset) }
+
+// answer gives a client its answer or, where the class has a second step,
+// starts that with the first. Only values that are in are given, and only what
+// is whole by the core's own books is marked so.
+func (c *Core) answer(x eiderwinch.Answer) {
+	q := c.queries[x.Query]
+	if q == nil {
+		return
+	}
+	class := c.set.Module.Classes[q.class]
+	in, weight := q.in()
+	whole := x.Whole && weight >= class.Need-slack
+	least := class.Floor
+	if q.second {
+		whole = x.Whole && q.firstWhole && len(in) == len(q.parts)
+		if class.Floor >= class.Need {
+			least = 1
+		}
+	}
+	if len(in) == 0 || weight < least-slack {
+		c.log.Error("answer from too little", "trace", q.trace, "weight", weight)
+		c.conclude(q, Reply{Verdict: Failed})
+		return
+	}
+	if class.Fetch > 0 && !q.second {
+		c.secondStep(q, in, min(class.Fetch, len(in)), whole)
+		return
+	}
+	r := Reply{Verdict: Answered, Whole: whole}
+	for _, p := range in {
+		r.Pieces = append(r.Pieces, Piece{Shard: p.shard, Value: p.value})
+	}
+	c.conclude(q, r)
+}
+
+// secondStep replaces a query's parts by n at the shards with the highest scores.
+func (c *Core) secondStep(q *query, in []*part, n int, whole bool) {
+	c.stats.SecondSteps++
+	q.second, q.firstWhole = true, whole
+	for _, p := range in {
+		q.from = append(q.from, p.shard)
+	}
+	slices.Sort(q.from)
+	slices.SortStableFunc(in, func(x, y *part) int {
+		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.shard, y.shard))
+	})
+	c.dropParts(q)
+	event := eiderwinch.SecondStep{Query: q.id}
+	for _, p := range in[:n] {
+		s := c.bookPart(q, p.shard, 1/float64(n), true)
+		event.Parts = append(event.Parts, eiderwinch.Part{ID: s.id, Shard: s.shard, Weight: s.weight})
+	}
+	c.events = append(c.events, event)
+}
+
+func (c *Core) refuse(x eiderwinch.Refuse) {
+	if q := c.queries[x.Query]; q != nil {
+		c.conclude(q, Reply{Verdict: Refused, RetryAfter: x.RetryAfter})
+	}
+}
+
+func (c *Core) fail(x eiderwinch.Fail) {
+	if q := c.queries[x.Query]; q != nil {
+		c.conclude(q, Reply{Verdict: Failed})
+	}
+}
+
+// endOverdue ends what the aggregator has not ended in time: no query goes
+// without a final answer, whatever goes wrong with the decisions.
+func (c *Core) endOverdue() {
+	for _, q := range c.queries {
+		if !c.now.Before(q.backstop(c.set.Tick)) {
+			c.log.Error("query not ended by its deadline", "trace", q.trace)
+			c.stats.Overdue++
+			c.events = append(c.events, eiderwinch.Gone{Query: q.id})
+			c.conclude(q, Reply{Verdict: Failed, Overdue: true})
+		}
+	}
+}
+
+// conclude gives a query's final answer.
+func (c *Core) conclude(q *query, r Reply) {
+	switch {
+	case r.Verdict == Refused:
+		c.stats.Refused++
+	case r.Verdict == Failed:
+		c.stats.Failed++
+	case r.Whole:
+		c.stats.Whole++
+	default:
+		c.stats.Partial++
+	}
+	c.close(q)
+	q.client.Reply(r)
+}
--- /dev/null
+++ b/internal/gatherer/send.go
@@ -0,0 +1,121 @@
+package gatherer
+
+import (
+	"time"
+
+	"eiderwinch"
+)
+
+// Attempt is one attempt of a part at a searcher.
+type Attempt struct {
+	Searcher string
+	Trace    string
+	Shard    int
+	Text     string
+	Key      string
+	Second   bool  // of a second step
+	From     []int // Second: the shards that were in
+	Whole    bool  // Second: the first step was whole
+	Deadline time.Time
+
+	part   *part
+	number int
+	sent   time.Time
+	over   bool
+}
+
+// begin starts one attempt. It lets out none that would break a rule,
+// whatever the aggregator thinks: for a part that is over, beside another
+// attempt of the part, or beyond the limit on attempts.
+func (c *Core) begin(x eiderwinch.Send) *Attempt {
+	p := c.parts[x.Part]
+	if p == nil {
+		c.log.Error("send for an unknown part", "part", x.Part)
+		return nil
+	}
+	most := c.set.Module.MaxAttempts
+	if p.over || p.out != nil || most > 0 && p.tries >= most || c.barred(x.Replica, c.now) {
+		c.log.Warn("send not let out", "trace", p.query.trace, "shard", p.shard, "searcher", x.Replica)
+		c.stats.NotSent++
+		c.events = append(c.events, eiderwinch.Outcome{
+			Part: p.id, Attempt: p.tries, Replica: x.Replica, Status: eiderwinch.NotSent,
+		})
+		p.tries++
+		return nil
+	}
+	wait := p.query.deadline.Sub(c.now)
+	if x.TimeOut > 0 {
+		wait = min(wait, x.TimeOut)
+	}
+	a := &Attempt{
+		Searcher: x.Replica, Trace: p.query.trace, Shard: p.shard, Text: p.query.text, Key: p.query.key,
+		Second: p.second, Deadline: c.now.Add(wait), part: p, number: p.tries, sent: c.now,
+	}
+	if p.second {
+		a.From, a.Whole = p.query.from, p.query.firstWhole
+	}
+	p.tries++
+	p.out = a
+	c.attempts = append(c.attempts, a)
+	return a
+}
+
+// cancel calls an attempt off.
+func (c *Core) cancel(x eiderwinch.Cancel) {
+	if p := c.parts[x.Part]; p != nil && p.out != nil && p.out.number == x.Attempt {
+		a := p.out
+		c.end(c.now, a, eiderwinch.Cancelled)
+		c.searchers.Abandon(a)
+	}
+}
+
+// expire ends the attempts whose time is up.
+func (c *Core) expire() {
+	for _, a := range c.attempts {
+		if !a.over && !c.now.Before(a.Deadline) {
+			c.end(c.now, a, eiderwinch.TimedOut)
+			c.searchers.Abandon(a)
+		}
+	}
+}
+
+// MaySend tells whether an attempt that has waited for a connection may still
+// be written: somebody waits for it and its searcher takes new work.
+func (c *Core) MaySend(now time.Time, a *Attempt) bool {
+	return !a.over && now.Before(a.Deadline) && !c.barred(a.Searcher, now)
+}
+
+// end ends an attempt, once, and tells the aggregator how.
+func (c *Core) end(now time.Time, a *Attempt, s eiderwinch.Status) bool {
+	if a.over {
+		return false
+	}
+	a.over = true
+	if a.part.out == a {
+		a.part.out = nil
+	}
+	c.count(s)
+	c.events = append(c.events, eiderwinch.Outcome{
+		Part: a.part.id, Attempt: a.number, Replica: a.Searcher, Status: s, Took: now.Sub(a.sent),
+	})
+	return true
+}
+
+func (c *Core) count(s eiderwinch.Status) {
+	switch s {
+	case eiderwinch.OK:
+		c.stats.OK++
+	case eiderwinch.Failed:
+		c.stats.Errors++
+	case eiderwinch.Full:
+		c.stats.Skipped++
+	case eiderwinch.TimedOut:
+		c.stats.TimedOut++
+	case eiderwinch.NoConnection:
+		c.stats.Unconnected++
+	case eiderwinch.Reset:
+		c.stats.Reset++
+	case eiderwinch.Cancelled:
+		c.stats.Cancelled++
+	}
+}
--- /dev/null
+++ b/internal/netio/node.go
@@ -0,0 +1,311 @@
+// Package netio puts the gatherer's core on real sockets: clients and
+// discovery over HTTP/1.1, searchers over frames. One gnet event loop owns the
+// listener, all connections and the core; nothing on it blocks, and there are
+// no locks.
+package netio
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	gneterrors "github.com/panjf2000/gnet/v2/pkg/errors"
+
+	"eiderwinch"
+	"eiderwinch/internal/catalog"
+	"eiderwinch/internal/gatherer"
+	"eiderwinch/internal/stats"
+)
+
+// Config is what a Node is told.
+type Config struct {
+	Listen         string
+	Discovery      string
+	Known          catalog.Update
+	Sockets        int // descriptors that the process may hold
+	Multiplex      int // parts on one connection
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration // searchers close connections idle for so long
+	Gatherer       gatherer.Settings
+}
+
+// Times that are ours.
+const (
+	housekeeping = 250 * time.Millisecond // how often idle things are looked at
+	drainAccept  = 600 * time.Millisecond // new connections come for 0.4 s after SIGTERM
+	drainPartial = time.Second            // how much longer a half-sent request is waited for
+	bootTimeout  = 5 * time.Second
+)
+
+// spare is how many descriptors are left to the runtime, the poller, the
+// listener and the standard streams.
+const spare = 32
+
+// Node is one gatherer on sockets. Its fields belong to the event loop.
+type Node struct {
+	gnet.BuiltinEventEngine
+	cfg   Config
+	log   *slog.Logger
+	stats *stats.Counters
+	core  *gatherer.Core
+	pool  *pool
+	watch *watch
+
+	ctx     context.Context // of all dials
+	stop    context.CancelFunc
+	loop    gnet.EventLoop // nil until the first connection shows it
+	timer   *time.Timer
+	armed   time.Time
+	kept    time.Time // last housekeeping
+	clients map[*client]struct{}
+
+	draining   bool
+	drainUntil time.Time
+	closing    bool
+
+	started  chan struct{} // closed once queries are taken
+	bound    string        // the address listened on
+	bootFail error
+}
+
+// New returns a Node that is to be started with Run.
+func New(cfg Config, d gatherer.Decider, counters *stats.Counters, log *slog.Logger) *Node {
+	n := &Node{
+		cfg: cfg, log: log, stats: counters,
+		clients: make(map[*client]struct{}),
+		started: make(chan struct{}),
+	}
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	n.pool = newPool(n)
+	n.watch = &watch{n: n, revision: cfg.Known.Revision}
+	n.core = gatherer.New(cfg.Gatherer, d, n.pool, counters, log, time.Now())
+	return n
+}
+
+// Run serves until the node has drained.
+func (n *Node) Run() error {
+	defer n.stop()
+	err := gnet.Run(n, "tcp://"+n.cfg.Listen,
+		gnet.WithNumEventLoop(1),
+		gnet.WithReusePort(true), // one loop for the listener and all connections, see gnet's runEventLoops
+		gnet.WithReuseAddr(true),
+		gnet.WithLoadBalancing(gnet.LeastConnections),
+		gnet.WithLogger(logger{n.log}),
+	)
+	if err == nil {
+		err = n.bootFail
+	}
+	if err != nil {
+		return fmt.Errorf("serving on %s: %w", n.cfg.Listen, err)
+	}
+	return nil
+}
+
+// Started is closed once queries are taken; Addr is known from then on.
+func (n *Node) Started() <-chan struct{} { return n.started }
+
+// Addr is the address listened on.
+func (n *Node) Addr() string { return n.bound }
+
+// Drain lets the node end once it has answered all it has taken. It may be
+// called from any goroutine once the node has started.
+func (n *Node) Drain() {
+	n.exec(func() error {
+		if !n.draining {
+			n.log.Info("draining", "open", n.core.Open())
+			n.draining, n.drainUntil = true, time.Now().Add(drainAccept)
+			n.closeIdleClients()
+		}
+		return nil
+	})
+}
+
+// Report logs the counters. It may be called from any goroutine.
+func (n *Node) Report() {
+	n.exec(func() error {
+		n.log.Info("counters", "counters", n.stats)
+		return nil
+	})
+}
+
+// exec runs f on the event loop.
+func (n *Node) exec(f func() error) {
+	select {
+	case <-n.started:
+	default:
+		return
+	}
+	_ = n.loop.Execute(n.ctx, gnet.RunnableFunc(func(context.Context) error {
+		err := f()
+		n.arm()
+		return err
+	}))
+}
+
+// OnBoot implements gnet.EventHandler. gnet hands out its loop with a
+// connection only, so the node opens one to itself.
+func (n *Node) OnBoot(e gnet.Engine) gnet.Action {
+	fd, err := e.Dup()
+	if err == nil {
+		n.bound, err = boundAddr(fd)
+	}
+	if err != nil {
+		n.bootFail = fmt.Errorf("address of the listener: %w", err)
+		return gnet.Shutdown
+	}
+	go func() {
+		c, err := net.DialTimeout("tcp", n.bound, bootTimeout)
+		if err != nil {
+			n.log.Error("can't reach the own listener", "err", err)
+			return
+		}
+		<-n.started
+		c.Close()
+	}()
+	return gnet.None
+}
+
+// boot starts all that needs the loop. It runs on it.
+func (n *Node) boot(loop gnet.EventLoop) {
+	n.loop = loop
+	now := time.Now()
+	n.apply(now, eiderwinch.Stale, n.cfg.Known.Members)
+	n.core.Run(now)
+	n.timer = time.AfterFunc(time.Hour, func() { n.exec(n.wake) })
+	close(n.started)
+	n.watch.open()
+	n.log.Info("serving", "addr", n.bound, "searchers", len(n.cfg.Known.Members))
+}
+
+// handler is what serves a connection.
+type handler interface {
+	opened(c gnet.Conn)
+	traffic(b []byte)
+	closed(err error)
+}
+
+// OnOpen implements gnet.EventHandler.
+func (n *Node) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if n.loop == nil {
+		n.boot(c.EventLoop())
+	}
+	h, ok := c.Context().(handler)
+	if !ok { // accepted from the listener, not enrolled by dial
+		h = newClient(n)
+		c.SetContext(h)
+	}
+	h.opened(c)
+	n.arm()
+	return nil, gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (n *Node) OnTraffic(c gnet.Conn) gnet.Action {
+	b, err := c.Next(-1)
+	if err == nil && len(b) > 0 {
+		c.Context().(handler).traffic(b)
+		n.arm()
+	}
+	return gnet.None
+}
+
+// OnClose implements gnet.EventHandler. gnet may call it inside a Write of ours.
+func (n *Node) OnClose(c gnet.Conn, err error) gnet.Action {
+	if h, ok := c.Context().(handler); ok {
+		h.closed(err)
+		n.arm()
+	}
+	return gnet.None
+}
+
+// wake does all that is due.
+func (n *Node) wake() error {
+	n.armed = time.Time{}
+	now := time.Now()
+	n.pool.expire(now)
+	n.core.Run(now)
+	if now.Sub(n.kept) >= housekeeping {
+		n.kept = now
+		n.pool.closeIdle(now)
+		n.watch.check(now)
+		n.checkClients(now)
+	}
+	if n.drained(now) {
+		n.closing = true
+		return gneterrors.ErrEngineShutdown
+	}
+	return nil
+}
+
+// arm sets the timer for what is due next.
+func (n *Node) arm() {
+	if n.timer == nil {
+		return
+	}
+	due := n.kept.Add(housekeeping)
+	for _, t := range []time.Time{n.core.Due(), n.pool.due()} {
+		if !t.IsZero() && t.Before(due) {
+			due = t
+		}
+	}
+	if n.armed.IsZero() || due.Before(n.armed) {
+		n.armed = due
+		n.timer.Reset(max(time.Until(due), 0))
+	}
+}
+
+// drained tells that a draining node has nothing left to do.
+func (n *Node) drained(now time.Time) bool {
+	if !n.draining || now.Before(n.drainUntil) || n.core.Open() > 0 {
+		return false
+	}
+	n.closeIdleClients()
+	for c := range n.clients {
+		half := !c.parser.Idle() && now.Before(n.drainUntil.Add(drainPartial))
+		if c.unsent() || half && !c.ending {
+			return false
+		}
+	}
+	return true
+}
+
+// apply hands news of the searchers to the core and the connections.
+func (n *Node) apply(now time.Time, kind eiderwinch.ListKind, members []catalog.Member) {
+	states := map[catalog.Phase]eiderwinch.State{
+		catalog.Ready: eiderwinch.Ready, catalog.Terminating: eiderwinch.Draining, catalog.Gone: eiderwinch.Removed,
+	}
+	var list []gatherer.Member
+	for _, m := range members {
+		list = append(list, gatherer.Member{
+			ID: m.ID, Zone: m.Locality, Cell: m.Cell, State: states[m.Phase], Started: m.Started(),
+		})
+		n.pool.locate(m.ID, m.HostPort)
+	}
+	n.core.List(now, kind, list)
+}
+
+// dial opens a connection for h, whose opened or failed is called on the loop.
+// net.Dialer does the waiting in a goroutine of its own: gnet's Register dials
+// without a limit in time.
+func (n *Node) dial(addr string, timeout time.Duration, h handler, failed func(error)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ctx, timeout)
+		defer cancel()
+		c, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+		if err == nil {
+			var enrolled <-chan gnet.RegisteredResult
+			if enrolled, err = n.loop.Enroll(gnet.NewContext(n.ctx, h), c); err == nil {
+				err = (<-enrolled).Err
+			}
+		}
+		if err != nil {
+			n.exec(func() error {
+				failed(err)
+				return nil
+			})
+		}
+	}()
+}
--- /dev/null
+++ b/internal/netio/pool.go
@@ -0,0 +1,418 @@
+package netio
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"eiderwinch"
+	"eiderwinch/internal/frame"
+	"eiderwinch/internal/gatherer"
+)
+
+const (
+	idleMargin = 2 * time.Second // idle connections are closed so long before the searcher does
+	maxGhosts  = 256             // given-up parts without an answer; then a connection is not used again
+)
+
+// pool holds the connections to the searchers. It implements gatherer.Searchers.
+type pool struct {
+	n       *Node
+	peers   map[string]*peer
+	flights map[*gatherer.Attempt]*link // where attempts were written
+	links   int                         // all connections, those being dialed included
+}
+
+func newPool(n *Node) *pool {
+	return &pool{n: n, peers: make(map[string]*peer), flights: make(map[*gatherer.Attempt]*link)}
+}
+
+// peer is one searcher.
+type peer struct {
+	id, addr string
+	links    []*link
+	queue    []waiting // calls that wait for a connection
+}
+
+// waiting is a call that waits for a connection.
+type waiting struct {
+	attempts []*gatherer.Attempt
+	until    time.Time
+}
+
+// link is one connection to a searcher.
+type link struct {
+	pool   *pool
+	peer   *peer
+	addr   string
+	conn   gnet.Conn // nil while it is being dialed
+	until  time.Time // being dialed: when that is given up
+	shut   bool      // not to be used any more
+	parser frame.Parser
+	out    []flight
+	ghosts map[string]bool // ids of given-up parts that may still be answered
+	given  uint64          // bytes given to gnet
+	idle   time.Time       // when nothing was out here last
+}
+
+// flight is an attempt that is out on a connection.
+type flight struct {
+	id      string
+	attempt *gatherer.Attempt
+	end     uint64 // it has left once so many bytes have
+}
+
+// partID is a part's id in frames.
+func partID(a *gatherer.Attempt) string {
+	id := a.Trace + "." + strconv.Itoa(a.Shard)
+	if a.Second {
+		id += ".b"
+	}
+	return id
+}
+
+// locate books a searcher's address. Connections to another one are not used
+// for new calls.
+func (p *pool) locate(id, addr string) {
+	at := p.peers[id]
+	if at == nil {
+		at = &peer{id: id}
+		p.peers[id] = at
+	}
+	if addr != "" && addr != at.addr {
+		at.addr = addr
+		for _, l := range at.links {
+			l.shut = l.shut || l.addr != addr
+		}
+	}
+}
+
+// Call implements gatherer.Searchers.
+func (p *pool) Call(now time.Time, attempts []*gatherer.Attempt) {
+	at := p.peers[attempts[0].Searcher]
+	if at == nil || at.addr == "" {
+		for _, a := range attempts {
+			p.n.core.Unsent(now, a)
+		}
+		return
+	}
+	at.queue = append(at.queue, waiting{attempts, now.Add(p.n.cfg.ConnectTimeout)})
+	p.pump(now, at)
+}
+
+// pump writes the calls that wait for a connection, as far as there are any,
+// and dials for the rest.
+func (p *pool) pump(now time.Time, at *peer) {
+	for len(at.queue) > 0 {
+		w := at.queue[0]
+		var due []*gatherer.Attempt
+		for _, a := range w.attempts {
+			// A call may have waited past its searcher's drain grace, or its end.
+			if p.n.core.MaySend(now, a) {
+				due = append(due, a)
+			} else {
+				p.n.core.Unsent(now, a)
+			}
+		}
+		at.queue[0].attempts = due
+		if len(due) > 0 {
+			l := at.pick(due, p.n.cfg.Multiplex)
+			if l == nil {
+				break
+			}
+			at.queue = at.queue[1:]
+			l.send(now, due)
+			continue
+		}
+		at.queue = at.queue[1:]
+	}
+	p.dial(now, at)
+}
+
+// pick returns a connection with room for a call. One that still may bring an
+// answer to an earlier attempt of a part has none: the frames bear the part's
+// id only, so that answer would be taken for the new attempt's.
+func (at *peer) pick(attempts []*gatherer.Attempt, multiplex int) *link {
+	for _, l := range at.links {
+		if l.conn == nil || l.shut || len(l.out) > 0 && len(l.out)+len(attempts) > multiplex ||
+			len(l.ghosts) >= maxGhosts || l.conn.OutboundBuffered() > 0 {
+			continue
+		}
+		haunted := func(a *gatherer.Attempt) bool { return l.ghosts[partID(a)] }
+		if !slices.ContainsFunc(attempts, haunted) {
+			return l
+		}
+	}
+	return nil
+}
+
+// dial opens connections for the calls that wait, as far as descriptors allow;
+// each takes two for a moment, when gnet takes it over.
+func (p *pool) dial(now time.Time, at *peer) {
+	room := 0
+	for _, l := range at.links {
+		if l.conn == nil && !l.shut {
+			room += p.n.cfg.Multiplex
+		}
+	}
+	want := 0
+	for _, w := range at.queue {
+		want += len(w.attempts)
+	}
+	for ; want > room; room += p.n.cfg.Multiplex {
+		if p.links >= (p.n.cfg.Sockets-spare)/4 {
+			p.dropIdlest()
+			return
+		}
+		l := &link{
+			pool: p, peer: at, addr: at.addr, until: now.Add(p.n.cfg.ConnectTimeout), ghosts: make(map[string]bool),
+		}
+		at.links = append(at.links, l)
+		p.links++
+		p.n.dial(at.addr, p.n.cfg.ConnectTimeout, l, l.failed)
+	}
+}
+
+// dropIdlest closes the connection that has been idle for longest. That is
+// done later in the loop; the calls wait for it, see closed.
+func (p *pool) dropIdlest() {
+	var idlest *link
+	for _, at := range p.peers {
+		for _, l := range at.links {
+			if l.conn != nil && !l.shut && len(l.out) == 0 && (idlest == nil || l.idle.Before(idlest.idle)) {
+				idlest = l
+			}
+		}
+	}
+	if idlest != nil {
+		idlest.close()
+	}
+}
+
+// Abandon implements gatherer.Searchers.
+func (p *pool) Abandon(a *gatherer.Attempt) {
+	l := p.flights[a]
+	if l == nil {
+		return // it waits for a connection, and is dropped there
+	}
+	id := partID(a)
+	l.land(a)
+	l.ghosts[id] = true
+	l.write(frame.AppendCancel(nil, id))
+}
+
+// CloseIdle implements gatherer.Searchers.
+func (p *pool) CloseIdle(searcher string) {
+	if at := p.peers[searcher]; at != nil {
+		for _, l := range at.links {
+			if l.conn != nil && len(l.out) == 0 {
+				l.close()
+			}
+		}
+	}
+}
+
+// due is when expire is wanted next; zero if nothing is due.
+func (p *pool) due() time.Time {
+	var due time.Time
+	sooner := func(t time.Time) {
+		if due.IsZero() || t.Before(due) {
+			due = t
+		}
+	}
+	for _, at := range p.peers {
+		for _, w := range at.queue {
+			sooner(w.until)
+		}
+		for _, l := range at.links {
+			if l.conn == nil && !l.shut {
+				sooner(l.until)
+			}
+		}
+	}
+	return due
+}
+
+// expire gives up what has waited too long.
+func (p *pool) expire(now time.Time) {
+	for _, at := range p.peers {
+		for _, l := range at.links {
+			if l.conn == nil && !now.Before(l.until) {
+				l.shut = true // its dialer gives up by itself
+			}
+		}
+		for len(at.queue) > 0 && !now.Before(at.queue[0].until) {
+			for _, a := range at.queue[0].attempts {
+				p.n.core.Unsent(now, a)
+			}
+			at.queue = at.queue[1:]
+		}
+	}
+}
+
+// closeIdle closes the connections that are idle, before the searchers do.
+func (p *pool) closeIdle(now time.Time) {
+	longest := max(p.n.cfg.ConnIdle-idleMargin, p.n.cfg.ConnIdle/2)
+	for id, at := range p.peers {
+		for _, l := range at.links {
+			if l.conn != nil && len(l.out) == 0 && (l.shut || now.Sub(l.idle) >= longest) {
+				l.close()
+			}
+		}
+		if len(at.links) == 0 && len(at.queue) == 0 && !p.n.core.Listed(id) {
+			delete(p.peers, id)
+		}
+	}
+}
+
+// opened implements handler.
+func (l *link) opened(c gnet.Conn) {
+	now := time.Now()
+	l.conn, l.idle = c, now
+	l.pool.n.stats.Dialed++
+	if l.shut {
+		l.close()
+		return
+	}
+	l.pool.pump(now, l.peer)
+}
+
+// failed tells that the connection did not come up.
+func (l *link) failed(error) {
+	p, now := l.pool, time.Now()
+	p.n.stats.DialFails++
+	l.forget()
+	for _, other := range l.peer.links {
+		if !other.shut {
+			return // the calls can still go there
+		}
+	}
+	for _, w := range l.peer.queue {
+		for _, a := range w.attempts {
+			p.n.core.Unsent(now, a)
+		}
+	}
+	l.peer.queue = nil
+}
+
+func (l *link) forget() {
+	l.shut = true
+	l.pool.links--
+	l.peer.links = slices.DeleteFunc(l.peer.links, func(x *link) bool { return x == l })
+}
+
+// send writes a call as one frame.
+func (l *link) send(now time.Time, attempts []*gatherer.Attempt) {
+	parts := make([]frame.Part, len(attempts))
+	for i, a := range attempts {
+		parts[i] = frame.Part{ID: partID(a), Shard: a.Shard, Text: a.Text, List: frame.List{
+			WaitMS: max(a.Deadline.Sub(now).Milliseconds(), 1), Key: a.Key, From: a.From, Whole: a.Whole,
+		}}
+	}
+	b := frame.AppendCall(nil, parts)
+	for i, a := range attempts {
+		l.out = append(l.out, flight{id: parts[i].ID, attempt: a, end: l.given + uint64(len(b))})
+		l.pool.flights[a] = l
+	}
+	l.write(b)
+}
+
+// write gives a frame to gnet. Where it fails, gnet has called closed before
+// it returns, and none of the frame counts as given.
+func (l *link) write(b []byte) {
+	if _, err := l.conn.Write(b); err == nil {
+		l.given += uint64(len(b))
+	}
+}
+
+// land takes an attempt off the connection.
+func (l *link) land(a *gatherer.Attempt) {
+	delete(l.pool.flights, a)
+	l.out = slices.DeleteFunc(l.out, func(f flight) bool { return f.attempt == a })
+	if len(l.out) == 0 {
+		l.idle = time.Now()
+	}
+}
+
+// close closes the connection; closed is called later, on the loop.
+func (l *link) close() {
+	l.shut = true
+	_ = l.conn.Close()
+}
+
+// traffic implements handler.
+func (l *link) traffic(b []byte) {
+	now := time.Now()
+	l.parser.Feed(b)
+	for {
+		f, ok, err := l.parser.Next()
+		if err == nil && ok {
+			err = l.take(now, f)
+		}
+		if err != nil {
+			l.pool.n.log.Warn("bad frame", "searcher", l.peer.id, "err", err)
+			l.close()
+			return
+		}
+		if !ok {
+			break
+		}
+	}
+	l.pool.pump(now, l.peer)
+}
+
+// take takes in one frame.
+func (l *link) take(now time.Time, f frame.Frame) error {
+	switch f.Letter {
+	case frame.Answer:
+	case frame.Error:
+		l.pool.n.log.Warn("searcher could not use a frame", "searcher", l.peer.id, "words", string(f.Rest))
+		return nil // it closes the connection
+	case frame.Probe, frame.Load:
+		return nil // not asked for
+	default:
+		return errLetter
+	}
+	r, err := frame.ParseAnswer(f.Rest)
+	if err != nil {
+		return err
+	}
+	i := slices.IndexFunc(l.out, func(f flight) bool { return f.id == r.ID })
+	if i < 0 {
+		delete(l.ghosts, r.ID) // nobody waits for it any more
+		return nil
+	}
+	a := l.out[i].attempt
+	l.land(a)
+	l.pool.n.core.Result(now, a, statuses[r.End], r.Score, r.Value)
+	return nil
+}
+
+var statuses = map[frame.End]eiderwinch.Status{
+	frame.Served: eiderwinch.OK, frame.Broke: eiderwinch.Failed, frame.Skipped: eiderwinch.Full,
+}
+
+// closed implements handler. What gnet still holds has not left; it would
+// write that after this call, so the connection is shut first: a part that is
+// told to have never run must not run.
+func (l *link) closed(error) {
+	now := time.Now()
+	left := l.given - uint64(l.conn.OutboundBuffered())
+	if l.conn.OutboundBuffered() > 0 {
+		shut(l.conn.Fd())
+	}
+	out := l.out
+	l.out = nil
+	l.forget()
+	for _, f := range out {
+		delete(l.pool.flights, f.attempt)
+		if f.end <= left {
+			l.pool.n.core.Broken(now, f.attempt)
+		} else {
+			l.pool.n.core.Unsent(now, f.attempt)
+		}
+	}
+	l.pool.pump(now, l.peer)
+}
--- /dev/null
+++ b/internal/netio/socket.go
@@ -0,0 +1,37 @@
+package netio
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"syscall"
+)
+
+// boundAddr returns the address that a listening descriptor is bound to, and
+// closes the descriptor.
+func boundAddr(fd int) (string, error) {
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	l, err := net.FileListener(f)
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// shut ends both ways of a connection that is about to be closed.
+func shut(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_RDWR) }
+
+// shutWrite ends the way out of a connection; the peer can still be read.
+func shutWrite(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_WR) }
+
+// logger passes gnet's messages on.
+type logger struct{ log *slog.Logger }
+
+func (l logger) Debugf(format string, args ...any) { l.log.Debug(fmt.Sprintf(format, args...)) }
+func (l logger) Infof(format string, args ...any)  { l.log.Debug(fmt.Sprintf(format, args...)) }
+func (l logger) Warnf(format string, args ...any)  { l.log.Warn(fmt.Sprintf(format, args...)) }
+func (l logger) Errorf(format string, args ...any) { l.log.Error(fmt.Sprintf(format, args...)) }
+func (l logger) Fatalf(format string, args ...any) { l.log.Error(fmt.Sprintf(format, args...)) }
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,52 @@
+// Package stats counts what the program takes in, sends and answers.
+package stats
+
+import "log/slog"
+
+// Counters belongs to the loop that owns the gatherer; it has no locks.
+type Counters struct {
+	Taken     int // queries taken from clients
+	Malformed int // requests answered with a 4xx or 5xx for their form
+
+	Whole   int // answers marked whole
+	Partial int // other answers
+	Refused int // refusals, those at the limit included
+	Full    int // refusals since as many were open as may be
+	Failed  int // failures, overdue ones included
+	Overdue int // queries that the core had to end at their deadline
+	Gone    int // queries whose client left
+
+	Turns       int
+	Calls       int // calls given to the searcher connections
+	Sent        int // parts in them
+	SecondSteps int
+	NotSent     int // sends that the core did not let out
+	OK          int // outcomes, by kind
+	Errors      int
+	Skipped     int
+	TimedOut    int
+	Unconnected int
+	Reset       int
+	Cancelled   int
+
+	Clients   int // connections that clients opened
+	Dialed    int // connections opened to searchers
+	DialFails int
+	Watches   int // watches opened
+	Updates   int // lists and changes received
+}
+
+// LogValue implements slog.LogValuer.
+func (c *Counters) LogValue() slog.Value {
+	group := func(key string, pairs ...any) slog.Attr { return slog.Group(key, pairs...) }
+	return slog.GroupValue(
+		group("in", "taken", c.Taken, "malformed", c.Malformed, "clients", c.Clients),
+		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.Full,
+			"failed", c.Failed, "overdue", c.Overdue, "gone", c.Gone),
+		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "second_steps", c.SecondSteps,
+			"not_sent", c.NotSent, "dialed", c.Dialed, "dial_fails", c.DialFails),
+		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
+			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled),
+		group("discovery", "watches", c.Watches, "updates", c.Updates),
+	)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -14,6 +13,7 @@
 	"time"
 
 	"eiderwinch"
+	"eiderwinch/internal/config"
 )
 
 // Batch is one batch of the simulator: the clock and, in order, the news of
@@ -441,124 +441,10 @@
 	"NOP":    eiderwinch.NotSent,
 }
 
-// env is the part of the start settings that is used.
-type env struct {
-	Zone     string `json:"az"`
-	Brokers  int    `json:"balancers"`
-	Number   int    `json:"my_number"`
-	Family   string `json:"family"`
-	ListMode string `json:"membership_mode"`
-	Tick     int64  `json:"tick"`
-	Classes  []struct {
-		Name     string  `json:"name"`
-		Aim      int64   `json:"aim"`
-		Deadline int64   `json:"deadline"`
-		Effect   string  `json:"effect"`
-		Late     float64 `json:"late_worth"`
-		Window   int64   `json:"repeat_window"`
-		Worth    float64 `json:"worth"`
-	} `json:"classes"`
-	Domain struct {
-		Batch    int       `json:"per_call"`
-		CallCost int64     `json:"call_cost"`
-		Cells    int       `json:"places"`
-		Reach    int       `json:"in_a_row"`
-		Shards   int       `json:"shards"`
-		Need     []float64 `json:"whole_at"`
-		Floor    []float64 `json:"floor_by_class"`
-		Partial  []float64 `json:"class_partial"`
-		Fetch    []int     `json:"class_fetch"`
-		Warm     bool      `json:"warm_keys"`
-	} `json:"domain"`
-	Limits struct {
-		Attempts     int   `json:"attempts_cap"`
-		Cancel       bool  `json:"cancel"`
-		SecondCopies bool  `json:"second_copies"`
-		RetryAfter   bool  `json:"retry_after"`
-		MaxRetry     int64 `json:"max_retry_after"`
-	} `json:"policy_limits"`
-	OverShare float64 `json:"over_share_worth"`
-	Parties   []struct {
-		Name  string
-		Share float64
-	} `json:"parties"`
-	Callers struct {
-		Marks bool `json:"marks_retry"`
-	} `json:"callers"`
-	Prices struct {
-		CrossZone float64 `json:"cross_zone"`
-	} `json:"prices"`
-	Rules struct {
-		AskWithin    int64   `json:"ask_within"`
-		BudgetFree   float64 `json:"budget_free"`
-		BudgetRatio  float64 `json:"repeat_ratio"`
-		BudgetWindow int64   `json:"counted_over"`
-		ColdFor      int64   `json:"cold"`
-		ColdShare    float64 `json:"start_capacity"`
-		Multiple     float64 `json:"fall_multiple"`
-		Overload     int64   `json:"overload_for"`
-	} `json:"rules"`
-}
-
 // Settings reads the start settings of an instance.
 func Settings(text []byte) (eiderwinch.Settings, error) {
-	var e env
-	if err := json.Unmarshal(text, &e); err != nil {
-		return eiderwinch.Settings{}, fmt.Errorf("settings: %v", err)
-	}
-	s := eiderwinch.Settings{
-		Brokers: e.Brokers, Number: e.Number, Zone: e.Zone, Tick: time.Duration(e.Tick),
-		Shards: e.Domain.Shards, Cells: e.Domain.Cells, Reach: e.Domain.Reach,
-		Batch: e.Domain.Batch, CallCost: time.Duration(e.Domain.CallCost),
-		WarmKeys: e.Domain.Warm, CrossZoneCosts: e.Prices.CrossZone > 0,
-		MarksRepeats: e.Callers.Marks, OverShare: e.OverShare,
-		AskForList:  e.ListMode == "on_request",
-		MaxAttempts: e.Limits.Attempts, MayCancel: e.Limits.Cancel, SecondCopies: e.Limits.SecondCopies,
-		RetryAdvice: e.Limits.RetryAfter, MaxRetryAdvice: time.Duration(e.Limits.MaxRetry),
-		AskWithin:   time.Duration(e.Rules.AskWithin),
-		BudgetRatio: e.Rules.BudgetRatio, BudgetFree: e.Rules.BudgetFree,
-		BudgetWindow: time.Duration(e.Rules.BudgetWindow),
-		ColdShare:    e.Rules.ColdShare, ColdFor: time.Duration(e.Rules.ColdFor),
-		ColdMultiple: e.Rules.Multiple, ColdOverloads: time.Duration(e.Rules.Overload),
-	}
-	switch {
-	case s.Cells < 1 || s.Reach < 1 || s.Shards < 1:
-		return s, fmt.Errorf("settings: domain needs shards, places and in_a_row above 0")
-	case e.ListMode != "on_request" && e.ListMode != "pushed":
-		return s, fmt.Errorf("settings: unknown membership_mode %q", e.ListMode)
-	}
-	for _, t := range e.Parties {
-		s.Tenants = append(s.Tenants, eiderwinch.Tenant(t))
-	}
-	effects := map[string]eiderwinch.Effect{
-		"safe": eiderwinch.Safe, "keyed": eiderwinch.Keyed, "unsafe": eiderwinch.Unsafe,
-	}
-	for i, c := range e.Classes {
-		effect, ok := effects[c.Effect]
-		if !ok {
-			return s, fmt.Errorf("settings: class %q has unknown effect %q", c.Name, c.Effect)
-		}
-		if c.Aim <= 0 || c.Deadline <= 0 {
-			return s, fmt.Errorf("settings: class %q needs an aim and a deadline above 0", c.Name)
-		}
-		s.Classes = append(s.Classes, eiderwinch.Class{
-			Name: c.Name, Aim: time.Duration(c.Aim), Deadline: time.Duration(c.Deadline),
-			Worth: c.Worth, LateWorth: c.Late, Effect: effect, RepeatWindow: time.Duration(c.Window),
-			Need: at(e.Domain.Need, i), Floor: at(e.Domain.Floor, i), Partial: at(e.Domain.Partial, i),
-		})
-		if i < len(e.Domain.Fetch) {
-			s.Classes[i].Fetch = e.Domain.Fetch[i]
-		}
-	}
-	return s, nil
-}
-
-// at returns the value of class i; where the settings name none, all parts are needed.
-func at(values []float64, i int) float64 {
-	if i < len(values) {
-		return values[i]
-	}
-	return 1
+	s, err := config.ParseSettings(text)
+	return s.Module, err
 }
 
 // Writer writes replies.
