Test each rule on real sockets, and put turns on the grid of ticks

They found that an idle core took its turn at once instead of at the end of the tick (core.go, Due): what came next in that tick waited for a turn of its own. Ruled out: a late timer, since the test's clock is its own. Now the first event sets the turn to the end of its tick.

--- /dev/null
+++ b/cmd/eiderwinch/main_test.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"eiderwinch/internal/testpeer"
+)
+
+// program is the built program, running.
+type program struct {
+	*exec.Cmd
+	addr  string
+	lines chan string // of its log; closed at its end
+}
+
+const configText = `{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"limits":{"memory_mb":192,"sockets":1024},
+	"known":{"revision":1,"complete":true,"members":[%s]},"settings":%s}`
+
+const settingsText = `{"membership_mode":"pushed","tick":5000000,"domain":{"places":1,"in_a_row":1,"shards":4,"per_call":4},
+	"classes":[{"name":"search","aim":60000000000,"deadline":60000000000,"effect":"safe","worth":1}],
+	"policy_limits":{"cancel":true,"attempts_cap":4}}`
+
+// build builds the program as it is deployed.
+func build(t *testing.T) string {
+	path := filepath.Join(t.TempDir(), "eiderwinch")
+	if out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return path
+}
+
+func launch(t *testing.T, path, text string) *program {
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &program{Cmd: exec.Command(path), lines: make(chan string, 1000)}
+	p.Env = append(os.Environ(), "LB_CONFIG="+file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
+	out, err := p.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.Process.Kill() })
+	go func() {
+		for s := bufio.NewScanner(out); s.Scan(); {
+			p.lines <- s.Text()
+		}
+		close(p.lines)
+	}()
+	return p
+}
+
+// logged waits for a line of the log.
+func (p *program) logged(t *testing.T, part string) string {
+	t.Helper()
+	for {
+		line := testpeer.Get(t, p.lines, part)
+		if line == "" {
+			t.Fatalf("the program ended without %q", part)
+		}
+		if strings.Contains(line, part) {
+			return line
+		}
+	}
+}
+
+func TestProgramServesAndDrains(t *testing.T) {
+	s, d := testpeer.NewSearcher(t), testpeer.NewDiscovery(t)
+	p := launch(t, build(t), fmt.Sprintf(configText, d.Addr, testpeer.Member("s", s.Addr, "Ready", 0), settingsText))
+	_, addr, _ := strings.Cut(p.logged(t, "msg=serving"), "addr=")
+	addr, _, _ = strings.Cut(addr, " ")
+
+	c := testpeer.NewClient(t, addr)
+	if resp, _ := c.Say("GET /_health HTTP/1.1\r\n\r\n").Hear(); resp.StatusCode != 200 {
+		t.Errorf("health: %s", resp.Status)
+	}
+	c.Say(testpeer.Query("search", "t1", time.Minute, 2))
+	testpeer.Get(t, s.Parts, "a part").Answer("served", 1, "a")
+	testpeer.Get(t, s.Parts, "a part").Answer("served", 1, "b")
+	if resp, body := c.Hear(); resp.StatusCode != 200 || !strings.HasPrefix(body, `{"full":true,`) {
+		t.Errorf("have %s %s", resp.Status, body)
+	}
+	_ = p.Process.Signal(syscall.SIGUSR1)
+	if line := p.logged(t, "msg=counters"); !strings.Contains(line, "counters.in.taken=1 ") {
+		t.Errorf("counters: %s", line)
+	}
+
+	// At SIGTERM one query is open and one connection idle.
+	idle := testpeer.NewClient(t, addr)
+	idle.Say("GET /_health HTTP/1.1\r\n\r\n").Hear()
+	c.Say(testpeer.Query("search", "t2", time.Minute, 1))
+	part := testpeer.Get(t, s.Parts, "a part")
+	_ = p.Process.Signal(syscall.SIGTERM)
+	p.logged(t, "msg=draining")
+	idle.Closed()
+	late := testpeer.NewClient(t, addr).Say(testpeer.Query("search", "t3", time.Minute, 1)) // still taken
+	testpeer.Get(t, s.Parts, "a part").Answer("served", 1, "d")
+	part.Answer("served", 1, "c")
+	for _, c := range []*testpeer.Client{c, late} {
+		if resp, body := c.Hear(); resp.StatusCode != 200 || !resp.Close || !strings.Contains(body, "cell") {
+			t.Errorf("while draining: %s %s", resp.Status, body)
+		}
+		c.Closed()
+	}
+	p.logged(t, "msg=counters")
+	for range p.lines { // until the program has closed its log
+	}
+	if err := p.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
+func TestProgramNamesWhatIsWrongWithItsConfiguration(t *testing.T) {
+	path := build(t)
+	for text, want := range map[string]string{
+		"{": "config.json",
+		fmt.Sprintf(configText, "127.0.0.1:1", "", `{"membership_mode":"odd","domain":{"places":1,"in_a_row":1,"shards":1}}`): "membership_mode",
+	} {
+		p := launch(t, path, text)
+		p.logged(t, want)
+		for range p.lines {
+		}
+		if _ = p.Wait(); p.ProcessState.ExitCode() != exitConfig {
+			t.Errorf("it ended with %v", p.ProcessState)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.4:8443","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+	"limits":{"cores":1.0,"memory_mb":64,"sockets":256},
+	"known":{"revision":41,"complete":true,"members":[{"id":"s","host_port":"h:1","phase":"Ready"}]},
+	"settings":{"membership_mode":"pushed","tick":5000000,"domain":{"places":1,"in_a_row":1,"shards":2,"class_fetch":[3]},
+	"classes":[{"name":"a","aim":1,"deadline":2,"effect":"keyed"}],
+	"policy_limits":{"max_open":140,"multiplex":8,"conn_idle":9000000000},"rules":{"drain_grace":400000000}}}`
+
+func env(pairs ...string) func(string) string {
+	return func(key string) string {
+		for i := 0; i < len(pairs); i += 2 {
+			if pairs[i] == key {
+				return pairs[i+1]
+			}
+		}
+		return ""
+	}
+}
+
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := Load(env("LB_CONFIG", path, "LB_LISTEN", "127.0.0.9:1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Listen != "127.0.0.9:1" || c.Discovery != "127.0.0.1:8500" ||
+		c.Memory != 64<<20 || c.Sockets != 256 || c.Known.Revision != 41 || len(c.Known.Members) != 1 {
+		t.Errorf("have %+v", c)
+	}
+	want := Limits{
+		Tick: 5 * time.Millisecond, MaxOpen: 140, Multiplex: 8, ConnectTimeout: defaultConnectTimeout,
+		ConnIdle: 9 * time.Second, DrainGrace: 400 * time.Millisecond, AnswerSlack: defaultAnswerSlack,
+	}
+	if c.Settings.Limits != want {
+		t.Errorf("limits %+v", c.Settings.Limits)
+	}
+	if m := c.Settings.Module; m.Seed != 0x8c1f30d27a5be964 || m.Shards != 2 || m.Classes[0].Fetch != 3 || m.Classes[0].Need != 1 {
+		t.Errorf("module %+v", m)
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	text := strings.NewReplacer(`"memory_mb":64,"sockets":256`, "", `"max_open":140,"multiplex":8,"conn_idle":9000000000`, "",
+		`"drain_grace":400000000`, "", `"tick":5000000,`, "").Replace(good)
+	text = strings.Replace(text, `"cores":1.0,`, `"cores":1.0`, 1)
+	c, err := parse([]byte(text), env())
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Limits{Tick: defaultTick, Multiplex: defaultMultiplex, ConnectTimeout: defaultConnectTimeout,
+		ConnIdle: defaultConnIdle, DrainGrace: defaultDrainGrace, AnswerSlack: defaultAnswerSlack}
+	if c.Settings.Limits != want || c.Memory != defaultMemoryMB<<20 || c.Sockets != defaultSockets {
+		t.Errorf("have %+v", c)
+	}
+}
+
+func TestErrorsNameTheKey(t *testing.T) {
+	if _, err := Load(env()); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
+		t.Errorf("without LB_CONFIG: %v", err)
+	}
+	if _, err := Load(env("LB_CONFIG", "/nowhere")); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
+		t.Errorf("without a file: %v", err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{good, "{", "JSON"},
+		{"127.0.0.4:8443", "localhost:1", "listen"},
+		{"127.0.0.1:8500", "127.0.0.1", "discovery"},
+		{`"sockets":256`, `"sockets":3`, "limits.sockets"},
+		{`"memory_mb":64`, `"memory_mb":-1`, "limits.memory_mb"},
+		{`"memory_mb":64`, `"memory_mb":"x"`, "limits.memory_mb"},
+		{"8c1f30d27a5be964", "x", "seed"},
+		{`"phase":"Ready"`, `"phase":"Odd"`, "known: members[0]"},
+		{`"settings"`, `"settinks"`, "settings is missing"},
+		{`"places":1`, `"places":0`, "domain.places"},
+		{`"pushed"`, `"smoke"`, "membership_mode"},
+		{`"tick":5000000`, `"tick":-5`, "tick"},
+		{`"tick":5000000`, `"tick":"5ms"`, "tick"},
+		{`"multiplex":8`, `"multiplex":-8`, "policy_limits.multiplex"},
+		{`"drain_grace":400000000`, `"drain_grace":-1`, "rules.drain_grace"},
+		{`"name":"a"`, `"name":""`, "classes[0].name"},
+		{`"keyed"`, `"odd"`, "classes[0].effect"},
+		{`"aim":1`, `"aim":0`, "classes[0]"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if _, err := parse([]byte(text), env()); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s for %.30s: have %v, want %q", c.new, c.old, err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/frame/frame_test.go
@@ -0,0 +1,94 @@
+package frame
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func TestCall(t *testing.T) {
+	got := string(AppendCall(nil, []Part{
+		{ID: "t.3", Shard: 3, List: List{WaitMS: 240, Key: "k1"}, Text: "c4"},
+		{ID: "t.9.b", Shard: 9, List: List{WaitMS: 1, From: []int{3, 9}, Whole: true}, Text: ""},
+		{ID: "t.3.b", Shard: 3, List: List{WaitMS: 1, From: []int{3}}, Text: "a\nb"},
+	}))
+	rest := "qt.3 3 d=240,k=k1 2\nc4t.9.b 9 d=1,from=3+9,whole=1 0\nt.3.b 3 d=1,from=3,whole=0 3\na\nb"
+	if want := "\x00\x00\x00" + string(rune(len(rest))) + rest; got != want {
+		t.Errorf("have %q\nwant %q", got, want)
+	}
+	if got := string(AppendCancel(nil, "t.3")); got != "\x00\x00\x00\x04ct.3" {
+		t.Errorf("cancel %q", got)
+	}
+}
+
+func TestFrames(t *testing.T) {
+	text := "\x00\x00\x00\x04ct.3\x00\x00\x00\x01p\x00\x00\x00\x03axy"
+	for n := 1; n <= len(text); n++ {
+		var p Parser
+		var got []string
+		for rest := text; len(rest) > 0; {
+			k := min(n, len(rest))
+			p.Feed([]byte(rest[:k]))
+			rest = rest[k:]
+			for {
+				f, ok, err := p.Next()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !ok {
+					break
+				}
+				got = append(got, string(f.Letter)+string(f.Rest))
+			}
+		}
+		if !reflect.DeepEqual(got, []string{"ct.3", "p", "axy"}) {
+			t.Errorf("in pieces of %d: %q", n, got)
+		}
+	}
+	for _, text := range []string{"\x00\x00\x00\x00", "\xff\x00\x00\x01p"} {
+		var p Parser
+		p.Feed([]byte(text))
+		if _, _, err := p.Next(); err == nil {
+			t.Errorf("%q is no frame, but was taken", text)
+		}
+	}
+}
+
+func TestParseAnswer(t *testing.T) {
+	for text, want := range map[string]Result{
+		"t.3 served 184 inflight=7,util=0.61\nv": {"t.3", Served, 184, "v"},
+		"t.3.b served 0 -\n":                     {"t.3.b", Served, 0, ""},
+		"t.3 served -7 -\na\nb":                  {"t.3", Served, -7, "a\nb"},
+		"t.3 broke - -\n":                        {"t.3", Broke, 0, ""},
+		"t.3 skipped 0 -\nv":                     {"t.3", Skipped, 0, ""},
+	} {
+		if got, err := ParseAnswer([]byte(text)); err != nil || got != want {
+			t.Errorf("%q: have %+v, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{
+		"", "t.3 served 1 -", "t.3 served 1\nv", " served 1 -\nv", "t.3 odd 1 -\nv", "t.3 served x -\nv",
+		"t.3 served 1 - -\nv", "t.3 served 1 -\n\xff",
+	} {
+		if got, err := ParseAnswer([]byte(text)); err == nil {
+			t.Errorf("%q was taken for %+v", text, got)
+		}
+	}
+}
+
+func FuzzParser(f *testing.F) {
+	f.Add("\x00\x00\x00\x10at.3 served 1 -\nv")
+	f.Fuzz(func(t *testing.T, text string) {
+		var p Parser
+		p.Feed([]byte(text))
+		for {
+			fr, ok, err := p.Next()
+			if err != nil || !ok {
+				return
+			}
+			if r, err := ParseAnswer(fr.Rest); err == nil && (r.ID == "" || strings.Contains(r.ID, " ")) {
+				t.Errorf("%q has id %q", fr.Rest, r.ID)
+			}
+		}
+	})
+}
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -88,6 +88,7 @@
 	next     time.Time // no turn before
 	wakeAt   time.Time // when the aggregator wants a turn; zero if it does not
 	events   []eiderwinch.Event
+	since    time.Time // when the first of events came
 	lastID   uint64
 	queries  map[uint64]*query
 	traces   map[string]*query
@@ -112,7 +113,15 @@
 // Open is how many queries wait for their final answer.
 func (c *Core) Open() int { return len(c.queries) }
 
-// Due is when Run is wanted next; zero if nothing is due.
+// tell adds to what the aggregator is told in its next turn.
+func (c *Core) tell(now time.Time, e eiderwinch.Event) {
+	if len(c.events) == 0 {
+		c.since = now
+	}
+	c.events = append(c.events, e)
+}
+
+// Due is when Run is wanted next, on the grid of ticks; zero if nothing is due.
 func (c *Core) Due() time.Time {
 	due := c.wakeAt
 	sooner := func(t time.Time) {
@@ -121,7 +130,7 @@
 		}
 	}
 	if len(c.events) > 0 {
-		sooner(c.next)
+		sooner(c.since)
 	}
 	for _, a := range c.attempts {
 		if !a.over {
@@ -131,10 +140,14 @@
 	for _, q := range c.queries {
 		sooner(q.backstop(c.set.Tick))
 	}
-	if !due.IsZero() && due.Before(c.next) {
-		due = c.next
+	if due.IsZero() {
+		return due
+	}
+	if due.Before(c.next) {
+		return c.next
 	}
-	return due
+	ticks := (due.Sub(c.start) + c.set.Tick - 1) / c.set.Tick
+	return c.start.Add(ticks * c.set.Tick)
 }
 
 // Run does what is due. It gives the aggregator one turn with all that has
@@ -148,7 +161,7 @@
 	c.expire()
 	if !c.wakeAt.IsZero() && !now.Before(c.wakeAt) {
 		c.wakeAt = time.Time{}
-		c.events = append(c.events, eiderwinch.Woken{})
+		c.tell(now, eiderwinch.Woken{})
 	}
 	if len(c.events) > 0 {
 		c.turn()
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -57,7 +57,7 @@
 	for _, p := range q.parts {
 		event.Parts = append(event.Parts, eiderwinch.Part{ID: p.id, Shard: p.shard, Weight: p.weight})
 	}
-	c.events = append(c.events, event) // Left is set when the turn comes
+	c.tell(now, event) // Left is set when the turn comes
 	return q.id, nil
 }
 
@@ -110,10 +110,10 @@
 }
 
 // Gone tells that a query's client has left.
-func (c *Core) Gone(id uint64) {
+func (c *Core) Gone(now time.Time, id uint64) {
 	if q := c.queries[id]; q != nil {
 		c.stats.Gone++
-		c.events = append(c.events, eiderwinch.Gone{Query: id})
+		c.tell(now, eiderwinch.Gone{Query: id})
 		c.close(q)
 	}
 }
@@ -148,5 +148,5 @@
 			}
 		}
 	}
-	c.events = append(c.events, event)
+	c.tell(now, event)
 }
--- a/internal/gatherer/relay.go
+++ b/internal/gatherer/relay.go
@@ -76,7 +76,7 @@
 		s := c.bookPart(q, p.shard, 1/float64(n), true)
 		event.Parts = append(event.Parts, eiderwinch.Part{ID: s.id, Shard: s.shard, Weight: s.weight})
 	}
-	c.events = append(c.events, event)
+	c.tell(c.now, event)
 }
 
 func (c *Core) refuse(x eiderwinch.Refuse) {
@@ -98,7 +98,7 @@
 		if !c.now.Before(q.backstop(c.set.Tick)) {
 			c.log.Error("query not ended by its deadline", "trace", q.trace)
 			c.stats.Overdue++
-			c.events = append(c.events, eiderwinch.Gone{Query: q.id})
+			c.tell(c.now, eiderwinch.Gone{Query: q.id})
 			c.conclude(q, Reply{Verdict: Failed, Overdue: true})
 		}
 	}
--- a/internal/gatherer/send.go
+++ b/internal/gatherer/send.go
@@ -37,7 +37,7 @@
 	if p.over || p.out != nil || most > 0 && p.tries >= most || c.barred(x.Replica, c.now) {
 		c.log.Warn("send not let out", "trace", p.query.trace, "shard", p.shard, "searcher", x.Replica)
 		c.stats.NotSent++
-		c.events = append(c.events, eiderwinch.Outcome{
+		c.tell(c.now, eiderwinch.Outcome{
 			Part: p.id, Attempt: p.tries, Replica: x.Replica, Status: eiderwinch.NotSent,
 		})
 		p.tries++
@@ -95,7 +95,7 @@
 		a.part.out = nil
 	}
 	c.count(s)
-	c.events = append(c.events, eiderwinch.Outcome{
+	c.tell(now, eiderwinch.Outcome{
 		Part: a.part.id, Attempt: a.number, Replica: a.Searcher, Status: s, Took: now.Sub(a.sent),
 	})
 	return true
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -54,7 +54,7 @@
 	delete(c.n.clients, c)
 	c.ending = true
 	if c.query != 0 {
-		c.n.core.Gone(c.query)
+		c.n.core.Gone(time.Now(), c.query)
 		c.query = 0
 	}
 }
--- /dev/null
+++ b/internal/netio/netio_test.go
@@ -0,0 +1,475 @@
+package netio
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderwinch"
+	"eiderwinch/internal/catalog"
+	"eiderwinch/internal/gatherer"
+	"eiderwinch/internal/stats"
+	"eiderwinch/internal/testpeer"
+)
+
+// rig is a node on loopback sockets between a searcher, discovery and clients. The searcher "s" is known from the start.
+type rig struct {
+	*Node
+	t      *testing.T
+	s      *testpeer.Searcher
+	d      *testpeer.Discovery
+	events chan eiderwinch.Event                        // all that the aggregator is told
+	decide func(eiderwinch.Event) []eiderwinch.Action   // scripted decisions
+	turn   func([]eiderwinch.Event) []eiderwinch.Action // the same for whole turns
+	module *eiderwinch.Aggregator                       // the real ones, where there is no script
+}
+
+func (r *rig) Turn(now time.Duration, events []eiderwinch.Event) (out []eiderwinch.Action) {
+	for _, e := range events {
+		select {
+		case r.events <- e:
+		default: // a test that does not look
+		}
+		if r.decide != nil {
+			out = append(out, r.decide(e)...)
+		}
+	}
+	if r.decide == nil {
+		out = r.module.Turn(now, events)
+	}
+	return out
+}
+
+// start makes a rig; set may change it before it runs.
+func start(t *testing.T, set func(*rig)) *rig {
+	t.Helper()
+	r := &rig{t: t, s: testpeer.NewSearcher(t), d: testpeer.NewDiscovery(t), events: make(chan eiderwinch.Event, 1000)}
+	module := eiderwinch.Settings{
+		Tick: 5 * time.Millisecond, Shards: 4, Cells: 1, Reach: 1, Batch: 4, Brokers: 1, MaxAttempts: 4,
+		MayCancel: true, RetryAdvice: true, MaxRetryAdvice: time.Second,
+		Classes: []eiderwinch.Class{
+			{Name: "search", Aim: time.Minute, Deadline: time.Minute, Worth: 1, Need: 1, Floor: 1, Partial: 1},
+			{Name: "reserve", Aim: time.Minute, Deadline: time.Minute, Worth: 1, Need: 1, Floor: 1, Partial: 1,
+				Effect: eiderwinch.Keyed, RepeatWindow: time.Second},
+			{Name: "report", Aim: time.Minute, Deadline: time.Minute, Worth: 1, Need: 1, Floor: 1, Partial: 1, Fetch: 2},
+		},
+	}
+	r.module = eiderwinch.New(module)
+	r.Node = New(Config{
+		Listen: "127.0.0.1:0", Discovery: r.d.Addr, Sockets: 1024, Multiplex: 32,
+		ConnectTimeout: testpeer.Patience, ConnIdle: time.Minute,
+		Known: catalog.Update{Revision: 41, Members: []catalog.Member{
+			{ID: "s", HostPort: r.s.Addr, Phase: catalog.Ready},
+		}},
+		Gatherer: gatherer.Settings{Module: module, Tick: module.Tick, MaxOpen: 20, DrainGrace: time.Minute},
+	}, r, new(stats.Counters), slog.New(slog.DiscardHandler))
+	r.acceptFor = 0
+	if set != nil {
+		set(r)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run() }()
+	testpeer.Get(t, r.Started(), "the start")
+	t.Cleanup(func() {
+		r.Drain()
+		if err := testpeer.Get(t, ended, "the end"); err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+// sendAll scripts an aggregator that sends each part to "s" once, and answers when the last has ended.
+func sendAll(r *rig) {
+	left, owner := make(map[uint64]int), make(map[uint64]uint64)
+	r.decide = func(e eiderwinch.Event) (out []eiderwinch.Action) {
+		switch e := e.(type) {
+		case eiderwinch.Query:
+			left[e.ID] = len(e.Parts)
+			for _, p := range e.Parts {
+				owner[p.ID] = e.ID
+				out = append(out, eiderwinch.Send{Part: p.ID, Replica: "s"})
+			}
+		case eiderwinch.Outcome:
+			query := owner[e.Part]
+			if left[query]--; left[query] == 0 {
+				out = append(out, eiderwinch.Answer{Query: query, Whole: true})
+			}
+		}
+		return out
+	}
+}
+
+// hang scripts connections that never come up.
+func hang(r *rig) {
+	r.dialer = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+}
+
+// outcome returns the next outcome that the aggregator is told.
+func (r *rig) outcome() eiderwinch.Outcome {
+	r.t.Helper()
+	for {
+		if o, ok := testpeer.Get(r.t, r.events, "an outcome").(eiderwinch.Outcome); ok {
+			return o
+		}
+	}
+}
+
+// listed waits until the aggregator has been told a change of the list.
+func (r *rig) listed() eiderwinch.ListChange {
+	r.t.Helper()
+	for {
+		e, ok := testpeer.Get(r.t, r.events, "a list").(eiderwinch.ListChange)
+		if ok && e.Kind != eiderwinch.Stale {
+			return e
+		}
+	}
+}
+
+func (r *rig) ask(class, trace string, expires time.Duration, parts int) *testpeer.Client {
+	r.t.Helper()
+	return testpeer.NewClient(r.t, r.Addr()).Say(testpeer.Query(class, trace, expires, parts))
+}
+
+func (r *rig) part() testpeer.Part {
+	r.t.Helper()
+	return testpeer.Get(r.t, r.s.Parts, "a part")
+}
+
+func TestAQueryIsServed(t *testing.T) {
+	r := start(t, nil)
+	c := r.ask("reserve", "t1", time.Minute, 2)
+	p, q := r.part(), r.part()
+	if p.ID != "t1.0" || q.ID != "t1.1" || p.Text != "text" || p.Call != q.Call || !strings.HasSuffix(p.List, ",k=k") {
+		t.Errorf("have %+v and %+v", p, q)
+	}
+	q.Answer("served", 1, `b"<`)
+	p.Answer("served", 1, "a")
+	resp, body := c.Hear()
+	if resp.StatusCode != 200 || body != `{"full":true,"pieces":[{"tablet":0,"cell":"a"},{"tablet":1,"cell":"b\"\u003c"}]}` {
+		t.Errorf("have %s %s", resp.Status, body)
+	}
+	c.Say(testpeer.Query("search", "t2", time.Minute, 1)) // the connections stay
+	p = r.part()
+	p.Answer("served", 1, "c")
+	if resp, _ := c.Hear(); resp.StatusCode != 200 || p.Call != 1 {
+		t.Errorf("on the same connections: %s, call %d", resp.Status, p.Call)
+	}
+}
+
+// Rule 1: what was taken gets one final answer before its time is over.
+func TestNoQueryIsLost(t *testing.T) {
+	silent := func(*rig) {}
+	for name, c := range map[string]struct {
+		set   func(*rig)
+		class string
+		do    func(*rig)
+		want  int
+	}{
+		"a silent searcher":        {nil, "search", silent, 503},
+		"one that may have run":    {nil, "reserve", func(r *rig) { r.part() }, 502},
+		"no connection":            {hang, "search", silent, 503},
+		"nothing decides":          {func(r *rig) { r.decide = func(eiderwinch.Event) []eiderwinch.Action { return nil } }, "search", silent, 504},
+		"connections that break":   {nil, "reserve", func(r *rig) { r.part().Conn.Close() }, 200},
+		"an answer in spite of it": {nil, "search", func(r *rig) { r.part().Conn.Close() }, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, c.set)
+			expires := 700 * time.Millisecond
+			if c.want == 200 {
+				expires = time.Minute
+			}
+			client := r.ask(c.class, "t", expires, 1)
+			c.do(r)
+			if c.want == 200 {
+				r.part().Answer("served", 1, "v") // the attempt after
+			}
+			resp, _ := client.Hear()
+			if resp.StatusCode != c.want || c.want == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Errorf("have %s, %v", resp.Status, resp.Header)
+			}
+		})
+	}
+}
+
+// Rule 2: what is told to have never run surely has not, and a part has one attempt out at a time.
+func TestWhatProvesThatAPartNeverRan(t *testing.T) {
+	for name, c := range map[string]struct {
+		set  func(*rig)
+		do   func(*rig)
+		want eiderwinch.Status
+	}{
+		"served":      {nil, func(r *rig) { r.part().Answer("served", 1, "v") }, eiderwinch.OK},
+		"broke":       {nil, func(r *rig) { r.part().Answer("broke", 0, "") }, eiderwinch.Failed},
+		"skipped":     {nil, func(r *rig) { r.part().Answer("skipped", 0, "") }, eiderwinch.Full},
+		"closed":      {nil, func(r *rig) { r.part().Conn.Close() }, eiderwinch.Reset},
+		"bad frame":   {nil, func(r *rig) { r.part().Write("z") }, eiderwinch.Reset},
+		"bad answer":  {nil, func(r *rig) { r.part().Write("at.0 served") }, eiderwinch.Reset},
+		"error frame": {nil, func(r *rig) { p := r.part(); p.Write("ewords"); p.Conn.Close() }, eiderwinch.Reset},
+		"refused": {func(r *rig) {
+			r.dialer = func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
+		}, func(*rig) {}, eiderwinch.NoConnection},
+		"never up": {func(r *rig) { hang(r); r.cfg.ConnectTimeout = time.Millisecond }, func(*rig) {}, eiderwinch.NoConnection},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, func(r *rig) {
+				sendAll(r)
+				if c.set != nil {
+					c.set(r)
+				}
+			})
+			r.ask("search", "t", time.Minute, 1)
+			c.do(r)
+			if got := r.outcome(); got.Status != c.want {
+				t.Errorf("have %v, want %v", got.Status, c.want)
+			}
+		})
+	}
+}
+
+// What gnet buffers has not reached the kernel: a break before that is "never ran", and gnet must not write it after.
+func TestAFrameInTheBufferHasNotLeft(t *testing.T) {
+	r := start(t, sendAll)
+	big := testpeer.Query("search", "t", time.Minute, 1)
+	c := testpeer.NewClient(t, r.Addr()).Say(big)
+	p := r.part()
+	done := make(chan int, 1)
+	r.exec(func() error {
+		l := r.pool.peers["s"].links[0]
+		_ = l.conn.SetWriteBuffer(1)
+		for l.conn.OutboundBuffered() == 0 { // the searcher of this test does not read so fast
+			l.write([]byte("\x00\x01\x00\x01c" + strings.Repeat("x", 1<<16)))
+		}
+		l.out[0].end = l.given // as if the part's frame were behind these
+		done <- l.conn.OutboundBuffered()
+		l.close()
+		return nil
+	})
+	if testpeer.Get(t, done, "the buffer") == 0 {
+		t.Fatal("nothing is buffered")
+	}
+	if got := r.outcome(); got.Status != eiderwinch.NoConnection {
+		t.Errorf("have %v", got.Status)
+	}
+	_, _ = p, c
+}
+
+// Rule 2: frames bear no attempt's number, so an old attempt's answer must not be taken for a new one's.
+func TestALateAnswerDoesNotCountForANewAttempt(t *testing.T) {
+	r := start(t, func(r *rig) {
+		var part, query uint64
+		r.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+			switch e := e.(type) {
+			case eiderwinch.Query:
+				query, part = e.ID, e.Parts[0].ID
+				return []eiderwinch.Action{eiderwinch.Send{Part: part, Replica: "s"}, eiderwinch.Wake{}}
+			case eiderwinch.Woken:
+				return []eiderwinch.Action{eiderwinch.Cancel{Part: part}, eiderwinch.Send{Part: part, Replica: "s"}}
+			case eiderwinch.Outcome:
+				if e.Attempt == 1 {
+					return []eiderwinch.Action{eiderwinch.Answer{Query: query, Whole: true}}
+				}
+			}
+			return nil
+		}
+	})
+	c := r.ask("search", "t", time.Minute, 1)
+	old, again := r.part(), r.part()
+	if id := testpeer.Get(t, r.s.Cancels, "a cancel"); id != "t.0" || old.Conn == again.Conn {
+		t.Errorf("cancelled %q; the new attempt is on the old one's connection: %v", id, old.Conn == again.Conn)
+	}
+	old.Answer("served", 1, "old")
+	again.Answer("served", 1, "new")
+	if _, body := c.Hear(); !strings.Contains(body, `"new"`) {
+		t.Errorf("have %s", body)
+	}
+}
+
+// Rule 3: a call that waits for a connection past its searcher's grace is not sent when that comes up.
+func TestNothingIsSentPastADrainsGrace(t *testing.T) {
+	dialed, up := make(chan bool, 1), make(chan bool)
+	r := start(t, func(r *rig) {
+		sendAll(r)
+		r.cfg.Gatherer.DrainGrace = 0
+		r.core = gatherer.New(r.cfg.Gatherer, r, r.pool, r.stats, r.log, time.Now())
+		real := r.dialer
+		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if addr == r.s.Addr {
+				dialed <- true
+				<-up
+			}
+			return real(ctx, network, addr)
+		}
+	})
+	watch := testpeer.Get(t, r.d.Watches, "a watch")
+	r.ask("search", "t", time.Minute, 1)
+	testpeer.Get(t, dialed, "a dial")
+	watch.Send(testpeer.List(42, false, testpeer.Member("s", r.s.Addr, "Terminating", 0)))
+	r.listed()
+	close(up)
+	if got := r.outcome(); got.Status != eiderwinch.NoConnection {
+		t.Errorf("have %v", got.Status)
+	}
+	if len(r.s.Parts) > 0 {
+		t.Error("the part was sent")
+	}
+}
+
+// Rule 4: a searcher that came up shortly before this process must be told as cold: the module goes slow there.
+func TestAColdSearcherIsTold(t *testing.T) {
+	r := start(t, nil)
+	up := time.Now().Add(-time.Second)
+	watch := testpeer.Get(t, r.d.Watches, "a watch")
+	watch.Send(testpeer.List(42, true, testpeer.Member("s", r.s.Addr, "Ready", up.UnixMilli())))
+	l := r.listed()
+	if got := l.Replicas[0].Started; l.Kind != eiderwinch.Whole || got != time.Duration(up.UnixMilli())*time.Millisecond {
+		t.Errorf("started at %v, want the Unix time %v", got, up)
+	}
+}
+
+// Rule 5: nothing is answered but what searchers gave, in a second step that tells the truth about the first.
+func TestAnswersAreHonest(t *testing.T) {
+	r := start(t, nil)
+	c := r.ask("report", "t", time.Minute, 3)
+	for range 3 {
+		p := r.part()
+		p.Answer("served", []int{20, 10, 30}[p.Shard], "first")
+	}
+	for range 2 {
+		p := r.part()
+		if p.ID != fmt.Sprintf("t.%d.b", p.Shard) || p.Shard == 1 || !strings.HasSuffix(p.List, ",from=0+1+2,whole=1") {
+			t.Errorf("have %+v", p)
+		}
+		p.Answer("served", 0, fmt.Sprint("second", p.Shard))
+	}
+	if _, body := c.Hear(); body != `{"full":true,"pieces":[{"tablet":2,"cell":"second2"},{"tablet":0,"cell":"second0"}]}` {
+		t.Errorf("have %s", body)
+	}
+	c = r.ask("search", "u", 500*time.Millisecond, 2)
+	p, q := r.part(), r.part()
+	p.Answer("served", 1, "v")
+	q.Answer("broke", 0, "no value")
+	if resp, body := c.Hear(); resp.StatusCode == 200 {
+		t.Errorf("from half: %s", body)
+	}
+}
+
+func TestRequestsThatAreNoQueries(t *testing.T) {
+	r := start(t, nil)
+	good := testpeer.Query("search", "t", time.Minute, 1)
+	edit := func(old, new string) string { return strings.Replace(good, old, new, 1) }
+	for text, want := range map[string]int{
+		"GET /_health HTTP/1.1\r\n\r\n":                   200,
+		"GET /search HTTP/1.1\r\n\r\n":                    405,
+		"nonsense\r\n\r\n":                                400,
+		edit("/search", "/other"):                         400,
+		strings.ReplaceAll(good, "search", "other"):       404,
+		edit("X-Trace-Id: t", "X-Trace-Id: t t"):          400,
+		edit("X-Trace-Id: t\r\n", ""):                     400,
+		edit("60000", "-1"):                               400,
+		edit(`"tablets"`, `"tablest"`):                    400,
+		edit(`"tablet":0`, `"tablet":9`):                  400,
+		edit(`"tablet":0`, `"tabled":0`):                  400,
+		edit(`"statement":"text"`, `"statement":     7`):  400,
+		edit("Content-Length: ", "Content-Length: 99999"): 413,
+		edit(`{"tab`, `[[[[[`):                            400,
+	} {
+		c := testpeer.NewClient(t, r.Addr()).Say(text)
+		if resp, body := c.Hear(); resp.StatusCode != want {
+			t.Errorf("%q: have %s %s, want %d", text, resp.Status, body, want)
+		}
+	}
+}
+
+func TestClientsThatLeaveOrRunAhead(t *testing.T) {
+	r := start(t, nil)
+	c := r.ask("search", "t", time.Minute, 1)
+	p := r.part()
+	c.Close()
+	if id := testpeer.Get(t, r.s.Cancels, "a cancel"); id != p.ID {
+		t.Errorf("cancelled %q", id)
+	}
+	c = testpeer.NewClient(t, r.Addr()).Say(testpeer.Query("search", "u", time.Minute, 1) + "GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n")
+	r.part().Answer("served", 1, "v")
+	if resp, body := c.Hear(); !strings.Contains(body, `"v"`) {
+		t.Errorf("have %s %s", resp.Status, body)
+	}
+	if resp, _ := c.Hear(); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("the one ahead: %s", resp.Status)
+	}
+	c.Closed()
+}
+
+func TestFullNodeRefusesAtOnce(t *testing.T) {
+	r := start(t, func(r *rig) { r.decide = func(eiderwinch.Event) []eiderwinch.Action { return nil } })
+	for i := range 4 {
+		r.ask("search", fmt.Sprint("t", i), time.Second, 4)
+		testpeer.Get(t, r.events, "a query")
+	}
+	c := r.ask("search", "u", time.Hour, 4)
+	if resp, _ := c.Hear(); resp.StatusCode != 503 || resp.Header.Get("Retry-After") != "0.500" {
+		t.Errorf("have %s %v", resp.Status, resp.Header)
+	}
+}
+
+func TestWatchIsReopenedFromTheLastRevision(t *testing.T) {
+	for name, end := range map[string]func(*testpeer.Watch){
+		"ended":   func(w *testpeer.Watch) { w.Conn.Close() },
+		"silent":  func(*testpeer.Watch) {},
+		"garbage": func(w *testpeer.Watch) { w.Send("{") },
+		"done":    func(w *testpeer.Watch) { _, _ = io.WriteString(w.Conn, "0\r\n\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, func(r *rig) {
+				if name == "silent" {
+					r.watch.silence = time.Millisecond
+				}
+			})
+			w := testpeer.Get(t, r.d.Watches, "a watch")
+			w.Send(testpeer.List(42, false, testpeer.Member("s", r.s.Addr, "Ready", 0)))
+			if got := r.listed(); w.From != "41" || got.Kind != eiderwinch.Changes {
+				t.Errorf("watched from %s, brought %+v", w.From, got)
+			}
+			end(w)
+			if w := testpeer.Get(t, r.d.Watches, "another watch"); w.From != "42" {
+				t.Errorf("reopened from %s", w.From)
+			}
+		})
+	}
+}
+
+func TestConnectionsToSearchers(t *testing.T) {
+	r := start(t, func(r *rig) { sendAll(r); r.cfg.Multiplex, r.cfg.ConnIdle = 1, time.Millisecond })
+	c := r.ask("search", "t", time.Minute, 1)
+	p := r.part()
+	r.ask("search", "u", time.Minute, 1)
+	if q := r.part(); q.Conn == p.Conn {
+		t.Error("two parts on a connection that carries one")
+	}
+	p.Answer("served", 1, "v")
+	c.Hear()
+	testpeer.Get(t, r.s.Ends, "the end of the idle connection") // before the searcher's machine ends it
+}
+
+func TestDescriptorsAreBounded(t *testing.T) {
+	r := start(t, func(r *rig) { r.cfg.Sockets = spare + 16 }) // 8 clients
+	first := testpeer.NewClient(t, r.Addr())
+	for range 10 {
+		if resp, _ := testpeer.NewClient(t, r.Addr()).Say("GET /_health HTTP/1.1\r\n\r\n").Hear(); resp.StatusCode != 200 {
+			t.Errorf("have %s", resp.Status)
+		}
+	}
+	first.Closed() // the one idle for longest makes room
+}
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -54,6 +54,7 @@
 	pool  *pool
 	watch *watch
 
+	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
 	ctx     context.Context // of all dials
 	stop    context.CancelFunc
 	loop    gnet.EventLoop // nil until the first connection shows it
@@ -62,6 +63,7 @@
 	kept    time.Time // last housekeeping
 	clients map[*client]struct{}
 
+	acceptFor  time.Duration // how long new connections may come once it drains
 	draining   bool
 	drainUntil time.Time
 	closing    bool
@@ -76,11 +78,12 @@
 	n := &Node{
 		cfg: cfg, log: log, stats: counters,
 		clients: make(map[*client]struct{}),
-		started: make(chan struct{}),
+		started: make(chan struct{}), acceptFor: drainAccept,
+		dialer: new(net.Dialer).DialContext,
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.pool = newPool(n)
-	n.watch = &watch{n: n, revision: cfg.Known.Revision}
+	n.watch = &watch{n: n, revision: cfg.Known.Revision, silence: watchSilent}
 	n.core = gatherer.New(cfg.Gatherer, d, n.pool, counters, log, time.Now())
 	return n
 }
@@ -116,7 +119,7 @@
 	n.exec(func() error {
 		if !n.draining {
 			n.log.Info("draining", "open", n.core.Open())
-			n.draining, n.drainUntil = true, time.Now().Add(drainAccept)
+			n.draining, n.drainUntil = true, time.Now().Add(n.acceptFor)
 			n.closeIdleClients()
 		}
 		return nil
@@ -294,7 +297,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(n.ctx, timeout)
 		defer cancel()
-		c, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+		c, err := n.dialer(ctx, "tcp", addr)
 		if err == nil {
 			var enrolled <-chan gnet.RegisteredResult
 			if enrolled, err = n.loop.Enroll(gnet.NewContext(n.ctx, h), c); err == nil {
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -29,7 +29,8 @@
 // watch follows discovery's list of searchers.
 type watch struct {
 	n        *Node
-	revision int64 // of the last list or change
+	silence  time.Duration // after which it is taken to be dead
+	revision int64         // of the last list or change
 	conn     gnet.Conn
 	dialing  bool
 	parser   http1.ResponseParser
@@ -57,7 +58,7 @@
 // check opens the watch again when it is time, and closes a silent one.
 func (w *watch) check(now time.Time) {
 	switch {
-	case w.conn != nil && now.Sub(w.heard) > watchSilent:
+	case w.conn != nil && now.Sub(w.heard) > w.silence:
 		_ = w.conn.Close()
 	case w.conn == nil && !w.dialing && !now.Before(w.again):
 		w.open()
--- /dev/null
+++ b/internal/testpeer/testpeer.go
@@ -0,0 +1,209 @@
+// Package testpeer plays the parties round a gatherer in tests: searchers,
+// discovery and clients, on loopback sockets.
+package testpeer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Patience is how long a test waits for what must come; only a failing test uses it up.
+const Patience = 20 * time.Second
+
+// Get receives from a channel, or ends the test.
+func Get[T any](t testing.TB, from <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(Patience):
+		t.Fatalf("%s did not come", what)
+		panic("not reached")
+	}
+}
+
+func listen(t testing.TB, serve func(net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Searcher takes frames and leaves it to the test to answer.
+type Searcher struct {
+	Addr    string
+	Parts   chan Part
+	Cancels chan string
+	Ends    chan struct{} // one for each connection that the gatherer has closed
+}
+
+// Part is one part that has arrived. Call numbers the frames of a connection.
+type Part struct {
+	ID, List, Text string
+	Shard, Call    int
+	Conn           net.Conn
+}
+
+// NewSearcher starts a Searcher.
+func NewSearcher(t testing.TB) *Searcher {
+	s := &Searcher{Parts: make(chan Part, 100), Cancels: make(chan string, 100), Ends: make(chan struct{}, 100)}
+	s.Addr = listen(t, s.serve)
+	return s
+}
+
+func (s *Searcher) serve(c net.Conn) {
+	defer func() { s.Ends <- struct{}{} }()
+	for call := 0; ; call++ {
+		var size [4]byte
+		if _, err := io.ReadFull(c, size[:]); err != nil {
+			return
+		}
+		b := make([]byte, binary.BigEndian.Uint32(size[:]))
+		if _, err := io.ReadFull(c, b); err != nil {
+			return
+		}
+		if b[0] == 'c' {
+			s.Cancels <- string(b[1:])
+			continue
+		}
+		for rest := string(b[1:]); rest != ""; {
+			line, after, _ := strings.Cut(rest, "\n")
+			p := Part{Call: call, Conn: c}
+			var n int
+			if _, err := fmt.Sscanf(line, "%s %d %s %d", &p.ID, &p.Shard, &p.List, &n); err != nil {
+				panic("malformed call: " + line)
+			}
+			p.Text, rest = after[:n], after[n:]
+			s.Parts <- p
+		}
+	}
+}
+
+// Answer answers a part.
+func (p Part) Answer(end string, score int, value string) {
+	p.Write(fmt.Sprintf("a%s %s %d -\n%s", p.ID, end, score, value))
+}
+
+// Write sends a frame.
+func (p Part) Write(rest string) {
+	_, _ = p.Conn.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(rest))), rest...))
+}
+
+// Discovery hands the watches that are opened to the test.
+type Discovery struct {
+	Addr    string
+	Watches chan *Watch
+}
+
+// Watch is one open watch.
+type Watch struct {
+	From string // the revision asked from
+	Conn net.Conn
+}
+
+// NewDiscovery starts a Discovery.
+func NewDiscovery(t testing.TB) *Discovery {
+	d := &Discovery{Watches: make(chan *Watch, 100)}
+	d.Addr = listen(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil || r.URL.Path != "/catalog/members" || r.URL.Query().Get("watch") != "1" {
+			c.Close()
+			return
+		}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		d.Watches <- &Watch{r.URL.Query().Get("from"), c}
+	})
+	return d
+}
+
+// Send writes a line.
+func (w *Watch) Send(line string) { fmt.Fprintf(w.Conn, "%x\r\n%s\n\r\n", len(line)+1, line) }
+
+// Member is a searcher in a list.
+func Member(id, addr, phase string, upSinceMS int64) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","flavor":"m","cell":0,"phase":%q,"size":1,"up_since_ms":%d}`,
+		id, addr, phase, upSinceMS)
+}
+
+// List is a list, or changes to one.
+func List(revision int, complete bool, members ...string) string {
+	return fmt.Sprintf(`{"revision":%d,"complete":%t,"members":[%s]}`, revision, complete, strings.Join(members, ","))
+}
+
+// Query is the text of a request for a query of so many parts.
+func Query(class, trace string, expires time.Duration, parts int) string {
+	var list []string
+	for i := range parts {
+		list = append(list, fmt.Sprintf(`{"tablet":%d,"fraction":%v}`, i, 1/float64(parts)))
+	}
+	body := fmt.Sprintf(`{"tablets":[%s],"statement":"text"}`, strings.Join(list, ","))
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: b\r\nX-Qos: %s\r\nX-Trace-Id: %s\r\nIdempotency-Key: k\r\n"+
+		"X-Expires-In-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", class, class, trace, expires.Milliseconds(), len(body), body)
+}
+
+// Client is one client connection.
+type Client struct {
+	net.Conn
+	t   testing.TB
+	buf *bufio.Reader
+}
+
+// NewClient connects to a gatherer.
+func NewClient(t testing.TB, addr string) *Client {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(Patience))
+	return &Client{c, t, bufio.NewReader(c)}
+}
+
+// Say writes text as it is.
+func (c *Client) Say(text string) *Client {
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
+	}
+	return c
+}
+
+// Hear reads one answer.
+func (c *Client) Hear() (*http.Response, string) {
+	c.t.Helper()
+	r, err := http.ReadResponse(c.buf, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return r, string(b)
+}
+
+// Closed waits until the gatherer has closed the connection.
+func (c *Client) Closed() {
+	c.t.Helper()
+	if b, err := io.ReadAll(c.buf); len(b) > 0 || err != nil {
+		c.t.Errorf("instead of an end: %q, %v", b, err)
+	}
+}
