Send nothing new on a searcher connection that fell silent

Checked: the connections opened before the cut stay open and silent, as PROTOCOL says, and peer.pick took the first one with room, so each new attempt at a cut-off searcher hung until the module gave it up or its query ended, and counted as 'may have run' (pool.go, pick and Abandon). Ruled out: the watch (no line lost), dials (none was made in the cut), CPU (0.02 s in the busiest second).

Now a connection that brought nothing while an attempt was out for connect_timeout and was given up gets no new call until something comes on it. The next call dials; a cut-off searcher does not take that, which proves the call never ran.

--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -296,6 +296,26 @@
 	}
 }
 
+// What is sent on a connection that is cut off hangs until its query ends, so that one must not be used again and again.
+func TestAMuteConnectionIsNotUsedAgain(t *testing.T) {
+	r := start(t, func(r *rig) {
+		r.muteAfter = 0
+		r.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+			if e, ok := e.(eiderwinch.Query); ok {
+				return []eiderwinch.Action{eiderwinch.Send{Part: e.Parts[0].ID, Replica: "s", TimeOut: time.Millisecond}}
+			}
+			return nil
+		}
+	})
+	r.ask("search", "t1", time.Minute, 1)
+	mute := r.part()
+	testpeer.Get(t, r.s.Cancels, "a cancel")
+	r.ask("search", "t2", time.Minute, 1)
+	if p := r.part(); p.Conn == mute.Conn {
+		t.Error("the mute connection is used")
+	}
+}
+
 // Rule 3: a call that waits for a connection past its searcher's grace is not sent when that comes up.
 func TestNothingIsSentPastADrainsGrace(t *testing.T) {
 	dialed, up := make(chan bool, 1), make(chan bool)
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -63,6 +63,7 @@
 	kept    time.Time // last housekeeping
 	clients map[*client]struct{}
 
+	muteAfter  time.Duration // see pool.Abandon
 	acceptFor  time.Duration // how long new connections may come once it drains
 	draining   bool
 	drainUntil time.Time
@@ -78,7 +79,7 @@
 	n := &Node{
 		cfg: cfg, log: log, stats: counters,
 		clients: make(map[*client]struct{}),
-		started: make(chan struct{}), acceptFor: drainAccept,
+		started: make(chan struct{}), acceptFor: drainAccept, muteAfter: cfg.ConnectTimeout,
 		dialer: new(net.Dialer).DialContext,
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -55,12 +55,15 @@
 	ghosts map[string]bool // ids of given-up parts that may still be answered
 	given  uint64          // bytes given to gnet
 	idle   time.Time       // when nothing was out here last
+	heard  time.Time       // when anything came last
+	mute   bool            // it may be cut off: see Abandon
 }
 
 // flight is an attempt that is out on a connection.
 type flight struct {
 	id      string
 	attempt *gatherer.Attempt
+	sent    time.Time
 	end     uint64 // it has left once so many bytes have
 }
 
@@ -136,7 +139,7 @@
 // id only, so that answer would be taken for the new attempt's.
 func (at *peer) pick(attempts []*gatherer.Attempt, multiplex int) *link {
 	for _, l := range at.links {
-		if l.conn == nil || l.shut || len(l.out) > 0 && len(l.out)+len(attempts) > multiplex ||
+		if l.conn == nil || l.shut || l.mute || len(l.out) > 0 && len(l.out)+len(attempts) > multiplex ||
 			len(l.ghosts) >= maxGhosts || l.conn.OutboundBuffered() > 0 {
 			continue
 		}
@@ -191,14 +194,19 @@
 	}
 }
 
-// Abandon implements gatherer.Searchers.
+// Abandon implements gatherer.Searchers. A connection that brought nothing at
+// all while the attempt was out may be cut off: TCP does not tell, and what is
+// sent there hangs until its query ends. It gets nothing new until something
+// comes on it again. The next call opens another, which a searcher that is cut
+// off does not take: then the call surely has not run, and can go elsewhere.
 func (p *pool) Abandon(a *gatherer.Attempt) {
 	l := p.flights[a]
 	if l == nil {
 		return // it waits for a connection, and is dropped there
 	}
 	id := partID(a)
-	l.land(a)
+	sent := l.land(a)
+	l.mute = l.mute || l.heard.Before(sent) && time.Since(sent) >= p.n.muteAfter
 	l.ghosts[id] = true
 	l.write(frame.AppendCancel(nil, id))
 }
@@ -313,7 +321,7 @@
 	}
 	b := frame.AppendCall(nil, parts)
 	for i, a := range attempts {
-		l.out = append(l.out, flight{id: parts[i].ID, attempt: a, end: l.given + uint64(len(b))})
+		l.out = append(l.out, flight{id: parts[i].ID, attempt: a, sent: now, end: l.given + uint64(len(b))})
 		l.pool.flights[a] = l
 	}
 	l.write(b)
@@ -327,13 +335,16 @@
 	}
 }
 
-// land takes an attempt off the connection.
-func (l *link) land(a *gatherer.Attempt) {
+// land takes an attempt off the connection and returns when it was sent.
+func (l *link) land(a *gatherer.Attempt) (sent time.Time) {
 	delete(l.pool.flights, a)
-	l.out = slices.DeleteFunc(l.out, func(f flight) bool { return f.attempt == a })
+	i := slices.IndexFunc(l.out, func(f flight) bool { return f.attempt == a })
+	sent = l.out[i].sent
+	l.out = slices.Delete(l.out, i, i+1)
 	if len(l.out) == 0 {
 		l.idle = time.Now()
 	}
+	return sent
 }
 
 // close closes the connection; closed is called later, on the loop.
@@ -345,6 +356,7 @@
 // traffic implements handler.
 func (l *link) traffic(b []byte) {
 	now := time.Now()
+	l.heard, l.mute = now, false
 	l.parser.Feed(b)
 	for {
 		f, ok, err := l.parser.Next()
