Bound what clients that run ahead, do not read or never finish can hold

Shares of a query's parts are scaled to add up to 1: clients round them, the module allows for 1e-6 only.

Ruled out: the parsers, whose bounds the fuzz targets hold; they now take requests off their buffer without copying the rest each time. Conclusion: clients can't use up memory or descriptors any more.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 	"unicode/utf8"
 )
 
@@ -75,15 +76,15 @@
 
 // List is what a part carries beside its text.
 type List struct {
-	WaitMS int64  // how long the gatherer will wait
-	Key    string // the idempotency key; empty in classes without
-	From   []int  // second step: the shards that were in; nil in the first step
-	Whole  bool   // second step: the first step was whole
+	Wait  time.Duration // how long the gatherer will wait
+	Key   string        // the idempotency key; empty in classes without
+	From  []int         // second step: the shards that were in; nil in the first step
+	Whole bool          // second step: the first step was whole
 }
 
 func (l List) append(dst []byte) []byte {
 	dst = append(dst, "d="...)
-	dst = strconv.AppendInt(dst, l.WaitMS, 10)
+	dst = strconv.AppendInt(dst, max(l.Wait.Milliseconds(), 1), 10)
 	if l.Key != "" {
 		dst = append(dst, ",k="...)
 		dst = append(dst, l.Key...)
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -4,13 +4,14 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 )
 
 func TestCall(t *testing.T) {
 	got := string(AppendCall(nil, []Part{
-		{ID: "t.3", Shard: 3, List: List{WaitMS: 240, Key: "k1"}, Text: "c4"},
-		{ID: "t.9.b", Shard: 9, List: List{WaitMS: 1, From: []int{3, 9}, Whole: true}, Text: ""},
-		{ID: "t.3.b", Shard: 3, List: List{WaitMS: 1, From: []int{3}}, Text: "a\nb"},
+		{ID: "t.3", Shard: 3, List: List{Wait: 240 * time.Millisecond, Key: "k1"}, Text: "c4"},
+		{ID: "t.9.b", Shard: 9, List: List{Wait: 1, From: []int{3, 9}, Whole: true}, Text: ""},
+		{ID: "t.3.b", Shard: 3, List: List{Wait: time.Millisecond, From: []int{3}}, Text: "a\nb"},
 	}))
 	rest := "qt.3 3 d=240,k=k1 2\nc4t.9.b 9 d=1,from=3+9,whole=1 0\nt.3.b 3 d=1,from=3,whole=0 3\na\nb"
 	if want := "\x00\x00\x00" + string(rune(len(rest))) + rest; got != want {
--- a/internal/gatherer/book.go
+++ b/internal/gatherer/book.go
@@ -67,8 +67,14 @@
 	c.queries[q.id] = q
 	c.traces[q.trace] = q
 	c.open++
+	sum := 0.0
 	for _, p := range a.Parts {
-		c.bookPart(q, p.Shard, p.Weight, false)
+		sum += p.Weight
+	}
+	for _, p := range a.Parts {
+		// Shares are rounded on their way. Left so, a query whose parts are all
+		// in could fall short of a whole answer by more than the module allows.
+		c.bookPart(q, p.Shard, p.Weight/sum, false)
 	}
 	return q
 }
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -154,6 +154,7 @@
 		"shard":     {func(a *Ask) { a.Parts = []AskPart{{12, 1}} }, ErrInvalid},
 		"negative":  {func(a *Ask) { a.Parts = []AskPart{{-1, 1}} }, ErrInvalid},
 		"twice":     {func(a *Ask) { a.Parts = []AskPart{{1, 1}, {1, 1}} }, ErrInvalid},
+		"no weight": {func(a *Ask) { a.Parts = []AskPart{{1, 0}} }, ErrInvalid},
 		"weight":    {func(a *Ask) { a.Parts = []AskPart{{1, math.NaN()}} }, ErrInvalid},
 	} {
 		a := good
@@ -300,6 +301,23 @@
 	r.want("nothing is held", []int{r.open, len(r.parts), len(r.attempts)}, []int{0, 0, 0})
 }
 
+func TestRoundedSharesMakeAWhole(t *testing.T) {
+	r := newRig(t)
+	r.turns = nil
+	ask := Ask{Trace: "t", Class: "search", Parts: []AskPart{{0, 0.333}, {1, 0.333}, {2, 0.333}}}
+	if _, err := r.Take(r.at, ask, r); err != nil {
+		t.Fatal(err)
+	}
+	r.after(5 * ms)
+	sum := 0.0
+	for _, p := range r.turns[0][0].(eiderwinch.Query).Parts {
+		sum += p.Weight
+	}
+	if math.Abs(sum-1) > 1e-9 {
+		t.Errorf("the parts weigh %v", sum)
+	}
+}
+
 func TestAnswersAreHonest(t *testing.T) {
 	for name, c := range map[string]struct {
 		class string
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -84,8 +84,9 @@
 	case c.traces[a.Trace] != nil:
 		return 0, ErrDuplicate
 	}
-	seen := make(map[int]bool)
+	seen, sum := make(map[int]bool), 0.0
 	for _, p := range a.Parts {
+		sum += p.Weight
 		switch {
 		case p.Shard < 0 || p.Shard >= c.set.Module.Shards:
 			return 0, fmt.Errorf("%w: no shard %d", ErrInvalid, p.Shard)
@@ -96,6 +97,9 @@
 		}
 		seen[p.Shard] = true
 	}
+	if sum <= 0 || math.IsInf(sum, 1) {
+		return 0, fmt.Errorf("%w: the weights add up to %v", ErrInvalid, sum)
+	}
 	return class, nil
 }
 
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -46,7 +46,7 @@
 		p.req.Body = append(p.req.Body, b...)
 		return nil
 	})
-	p.buf = append(p.buf[:0], rest...)
+	p.buf = rest // Feed moves it when it needs room
 	if err != nil || p.body.state != done {
 		return nil, err
 	}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -28,7 +28,7 @@
 		}
 	}
 	rest, err := p.body.decode(p.buf, emit)
-	p.buf = append(p.buf[:0], rest...)
+	p.buf = rest
 	return p.head, err
 }
 
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	requestTimeout = 30 * time.Second // for a request to come in whole
-	lingerTimeout  = time.Second      // for a client to read an answer given before its request was read
-	maxAhead       = http1.MaxHead + http1.MaxBody
+	requestTimeout = 30 * time.Second              // for a request to come in whole
+	lingerTimeout  = time.Second                   // for a client to read an answer given before its request was read
+	maxAhead       = http1.MaxHead + http1.MaxBody // bytes of requests that wait for an answer before theirs
+	maxUnread      = 1 << 20                       // bytes of answers that a client has not read
 	healthPath     = "/_health"
 )
 
@@ -31,7 +32,8 @@
 	query  uint64    // the open query; 0 if none
 	busy   bool      // a request waits for its answer
 	last   bool      // the request in hand is the last one here
-	ending bool      // nothing more is read
+	deaf   bool      // nothing more is taken in; what is open is still answered
+	ending bool      // the connection is about to be closed
 	until  time.Time // ending: when the connection is closed at the latest
 }
 
@@ -44,10 +46,10 @@
 	n := c.n
 	c.conn, c.since = conn, time.Now()
 	n.stats.Clients++
-	if len(n.clients) >= (n.cfg.Sockets-spare)/2 {
-		n.dropIdlest()
-	}
 	n.clients[c] = struct{}{}
+	if len(n.clients) > (n.cfg.Sockets-spare)/2 {
+		n.dropIdlest(c)
+	}
 }
 
 func (c *client) closed(error) {
@@ -60,13 +62,13 @@
 }
 
 func (c *client) traffic(b []byte) {
-	if c.ending {
+	if c.ending || c.deaf {
 		return
 	}
 	c.parser.Feed(b)
 	if c.busy && c.parser.Buffered() > maxAhead {
-		c.end() // nobody sends so far ahead of an answer
-		return
+		// Nobody needs to send so far ahead. What is open still gets its answer.
+		c.deaf, c.last, c.parser = true, true, http1.RequestParser{}
 	}
 	c.pump()
 }
@@ -254,7 +256,11 @@
 	end := c.last || c.n.draining
 	c.busy, c.since = false, time.Now()
 	c.write(http1.AppendResponse(nil, status, body, end, fields...))
-	if end && !c.ending {
+	switch {
+	case c.ending: // the write has failed
+	case c.conn.OutboundBuffered() > maxUnread:
+		c.drop()
+	case end:
 		c.end()
 	}
 }
@@ -274,23 +280,27 @@
 	}
 }
 
+// drop closes the connection as it is.
+func (c *client) drop() {
+	c.ending = true
+	delete(c.n.clients, c)
+	_ = c.conn.Close()
+}
+
 // idle tells that the connection is between requests.
 func (c *client) idle() bool { return !c.busy && !c.ending && c.parser.Idle() }
 
-// dropIdlest closes the connection that has been between requests for longest,
-// so that new ones never use up the descriptors: gnet ends its loop when
-// accept finds none.
-func (n *Node) dropIdlest() {
-	var idlest *client
+// dropIdlest closes the connection that has been between requests for longest
+// or, where all are in the middle of one, the newest, so that descriptors are
+// never used up: gnet ends its loop when accept finds none.
+func (n *Node) dropIdlest(newest *client) {
+	idlest := newest
 	for c := range n.clients {
-		if (c.idle() || c.ending) && (idlest == nil || c.since.Before(idlest.since)) {
+		if (c.idle() || c.ending) && c.since.Before(idlest.since) {
 			idlest = c
 		}
 	}
-	if idlest != nil {
-		idlest.ending = true
-		_ = idlest.conn.Close()
-	}
+	idlest.drop()
 }
 
 // closeIdleClients closes the connections that are between requests.
@@ -307,7 +317,7 @@
 	for c := range n.clients {
 		switch {
 		case c.ending && !now.Before(c.until):
-			_ = c.conn.Close()
+			c.drop()
 		case c.ending && c.conn.OutboundBuffered() == 0:
 			shutWrite(c.conn.Fd())
 		case !c.busy && !c.ending && !c.parser.Idle() && now.Sub(c.since) > requestTimeout:
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -483,6 +483,28 @@
 	testpeer.Get(t, r.s.Ends, "the end of the idle connection") // before the searcher's machine ends it
 }
 
+func TestAnswersNobodyReadsAreBounded(t *testing.T) {
+	r := start(t, nil)
+	c := testpeer.NewClient(t, r.Addr())
+	many := strings.Repeat("GET /_health HTTP/1.1\r\n\r\n", 1000)
+	for {
+		if _, err := io.WriteString(c, many); err != nil {
+			return // it was closed: more answers than a client may leave unread
+		}
+	}
+}
+
+func TestAQueryIsAnsweredThoughItsClientRunsFarAhead(t *testing.T) {
+	r := start(t, nil)
+	c := r.ask("search", "t", time.Minute, 1)
+	p := r.part()
+	c.Say(strings.Repeat("x", 4*maxAhead))
+	p.Answer("served", 1, "v")
+	if resp, body := c.Hear(); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("have %s %s", resp.Status, body)
+	}
+}
+
 func TestDescriptorsAreBounded(t *testing.T) {
 	r := start(t, func(r *rig) { r.cfg.Sockets = spare + 16 }) // 8 clients
 	first := testpeer.NewClient(t, r.Addr())
@@ -492,4 +514,11 @@
 		}
 	}
 	first.Closed() // the one idle for longest makes room
+	for range 8 {  // where all are in the middle of a request, the newest goes
+		c := testpeer.NewClient(t, r.Addr()).Say("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n")
+		if resp, _ := c.Hear(); resp.StatusCode != 100 {
+			t.Errorf("have %s", resp.Status)
+		}
+	}
+	testpeer.NewClient(t, r.Addr()).Closed()
 }
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -67,7 +67,7 @@
 	acceptFor  time.Duration // how long new connections may come once it drains
 	draining   bool
 	drainUntil time.Time
-	closing    bool
+	closing    bool // the loop is about to end
 
 	started  chan struct{} // closed once queries are taken
 	bound    string        // the address listened on
@@ -246,7 +246,7 @@
 
 // arm sets the timer for what is due next.
 func (n *Node) arm() {
-	if n.timer == nil {
+	if n.timer == nil || n.closing {
 		return
 	}
 	due := n.kept.Add(housekeeping)
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -316,7 +316,7 @@
 	parts := make([]frame.Part, len(attempts))
 	for i, a := range attempts {
 		parts[i] = frame.Part{ID: partID(a), Shard: a.Shard, Text: a.Text, List: frame.List{
-			WaitMS: max(a.Deadline.Sub(now).Milliseconds(), 1), Key: a.Key, From: a.From, Whole: a.Whole,
+			Wait: a.Deadline.Sub(now), Key: a.Key, From: a.From, Whole: a.Whole,
 		}}
 	}
 	b := frame.AppendCall(nil, parts)
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -23,7 +23,7 @@
 
 var (
 	errLetter = errors.New("unknown letter")
-	errWatch  = errors.New("discovery does not serve the watch")
+	errWatch  = errors.New("discovery has ended the watch")
 )
 
 // watch follows discovery's list of searchers.
