--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -62,9 +62,15 @@
 
 var errHeadTooLong = &Error{Status: 431, Reason: "the head is too long"}
 
-// cutHead splits a message's head off its bytes. It returns a nil head while
-// the head has not ended yet.
-func cutHead(buf []byte) (head, rest []byte, err error) {
+// head is the start of a message: its first line, cut at blanks, and fields.
+type head struct {
+	start  []string
+	header Header
+}
+
+// readHead takes a message's head off its bytes. It returns nil while the head
+// has not ended yet.
+func readHead(buf []byte) (h *head, rest []byte, err error) {
 	end := bytes.Index(buf, []byte("\r\n\r\n"))
 	switch {
 	case end < 0 && len(buf) > MaxHead, end > MaxHead:
@@ -72,24 +78,20 @@
 	case end < 0:
 		return nil, buf, nil
 	}
-	return buf[:end], buf[end+4:], nil
-}
-
-// parseHead reads the start line and fields of a head.
-func parseHead(head []byte) (start string, h Header, err error) {
-	lines := strings.Split(string(head), "\r\n")
+	lines := strings.Split(string(buf[:end]), "\r\n")
+	h = &head{start: strings.Split(lines[0], " ")}
 	for _, line := range lines[1:] {
 		name, value, ok := strings.Cut(line, ":")
 		if !ok || !isToken(name) {
-			return "", nil, bad("malformed field %q", line)
+			return nil, buf, bad("malformed field %q", line)
 		}
 		value = strings.Trim(value, " \t")
 		if strings.ContainsAny(value, "\r\n\x00") {
-			return "", nil, bad("malformed value of field %q", name)
+			return nil, buf, bad("malformed value of field %q", name)
 		}
-		h = append(h, Field{strings.ToLower(name), value})
+		h.header = append(h.header, Field{strings.ToLower(name), value})
 	}
-	return lines[0], h, nil
+	return h, buf[end+4:], nil
 }
 
 // isToken tells whether s is a token as field names and methods are.
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -68,15 +68,11 @@
 	for len(p.buf) >= 2 && p.buf[0] == '\r' && p.buf[1] == '\n' {
 		p.buf = p.buf[2:] // blank lines before a request are to be passed over
 	}
-	head, rest, err := cutHead(p.buf)
-	if head == nil || err != nil {
+	read, rest, err := readHead(p.buf)
+	if read == nil || err != nil {
 		return err
 	}
-	start, h, err := parseHead(head)
-	if err != nil {
-		return err
-	}
-	f := strings.Split(start, " ")
+	f, h := read.start, read.header
 	if len(f) != 3 || !isToken(f[0]) || !strings.HasPrefix(f[1], "/") {
 		return bad("malformed request line")
 	}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -36,15 +36,11 @@
 func (p *ResponseParser) Done() bool { return p.head != nil && p.body.state == done }
 
 func (p *ResponseParser) parseHead() error {
-	head, rest, err := cutHead(p.buf)
-	if head == nil || err != nil {
+	read, rest, err := readHead(p.buf)
+	if read == nil || err != nil {
 		return err
 	}
-	start, h, err := parseHead(head)
-	if err != nil {
-		return err
-	}
-	f := strings.SplitN(start, " ", 3)
+	f, h := read.start, read.header
 	if len(f) < 2 || !strings.HasPrefix(f[0], "HTTP/1.") {
 		return bad("malformed status line")
 	}
