Move the watch on SIGHUP: reload the file, ask the new discovery for the whole list

The log shows that the new address had revision 0 when it was first asked: what comes from there is changes, not a list. Ruled out thereby: that a watch from 0 brings everything. So the whole list is fetched first, then its changes; the old watch goes on until the list is in, and a new address is not backed off from. LB_DISCOVERY, as old as the process, no longer hides the file's discovery on a reload; a faulty file is logged with its key and changes nothing.

--- a/cmd/eiderwinch/main.go
+++ b/cmd/eiderwinch/main.go
@@ -28,6 +28,9 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// Before all else: until then SIGHUP would end the process.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
@@ -46,14 +49,15 @@
 		},
 	}, eiderwinch.New(cfg.Settings.Module), counters, log)
 
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		<-node.Started()
 		for s := range signals {
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGUSR1:
 				node.Report()
-			} else {
+			case syscall.SIGHUP:
+				reload(cfg, node, log)
+			default:
 				node.Drain()
 			}
 		}
@@ -66,3 +70,18 @@
 	}
 	return exitOK
 }
+
+// reload reads the configuration again. One that is at fault changes nothing.
+func reload(cfg *config.Config, node *netio.Node, log *slog.Logger) {
+	next, err := config.Reload(os.Getenv)
+	if err != nil {
+		log.Error("configuration not reloaded, the old one stays", "err", err)
+		node.ReloadFailed()
+		return
+	}
+	if keys := cfg.Pending(next); len(keys) > 0 {
+		log.Warn("these keys take effect at the next start", "keys", keys)
+	}
+	log.Info("configuration reloaded", "discovery", next.Discovery)
+	node.Reload(next.Discovery)
+}
--- a/cmd/eiderwinch/main_test.go
+++ b/cmd/eiderwinch/main_test.go
@@ -18,6 +18,7 @@
 type program struct {
 	*exec.Cmd
 	addr  string
+	file  string      // its configuration
 	lines chan string // of its log; closed at its end
 }
 
@@ -37,13 +38,18 @@
 	return path
 }
 
-func launch(t *testing.T, path, text string) *program {
-	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+// configure writes the configuration.
+func (p *program) configure(t *testing.T, text string) {
+	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &program{Cmd: exec.Command(path), lines: make(chan string, 1000)}
-	p.Env = append(os.Environ(), "LB_CONFIG="+file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
+}
+
+func launch(t *testing.T, path, text string, env ...string) *program {
+	p := &program{Cmd: exec.Command(path), file: filepath.Join(t.TempDir(), "config.json"), lines: make(chan string, 1000)}
+	p.configure(t, text)
+	p.Env = append(os.Environ(), "LB_CONFIG="+p.file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
+	p.Env = append(p.Env, env...)
 	out, err := p.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -76,8 +82,11 @@
 }
 
 func TestProgramServesAndDrains(t *testing.T) {
-	s, d := testpeer.NewSearcher(t), testpeer.NewDiscovery(t)
-	p := launch(t, build(t), fmt.Sprintf(configText, d.Addr, testpeer.Member("s", s.Addr, "Ready", 0), settingsText))
+	s, d, moved := testpeer.NewSearcher(t), testpeer.NewDiscovery(t), testpeer.NewDiscovery(t)
+	text := func(discovery string) string {
+		return fmt.Sprintf(configText, discovery, testpeer.Member("s", s.Addr, "Ready", 0), settingsText)
+	}
+	p := launch(t, build(t), text(d.Addr), "LB_DISCOVERY="+d.Addr)
 	_, addr, _ := strings.Cut(p.logged(t, "msg=serving"), "addr=")
 	addr, _, _ = strings.Cut(addr, " ")
 
@@ -96,6 +105,18 @@
 		t.Errorf("counters: %s", line)
 	}
 
+	// SIGHUP with a faulty file changes nothing, with a good one it moves the watch.
+	testpeer.Get(t, d.Watches, "a watch")
+	p.configure(t, text("nowhere"))
+	_ = p.Process.Signal(syscall.SIGHUP)
+	if line := p.logged(t, "not reloaded"); !strings.Contains(line, "discovery") {
+		t.Errorf("the key at fault is not named: %s", line)
+	}
+	p.configure(t, text(moved.Addr))
+	_ = p.Process.Signal(syscall.SIGHUP)
+	moved.Whole <- testpeer.List(2, true, testpeer.Member("s", s.Addr, "Ready", 0))
+	testpeer.Get(t, moved.Watches, "a watch at the new address")
+
 	// At SIGTERM one query is open and one connection idle.
 	idle := testpeer.NewClient(t, addr)
 	idle.Say("GET /_health HTTP/1.1\r\n\r\n").Hear()
@@ -103,6 +124,7 @@
 	part := testpeer.Get(t, s.Parts, "a part")
 	_ = p.Process.Signal(syscall.SIGTERM)
 	p.logged(t, "msg=draining")
+	_ = p.Process.Signal(syscall.SIGHUP) // harmless now
 	idle.Closed()
 	late := testpeer.NewClient(t, addr).Say(testpeer.Query("search", "t3", time.Minute, 1)) // still taken
 	testpeer.Get(t, s.Parts, "a part").Answer("served", 1, "d")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"eiderwinch/internal/catalog"
@@ -45,9 +46,37 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
-// Load reads the configuration. The variables LB_NAME, LB_LISTEN and
-// LB_DISCOVERY win over the file.
-func Load(getenv func(string) string) (*Config, error) {
+// Load reads the configuration at the start. The variables LB_NAME, LB_LISTEN
+// and LB_DISCOVERY win over the file.
+func Load(getenv func(string) string) (*Config, error) { return load(getenv, false) }
+
+// Reload reads the configuration again while the program runs. It is the file
+// that has been replaced, so its discovery wins over LB_DISCOVERY, which is as
+// old as the process.
+func Reload(getenv func(string) string) (*Config, error) { return load(getenv, true) }
+
+// Pending names the keys in which next differs from c and which only a new
+// start puts into effect.
+func (c *Config) Pending(next *Config) []string {
+	var keys []string
+	for _, at := range []struct {
+		key     string
+		differs bool
+	}{
+		{"name", c.Name != next.Name},
+		{"listen", c.Listen != next.Listen},
+		{"limits.memory_mb", c.Memory != next.Memory},
+		{"limits.sockets", c.Sockets != next.Sockets},
+		{"settings", !reflect.DeepEqual(c.Settings.withoutSeed(), next.Settings.withoutSeed())},
+	} {
+		if at.differs {
+			keys = append(keys, at.key)
+		}
+	}
+	return keys
+}
+
+func load(getenv func(string) string, again bool) (*Config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
 		return nil, errors.New("LB_CONFIG is not set: it names the config file")
@@ -56,14 +85,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("LB_CONFIG: %w", err)
 	}
-	c, err := parse(text, getenv)
+	c, err := parse(text, getenv, again)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
 }
 
-func parse(text []byte, getenv func(string) string) (*Config, error) {
+func parse(text []byte, getenv func(string) string, again bool) (*Config, error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err
@@ -71,7 +100,8 @@
 	for name, value := range map[string]*string{
 		"LB_NAME": &f.Name, "LB_LISTEN": &f.Listen, "LB_DISCOVERY": &f.Discovery,
 	} {
-		if v := getenv(name); v != "" {
+		hidden := again && name == "LB_DISCOVERY" && *value != ""
+		if v := getenv(name); v != "" && !hidden {
 			*value = v
 		}
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -55,7 +55,7 @@
 	text := strings.NewReplacer(`"memory_mb":64,"sockets":256`, "", `"max_open":140,"multiplex":8,"conn_idle":9000000000`, "",
 		`"drain_grace":400000000`, "", `"tick":5000000,`, "").Replace(good)
 	text = strings.Replace(text, `"cores":1.0,`, `"cores":1.0`, 1)
-	c, err := parse([]byte(text), env())
+	c, err := parse([]byte(text), env(), false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,6 +66,41 @@
 	}
 }
 
+// The variable is as old as the process: it must not hide what the replaced file says.
+func TestReloadReadsTheFileAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	for _, c := range []struct{ old, new, discovery, pending, err string }{
+		{"", "", "127.0.0.1:8500", "", ""},
+		{"127.0.0.1:8500", "127.0.0.7:1", "127.0.0.7:1", "", ""},
+		{`"discovery":"127.0.0.1:8500",`, "", "127.0.0.2:2", "", ""}, // the file names none
+		{"8c1f30d27a5be964", "00", "127.0.0.1:8500", "", ""},
+		{`"sockets":256`, `"sockets":512`, "127.0.0.1:8500", "limits.sockets", ""},
+		{`"max_open":140`, `"max_open":141`, "127.0.0.1:8500", "settings", ""},
+		{"127.0.0.1:8500", "nowhere:1", "", "", "discovery"},
+	} {
+		e := env("LB_CONFIG", path, "LB_DISCOVERY", "127.0.0.2:2")
+		write := func(text string) {
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		write(good)
+		first, err := Load(e)
+		if err != nil || first.Discovery != "127.0.0.2:2" {
+			t.Fatalf("at the start: %+v, %v", first, err)
+		}
+		write(strings.Replace(good, c.old, c.new, 1))
+		next, err := Reload(e)
+		if c.err != "" {
+			if err == nil || !strings.Contains(err.Error(), c.err) {
+				t.Errorf("%q: have %v", c.new, err)
+			}
+		} else if err != nil || next.Discovery != c.discovery || strings.Join(first.Pending(next), " ") != c.pending {
+			t.Errorf("%q: have %+v, pending %v, %v", c.new, next, first.Pending(next), err)
+		}
+	}
+}
+
 func TestErrorsNameTheKey(t *testing.T) {
 	if _, err := Load(env()); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
 		t.Errorf("without LB_CONFIG: %v", err)
@@ -94,7 +129,7 @@
 		{`"aim":1`, `"aim":0`, "classes[0]"},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
-		if _, err := parse([]byte(text), env()); err == nil || !strings.Contains(err.Error(), c.want) {
+		if _, err := parse([]byte(text), env(), false); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s for %.30s: have %v, want %q", c.new, c.old, err, c.want)
 		}
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -27,6 +27,12 @@
 	AnswerSlack    time.Duration // a final answer may be so late
 }
 
+// withoutSeed returns the settings but for the seed, which is new in each file.
+func (s Settings) withoutSeed() Settings {
+	s.Module.Seed = 0
+	return s
+}
+
 // Defaults for settings that may be absent.
 const (
 	defaultTick           = 5 * time.Millisecond
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -469,6 +469,40 @@
 	}
 }
 
+// The old address goes on telling until the new one has brought its list, and its revisions mean nothing there.
+func TestReloadFollowsDiscoveryToItsNewAddress(t *testing.T) {
+	r, moved, skipped := start(t, nil), testpeer.NewDiscovery(t), testpeer.NewDiscovery(t)
+	old := testpeer.Get(t, r.d.Watches, "a watch")
+	client := r.ask("search", "t", time.Minute, 1)
+	part := r.part()
+	r.Reload(skipped.Addr)
+	r.Reload(moved.Addr) // before the first has told anything
+	r.Reload(moved.Addr)
+	old.Send(testpeer.List(42, false, testpeer.Member("x", "127.0.0.1:1", "Ready", 0)))
+	if got := r.listed(); got.Kind != eiderwinch.Changes || got.Replicas[0].ID != "x" {
+		t.Errorf("the old watch brought %+v", got)
+	}
+	moved.Whole <- testpeer.List(7, true, testpeer.Member("s", r.s.Addr, "Ready", 0))
+	if got := r.listed(); got.Kind != eiderwinch.Whole || len(got.Replicas) != 1 {
+		t.Errorf("the new watch brought %+v", got)
+	}
+	w := testpeer.Get(t, moved.Watches, "the new watch")
+	if w.From != "7" {
+		t.Errorf("watched from %s", w.From)
+	}
+	if _, err := io.Copy(io.Discard, old.Conn); err != nil {
+		t.Errorf("the old watch stays open: %v", err)
+	}
+	part.Answer("served", 1, "v")
+	if resp, _ := client.Hear(); resp.StatusCode != 200 {
+		t.Errorf("the open query: %s", resp.Status)
+	}
+	w.Conn.Close()
+	if w := testpeer.Get(t, moved.Watches, "another watch"); w.From != "7" || len(moved.Watches)+len(r.d.Watches) > 0 {
+		t.Errorf("reopened from %s, and %d more", w.From, len(moved.Watches)+len(r.d.Watches))
+	}
+}
+
 func TestConnectionsToSearchers(t *testing.T) {
 	r := start(t, func(r *rig) { sendAll(r); r.cfg.Multiplex, r.cfg.ConnIdle = 1, time.Millisecond })
 	c := r.ask("search", "t", time.Minute, 1)
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -53,6 +53,7 @@
 	core  *gatherer.Core
 	pool  *pool
 	watch *watch
+	next  *watch // on its way to take the place of watch; nil if none is
 
 	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
 	ctx     context.Context // of all dials
@@ -84,7 +85,7 @@
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.pool = newPool(n)
-	n.watch = &watch{n: n, revision: cfg.Known.Revision, silence: watchSilent}
+	n.watch = &watch{n: n, addr: cfg.Discovery, revision: cfg.Known.Revision, silence: watchSilent}
 	n.core = gatherer.New(cfg.Gatherer, d, n.pool, counters, log, time.Now())
 	return n
 }
@@ -127,6 +128,24 @@
 	})
 }
 
+// Reload follows discovery at the address that a new configuration names. What
+// is open is not touched. It may be called from any goroutine.
+func (n *Node) Reload(discovery string) {
+	n.exec(func() error {
+		n.stats.Reloads++
+		n.follow(discovery)
+		return nil
+	})
+}
+
+// ReloadFailed counts a configuration that could not be used.
+func (n *Node) ReloadFailed() {
+	n.exec(func() error {
+		n.stats.ReloadFails++
+		return nil
+	})
+}
+
 // Report logs the counters. It may be called from any goroutine.
 func (n *Node) Report() {
 	n.exec(func() error {
@@ -235,6 +254,9 @@
 		n.kept = now
 		n.pool.closeIdle(now)
 		n.watch.check(now)
+		if n.next != nil {
+			n.next.check(now)
+		}
 		n.checkClients(now)
 	}
 	if n.drained(now) {
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	watchPath     = "/catalog/members?watch=1&from="
+	listPath      = "/catalog/members"
+	watchPath     = listPath + "?watch=1&from="
 	watchDial     = time.Second
 	watchSilent   = 7 * time.Second // an empty line comes every 2 s
 	watchBackoff  = 100 * time.Millisecond
@@ -23,12 +24,17 @@
 
 var (
 	errLetter = errors.New("unknown letter")
+	errList   = errors.New("the list is too long")
 	errWatch  = errors.New("discovery has ended the watch")
 )
 
 // watch follows discovery's list of searchers.
 type watch struct {
 	n        *Node
+	addr     string
+	fresh    bool          // this address has told nothing yet: the whole list is asked for first
+	list     []byte        // fresh: what has come of it
+	retired  bool          // another has taken its place
 	silence  time.Duration // after which it is taken to be dead
 	revision int64         // of the last list or change
 	conn     gnet.Conn
@@ -44,13 +50,19 @@
 func (w *watch) open() {
 	w.dialing = true
 	w.n.stats.Watches++
-	w.n.dial(w.n.cfg.Discovery, watchDial, w, w.lost)
+	w.n.dial(w.addr, watchDial, w, w.lost)
 }
 
 // lost tells that the watch could not be opened or has ended.
 func (w *watch) lost(err error) {
 	w.conn, w.dialing = nil, false
+	if w.retired {
+		return
+	}
 	w.backoff = min(max(2*w.backoff, watchBackoff), watchBackoffs)
+	if w.fresh {
+		w.backoff = watchBackoff // the old address is about to end: there is no time for more
+	}
 	w.again = time.Now().Add(w.backoff)
 	w.n.log.Warn("watch lost", "err", err, "revision", w.revision, "again_in", w.backoff)
 }
@@ -60,7 +72,7 @@
 	switch {
 	case w.conn != nil && now.Sub(w.heard) > w.silence:
 		_ = w.conn.Close()
-	case w.conn == nil && !w.dialing && !now.Before(w.again):
+	case w.conn == nil && !w.dialing && !now.Before(w.again) && !(w == w.n.watch && w.n.next != nil):
 		w.open()
 	}
 }
@@ -68,18 +80,35 @@
 // opened implements handler.
 func (w *watch) opened(c gnet.Conn) {
 	w.conn, w.dialing, w.heard = c, false, time.Now()
-	w.parser, w.lines = http1.ResponseParser{}, catalog.Lines{}
-	target := watchPath + strconv.FormatInt(w.revision, 10)
-	_, _ = c.Write(http1.AppendRequest(nil, "GET", target, w.n.cfg.Discovery))
+	if w.retired {
+		_ = c.Close()
+		return
+	}
+	w.ask()
+}
+
+// ask asks for the whole list where this address has told nothing yet, else for the changes.
+func (w *watch) ask() {
+	w.parser, w.lines, w.list = http1.ResponseParser{}, catalog.Lines{}, nil
+	target := listPath
+	if !w.fresh {
+		target = watchPath + strconv.FormatInt(w.revision, 10)
+	}
+	_, _ = w.conn.Write(http1.AppendRequest(nil, "GET", target, w.addr))
 }
 
 // traffic implements handler.
 func (w *watch) traffic(b []byte) {
+	if w.retired {
+		return
+	}
 	w.heard = time.Now()
 	r, err := w.parser.Feed(b, w.body)
 	switch {
 	case err == nil && r != nil && r.Status != 200:
 		err = fmt.Errorf("%w: status %d", errWatch, r.Status)
+	case err == nil && w.parser.Done() && w.fresh:
+		err = w.listed()
 	case err == nil && w.parser.Done():
 		err = errWatch
 	}
@@ -89,8 +118,28 @@
 	}
 }
 
-// body takes in a piece of the watch's body.
+// listed takes in the whole list, and goes on with the changes to it.
+func (w *watch) listed() error {
+	u, err := catalog.Parse(w.list)
+	if err != nil {
+		return err
+	}
+	w.fresh, w.backoff, w.revision = false, 0, u.Revision
+	w.n.succeed(w)
+	w.n.apply(time.Now(), eiderwinch.Whole, u.Members)
+	w.ask()
+	return nil
+}
+
+// body takes in a piece of an answer's body.
 func (w *watch) body(b []byte) error {
+	if w.fresh {
+		if len(w.list)+len(b) > catalog.MaxLine {
+			return errList
+		}
+		w.list = append(w.list, b...)
+		return nil
+	}
 	return w.lines.Feed(b, func(line []byte) error {
 		u, err := catalog.Parse(line)
 		if err != nil {
@@ -106,5 +155,42 @@
 	})
 }
 
+// retire ends a watch whose place another has taken.
+func (w *watch) retire() {
+	w.retired = true
+	if w.conn != nil {
+		_ = w.conn.Close()
+	}
+}
+
+// follow turns to discovery at another address, as a new configuration names
+// it. The watch in use goes on until the new one has brought a list, so that no
+// news is missed. Revisions of two addresses need not compare, not even 0: what
+// is asked from there holds changes only. So the whole list is asked for first.
+func (n *Node) follow(addr string) {
+	wanted := n.watch
+	if n.next != nil {
+		wanted = n.next
+	}
+	if wanted.addr == addr {
+		return
+	}
+	if n.next != nil {
+		n.next.retire()
+	}
+	n.log.Info("discovery moves", "from", wanted.addr, "to", addr)
+	n.next = &watch{n: n, addr: addr, fresh: true, silence: n.watch.silence}
+	n.next.open()
+}
+
+// succeed puts a watch that has brought its first list in the place of the one before.
+func (n *Node) succeed(w *watch) {
+	if w == n.next {
+		n.log.Info("discovery moved", "to", w.addr, "revision", w.revision, "before", n.watch.revision)
+		n.watch.retire()
+		n.watch, n.next = w, nil
+	}
+}
+
 // closed implements handler.
 func (w *watch) closed(err error) { w.lost(err) }
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -34,6 +34,9 @@
 	DialFails int
 	Watches   int // watches opened
 	Updates   int // lists and changes received
+
+	Reloads     int // configurations read again
+	ReloadFails int // those that could not be used
 }
 
 // LogValue implements slog.LogValuer.
@@ -48,5 +51,6 @@
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled),
 		group("discovery", "watches", c.Watches, "updates", c.Updates),
+		group("config", "reloads", c.Reloads, "reload_fails", c.ReloadFails),
 	)
 }
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -112,6 +112,7 @@
 type Discovery struct {
 	Addr    string
 	Watches chan *Watch
+	Whole   chan string // answers to those who ask for the whole list
 }
 
 // Watch is one open watch.
@@ -122,9 +123,15 @@
 
 // NewDiscovery starts a Discovery.
 func NewDiscovery(t testing.TB) *Discovery {
-	d := &Discovery{Watches: make(chan *Watch, 100)}
+	d := &Discovery{Watches: make(chan *Watch, 100), Whole: make(chan string, 100)}
 	d.Addr = listen(t, func(c net.Conn) {
-		r, err := http.ReadRequest(bufio.NewReader(c))
+		in := bufio.NewReader(c)
+		r, err := http.ReadRequest(in)
+		if err == nil && r.URL.Path == "/catalog/members" && r.URL.RawQuery == "" {
+			list := <-d.Whole
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+			r, err = http.ReadRequest(in)
+		}
 		if err != nil || r.URL.Path != "/catalog/members" || r.URL.Query().Get("watch") != "1" {
 			c.Close()
 			return
