Close searcher connections that carried what can't be used, and forget what is over

Now length and letter count as soon as read, and an unknown id, an unasked frame with parts out, or a frame that does not end within connect_timeout closes the connection; its attempts are resets.

Leaks found by reading, each with a test: Core.members kept gone searchers that are not told of again; the module kept servers that drained before a whole list without them, and counted queries for a budget that is not set; parsers kept their largest buffer.

--- a/aggregator.go
+++ b/aggregator.go
@@ -482,7 +482,7 @@
 	a.holders = nil
 	if e.Kind != Changes {
 		for _, s := range a.servers {
-			s.listed = false
+			s.listed, s.State = false, Removed // those that are in it are entered below
 		}
 	}
 	for _, r := range e.Replicas {
@@ -922,7 +922,7 @@
 		a.copies--
 		fallthrough
 	default:
-		a.further = append(a.further, a.now)
+		a.tally(&a.further)
 	}
 	if p.query.started == 0 {
 		p.query.started = a.now
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -98,7 +98,9 @@
 			return err
 		}
 	}
-	l.buf = append(l.buf[:0], rest...)
+	if l.buf = append(l.buf[:0], rest...); len(rest) == 0 {
+		l.buf = nil // the room of a whole list is not needed for changes
+	}
 	if len(l.buf) > MaxLine {
 		return errLine
 	}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -23,8 +23,15 @@
 	Error  = 'e' // from a searcher: the frame before could not be used
 )
 
-// MaxFrame bounds a frame's length.
-const MaxFrame = 256 << 10
+// fromSearcher holds the letters that a searcher sends.
+const fromSearcher = string(Answer) + string(Error) + string(Probe) + string(Load)
+
+// MaxFrame bounds a frame's length: no value can be passed on that is longer
+// than a body may be (64 KiB), and the line before it is short.
+const MaxFrame = 68 << 10
+
+// keep is how much room a parser holds on to while it is empty.
+const keep = 4 << 10
 
 const lengthSize = 4
 
@@ -34,7 +41,7 @@
 	Rest   []byte
 }
 
-// Parser parses the frames that come on one connection.
+// Parser parses the frames that come from a searcher on one connection.
 type Parser struct {
 	buf  []byte
 	used int
@@ -47,10 +54,17 @@
 	p.buf = append(p.buf, b...)
 }
 
+// Buffered is how many bytes are held of a frame that has begun.
+func (p *Parser) Buffered() int { return len(p.buf) - p.used }
+
 // Next returns the next frame; ok is false until it is whole. After an error
-// the connection can't be read any further.
+// the connection can't be read any further. A length or letter that can't be
+// is an error as soon as it is read: what it announces may never come.
 func (p *Parser) Next() (f Frame, ok bool, err error) {
 	b := p.buf[p.used:]
+	if len(b) == 0 && cap(p.buf) > keep {
+		p.buf, p.used = nil, 0
+	}
 	if len(b) < lengthSize {
 		return Frame{}, false, nil
 	}
@@ -58,6 +72,9 @@
 	if n < 1 || n > MaxFrame {
 		return Frame{}, false, fmt.Errorf("frame of length %d", n)
 	}
+	if len(b) > lengthSize && !strings.ContainsRune(fromSearcher, rune(b[lengthSize])) {
+		return Frame{}, false, fmt.Errorf("unknown letter %q", b[lengthSize])
+	}
 	if uint32(len(b)-lengthSize) < n {
 		return Frame{}, false, nil
 	}
@@ -159,10 +176,11 @@
 var errResult = errors.New("malformed answer")
 
 // ParseAnswer reads the rest of an Answer frame. Only a served part must have
-// a score and a value of valid text.
+// a score and a value of valid text. The load report is not used; it is the
+// rest of the line whatever it holds, so an unreadable one spoils nothing.
 func ParseAnswer(rest []byte) (Result, error) {
 	line, value, ok := bytes.Cut(rest, []byte("\n"))
-	f := strings.Split(string(line), " ")
+	f := strings.SplitN(string(line), " ", 4)
 	if !ok || len(f) != 4 || f[0] == "" {
 		return Result{}, errResult
 	}
--- a/internal/gatherer/book.go
+++ b/internal/gatherer/book.go
@@ -133,8 +133,15 @@
 		}
 	}
 	c.members[id] = m
-	if s == eiderwinch.Removed && now.Sub(m.leaving) > time.Minute {
-		delete(c.members, id)
+}
+
+// forgetGone forgets the searchers that are gone and past their grace: one that
+// is not known is barred too. New ones come with new ids all day long.
+func (c *Core) forgetGone(now time.Time) {
+	for id, m := range c.members {
+		if m.state == eiderwinch.Removed && now.Sub(m.leaving) >= c.set.DrainGrace {
+			delete(c.members, id)
+		}
 	}
 }
 
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -277,6 +277,20 @@
 	r.want("back again", r.barred("a", r.at), false)
 }
 
+// Searchers are replaced all day by new ones with new ids.
+func TestGoneSearchersAreForgotten(t *testing.T) {
+	r := newRig(t)
+	for i := range 100 {
+		r.at = r.at.Add(time.Second)
+		r.List(r.at, eiderwinch.Changes, []Member{
+			{ID: fmt.Sprint("s", i), State: eiderwinch.Ready}, {ID: fmt.Sprint("s", i-1), State: eiderwinch.Removed},
+		})
+	}
+	if len(r.members) > 5 { // a, b, the new one and those within their grace
+		t.Errorf("%d are held", len(r.members))
+	}
+}
+
 func TestEveryQueryIsAnsweredThoughNothingDecides(t *testing.T) {
 	r := newRig(t)
 	r.take("search", "t", 0)
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -152,5 +152,6 @@
 			}
 		}
 	}
+	c.forgetGone(now)
 	c.tell(now, event)
 }
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -47,6 +47,9 @@
 		return nil
 	})
 	p.buf = rest // Feed moves it when it needs room
+	if len(rest) == 0 {
+		p.buf = nil // a connection that stays open must not keep the room of its longest request
+	}
 	if err != nil || p.body.state != done {
 		return nil, err
 	}
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -210,13 +210,22 @@
 		do   func(*rig)
 		want eiderwinch.Status
 	}{
-		"served":      {nil, func(r *rig) { r.part().Answer("served", 1, "v") }, eiderwinch.OK},
-		"broke":       {nil, func(r *rig) { r.part().Answer("broke", 0, "") }, eiderwinch.Failed},
-		"skipped":     {nil, func(r *rig) { r.part().Answer("skipped", 0, "") }, eiderwinch.Full},
-		"closed":      {nil, func(r *rig) { r.part().Conn.Close() }, eiderwinch.Reset},
-		"bad frame":   {nil, func(r *rig) { r.part().Write("z") }, eiderwinch.Reset},
-		"bad answer":  {nil, func(r *rig) { r.part().Write("at.0 served") }, eiderwinch.Reset},
-		"error frame": {nil, func(r *rig) { p := r.part(); p.Write("ewords"); p.Conn.Close() }, eiderwinch.Reset},
+		"served":        {nil, func(r *rig) { r.part().Answer("served", 1, "v") }, eiderwinch.OK},
+		"broke":         {nil, func(r *rig) { r.part().Answer("broke", 0, "") }, eiderwinch.Failed},
+		"skipped":       {nil, func(r *rig) { r.part().Answer("skipped", 0, "") }, eiderwinch.Full},
+		"closed":        {nil, func(r *rig) { r.part().Conn.Close() }, eiderwinch.Reset},
+		"bad frame":     {nil, func(r *rig) { r.part().Write("z") }, eiderwinch.Reset},
+		"bad answer":    {nil, func(r *rig) { r.part().Write("at.0 served") }, eiderwinch.Reset},
+		"error frame":   {nil, func(r *rig) { p := r.part(); p.Write("ewords"); p.Conn.Close() }, eiderwinch.Reset},
+		"unknown id":    {nil, func(r *rig) { r.part().Answer("other", 0, "") }, eiderwinch.Reset},
+		"another's id":  {nil, func(r *rig) { r.part().Write("ax.0 served 1 -\nv") }, eiderwinch.Reset},
+		"unasked probe": {nil, func(r *rig) { r.part().Write("p") }, eiderwinch.Reset},
+		"odd letter":    {nil, func(r *rig) { r.part().Raw("\x00\x00\x00\x09z") }, eiderwinch.Reset},
+		"3 GB to come":  {nil, func(r *rig) { r.part().Raw("\xb2\xd0\x5e\x00") }, eiderwinch.Reset},
+		"never ends": {func(r *rig) { r.cfg.ConnectTimeout = 300 * time.Millisecond }, func(r *rig) {
+			r.part().Raw("\x00\x00\x00\x09at.0")
+		}, eiderwinch.Reset},
+		"report of noise": {nil, func(r *rig) { r.part().Write("at.0 served 1 x y =\xff\nv") }, eiderwinch.OK},
 		"refused": {func(r *rig) {
 			r.dialer = func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
 		}, func(*rig) {}, eiderwinch.NoConnection},
@@ -239,6 +248,47 @@
 	}
 }
 
+// What comes behind a good answer, with nothing out, spoils neither that nor what is asked next.
+func TestMoreThanBelongsToAnAnswer(t *testing.T) {
+	for name, extra := range map[string]string{
+		"second copy": "\x00\x00\x00\x11at.0 served 1 -\nv", "other id": "\x00\x00\x00\x11ax.0 served 1 -\nv",
+		"noise": "\xff\xfe noise", "half a frame": "\x00\x00\x00\x11a", "probe": "\x00\x00\x00\x01p",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, func(r *rig) { r.decide = nil })
+			c := r.ask("search", "t", time.Minute, 1)
+			r.part().Raw("\x00\x00\x00\x11at.0 served 1 -\nv" + extra)
+			if resp, body := c.Hear(); !strings.Contains(body, `"v"`) {
+				t.Errorf("have %s %s", resp.Status, body)
+			}
+			c.Say(testpeer.Query("search", "u", time.Minute, 1))
+			r.part().Answer("served", 1, "w")
+			if resp, body := c.Hear(); !strings.Contains(body, `"w"`) {
+				t.Errorf("the next: %s %s", resp.Status, body)
+			}
+		})
+	}
+}
+
+// What is written as the searcher closes an idle connection is a reset, which may have run.
+func TestAConnectionIdleForTooLongIsNotUsed(t *testing.T) {
+	r := start(t, nil)
+	c := r.ask("search", "t", time.Minute, 1)
+	old := r.part()
+	old.Answer("served", 1, "v")
+	c.Hear()
+	r.exec(func() error {
+		l := r.pool.peers["s"].links[0]
+		l.idle = l.idle.Add(-r.pool.longestIdle())
+		return nil
+	})
+	c.Say(testpeer.Query("search", "u", time.Minute, 1))
+	if p := r.part(); p.Conn == old.Conn {
+		t.Error("it is used")
+	}
+}
+
 // What gnet buffers has not reached the kernel: a break before that is "never ran".
 func TestAFrameInTheBufferHasNotLeft(t *testing.T) {
 	r := start(t, sendAll)
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -1,6 +1,8 @@
 package netio
 
 import (
+	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -50,12 +52,15 @@
 	conn   gnet.Conn // nil while it is being dialed
 	until  time.Time // being dialed: when that is given up
 	shut   bool      // not to be used any more
+	spoilt bool      // it carried what can't be used, and is being closed
 	parser frame.Parser
 	out    []flight
 	ghosts map[string]bool // ids of given-up parts that may still be answered
 	given  uint64          // bytes given to gnet
 	idle   time.Time       // when nothing was out here last
 	heard  time.Time       // when anything came last
+	begun  time.Time       // when the frame that is coming began; zero if none is
+	last   string          // the id that was answered last
 	mute   bool            // it may be cut off: see Abandon
 }
 
@@ -121,7 +126,7 @@
 		}
 		at.queue[0].attempts = due
 		if len(due) > 0 {
-			l := at.pick(due, p.n.cfg.Multiplex)
+			l := at.pick(now, due, p.n.cfg.Multiplex, p.longestIdle())
 			if l == nil {
 				break
 			}
@@ -136,10 +141,12 @@
 
 // pick returns a connection with room for a call. One that still may bring an
 // answer to an earlier attempt of a part has none: the frames bear the part's
-// id only, so that answer would be taken for the new attempt's.
-func (at *peer) pick(attempts []*gatherer.Attempt, multiplex int) *link {
+// id only, so that answer would be taken for the new attempt's. Nor has one on
+// which half a frame lies, or one that its searcher may be closing as idle: what
+// crosses that is a reset, which may have run.
+func (at *peer) pick(now time.Time, attempts []*gatherer.Attempt, multiplex int, idle time.Duration) *link {
 	for _, l := range at.links {
-		if l.conn == nil || l.shut || l.mute || len(l.out) > 0 && len(l.out)+len(attempts) > multiplex ||
+		if l.conn == nil || l.shut || l.mute || !l.begun.IsZero() || now.Sub(l.idle) >= idle && len(l.out) == 0 || len(l.out) > 0 && len(l.out)+len(attempts) > multiplex ||
 			len(l.ghosts) >= maxGhosts || l.conn.OutboundBuffered() > 0 {
 			continue
 		}
@@ -238,6 +245,9 @@
 			if l.conn == nil && !l.shut {
 				sooner(l.until)
 			}
+			if !l.begun.IsZero() && !l.spoilt {
+				sooner(l.begun.Add(p.n.cfg.ConnectTimeout))
+			}
 		}
 	}
 	return due
@@ -250,6 +260,9 @@
 			if l.conn == nil && !now.Before(l.until) {
 				l.shut = true // its dialer gives up by itself
 			}
+			if !l.begun.IsZero() && !now.Before(l.begun.Add(p.n.cfg.ConnectTimeout)) {
+				l.spoil("frame that does not end", l.parser.Buffered())
+			}
 		}
 		for len(at.queue) > 0 && !now.Before(at.queue[0].until) {
 			for _, a := range at.queue[0].attempts {
@@ -260,12 +273,18 @@
 	}
 }
 
+// longestIdle is how long a connection may be idle and yet be used.
+func (p *pool) longestIdle() time.Duration {
+	return max(p.n.cfg.ConnIdle-idleMargin, p.n.cfg.ConnIdle/2)
+}
+
 // closeIdle closes the connections that are idle, before the searchers do.
 func (p *pool) closeIdle(now time.Time) {
-	longest := max(p.n.cfg.ConnIdle-idleMargin, p.n.cfg.ConnIdle/2)
+	longest := p.longestIdle()
 	for id, at := range p.peers {
 		for _, l := range at.links {
 			if l.conn != nil && len(l.out) == 0 && (l.shut || now.Sub(l.idle) >= longest) {
+				p.n.stats.IdleClosed++
 				l.close()
 			}
 		}
@@ -355,37 +374,54 @@
 
 // traffic implements handler.
 func (l *link) traffic(b []byte) {
+	if l.spoilt {
+		return // it is being closed
+	}
 	now := time.Now()
 	l.heard, l.mute = now, false
 	l.parser.Feed(b)
 	for {
 		f, ok, err := l.parser.Next()
 		if err == nil && ok {
+			l.begun = time.Time{}
 			err = l.take(now, f)
 		}
 		if err != nil {
-			l.pool.n.log.Warn("bad frame", "searcher", l.peer.id, "err", err)
-			l.close()
+			l.spoil("bad frame", err)
 			return
 		}
 		if !ok {
 			break
 		}
 	}
+	if l.parser.Buffered() > 0 && l.begun.IsZero() {
+		l.begun = now
+	}
 	l.pool.pump(now, l.peer)
 }
 
+// spoil gives up a connection that carried what can't be read, was not asked
+// for or does not end: what is out on it would wait in vain for its time-out.
+// Its attempts end as those of a broken connection. What has been answered on it
+// before stays answered.
+func (l *link) spoil(what string, detail any) {
+	if l.spoilt {
+		return
+	}
+	l.pool.n.stats.Spoilt++
+	l.pool.n.log.Warn(what, "searcher", l.peer.id, "parts", len(l.out), "detail", detail)
+	l.spoilt = true
+	l.close()
+}
+
 // take takes in one frame.
 func (l *link) take(now time.Time, f frame.Frame) error {
 	switch f.Letter {
 	case frame.Answer:
 	case frame.Error:
-		l.pool.n.log.Warn("searcher could not use a frame", "searcher", l.peer.id, "words", string(f.Rest))
-		return nil // it closes the connection
-	case frame.Probe, frame.Load:
-		return nil // not asked for
+		return fmt.Errorf("%w: %.80q", errUnused, f.Rest)
 	default:
-		return errLetter
+		return l.unasked(f.Letter)
 	}
 	r, err := frame.ParseAnswer(f.Rest)
 	if err != nil {
@@ -393,15 +429,33 @@
 	}
 	i := slices.IndexFunc(l.out, func(f flight) bool { return f.id == r.ID })
 	if i < 0 {
-		delete(l.ghosts, r.ID) // nobody waits for it any more
-		return nil
+		if l.ghosts[r.ID] || r.ID == l.last {
+			delete(l.ghosts, r.ID) // nobody waits for it any more, or it is a second copy
+			return nil
+		}
+		return l.unasked(f.Letter)
 	}
 	a := l.out[i].attempt
 	l.land(a)
+	l.last = r.ID
 	l.pool.n.core.Result(now, a, statuses[r.End], r.Score, r.Value)
 	return nil
 }
 
+// unasked judges a frame that nothing has asked for. It stands in the place of
+// an answer that is out, if any is; else it is more than belongs to an answer.
+func (l *link) unasked(letter byte) error {
+	if len(l.out) > 0 {
+		return fmt.Errorf("%w: letter %q", errUnasked, letter)
+	}
+	return nil
+}
+
+var (
+	errUnused  = errors.New("the searcher could not use a frame")
+	errUnasked = errors.New("a frame that was not asked for")
+)
+
 var statuses = map[frame.End]eiderwinch.Status{
 	frame.Served: eiderwinch.OK, frame.Broke: eiderwinch.Failed, frame.Skipped: eiderwinch.Full,
 }
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -23,9 +23,8 @@
 )
 
 var (
-	errLetter = errors.New("unknown letter")
-	errList   = errors.New("the list is too long")
-	errWatch  = errors.New("discovery has ended the watch")
+	errList  = errors.New("the list is too long")
+	errWatch = errors.New("discovery has ended the watch")
 )
 
 // watch follows discovery's list of searchers.
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -29,11 +29,13 @@
 	Reset       int
 	Cancelled   int
 
-	Clients   int // connections that clients opened
-	Dialed    int // connections opened to searchers
-	DialFails int
-	Watches   int // watches opened
-	Updates   int // lists and changes received
+	Clients    int // connections that clients opened
+	Dialed     int // connections opened to searchers
+	DialFails  int
+	IdleClosed int // connections to searchers closed as idle
+	Spoilt     int // those closed for what they carried
+	Watches    int // watches opened
+	Updates    int // lists and changes received
 
 	Reloads     int // configurations read again
 	ReloadFails int // those that could not be used
@@ -47,7 +49,8 @@
 		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.Full,
 			"failed", c.Failed, "overdue", c.Overdue, "gone", c.Gone),
 		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "second_steps", c.SecondSteps,
-			"not_sent", c.NotSent, "dialed", c.Dialed, "dial_fails", c.DialFails),
+			"not_sent", c.NotSent, "dialed", c.Dialed, "dial_fails", c.DialFails,
+			"idle_closed", c.IdleClosed, "spoilt", c.Spoilt),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled),
 		group("discovery", "watches", c.Watches, "updates", c.Updates),
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -108,6 +108,9 @@
 	_, _ = p.Conn.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(rest))), rest...))
 }
 
+// Raw sends bytes that need not be a frame.
+func (p Part) Raw(text string) { _, _ = io.WriteString(p.Conn, text) }
+
 // Discovery hands the watches that are opened to the test.
 type Discovery struct {
 	Addr    string
--- a/state.go
+++ b/state.go
@@ -62,7 +62,7 @@
 func (a *Aggregator) book(q *query) {
 	a.open[q.ID] = q
 	a.queries = append(a.queries, q)
-	a.taken = append(a.taken, a.now)
+	a.tally(&a.taken)
 	a.bookParts(q)
 }
 
@@ -72,7 +72,14 @@
 		pt := &part{Part: p, query: q}
 		q.parts = append(q.parts, pt)
 		a.parts[p.ID] = pt
-		a.taken = append(a.taken, a.now)
+		a.tally(&a.taken)
+	}
+}
+
+// tally counts something for the budget. Without one nothing would ever be taken off again.
+func (a *Aggregator) tally(times *[]time.Duration) {
+	if a.set.BudgetWindow > 0 {
+		*times = append(*times, a.now)
 	}
 }
 
