Give clients that send no whole request an error or a close within 3 s

Seen: client.go gave a request 30 s to come in whole, and a connection that never said anything stayed for good; both are owed an error or a close 3 s after connecting. Half a request now gets 408 after 2 s, a silent connection is closed. The time runs from the request's first byte on a kept connection: it ran from the last answer, so a short limit would have hit clients that had been idle.

Intake rescaled any weights; out of range or not adding to 1, rounding aside, is an error now. A stated patience beyond the class's deadline is cut to that. The rest of a refused body is read and thrown away for 2 s or 64 MB.

--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -156,6 +156,10 @@
 		"twice":     {func(a *Ask) { a.Parts = []AskPart{{1, 1}, {1, 1}} }, ErrInvalid},
 		"no weight": {func(a *Ask) { a.Parts = []AskPart{{1, 0}} }, ErrInvalid},
 		"weight":    {func(a *Ask) { a.Parts = []AskPart{{1, math.NaN()}} }, ErrInvalid},
+		"below 0":   {func(a *Ask) { a.Parts = []AskPart{{1, 1}, {2, -0.5}, {3, 0.5}} }, ErrInvalid},
+		"above 1":   {func(a *Ask) { a.Parts = []AskPart{{1, 1.5}} }, ErrInvalid},
+		"too light": {func(a *Ask) { a.Parts = []AskPart{{1, 0.4}, {2, 0.5}} }, ErrInvalid},
+		"too heavy": {func(a *Ask) { a.Parts = []AskPart{{1, 0.5}, {2, 0.51}} }, ErrInvalid},
 	} {
 		a := good
 		c.spoil(&a)
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -35,6 +35,9 @@
 	ErrDuplicate    = errors.New("a query of that trace id is open")
 )
 
+// mostOff is how far the weights of many parts may be from 1 in all.
+const mostOff = 0.01
+
 // Take takes in a query whose last byte came at now, and returns its id. Where
 // it returns an error the query was not taken, and the caller owes the answer.
 func (c *Core) Take(now time.Time, a Ask, client Client) (uint64, error) {
@@ -47,8 +50,8 @@
 		client.Reply(Reply{Verdict: Refused, RetryAfter: wait})
 		return 0, nil
 	}
-	if a.Expires == 0 {
-		a.Expires = c.set.Module.Classes[class].Deadline
+	if longest := c.set.Module.Classes[class].Deadline; a.Expires == 0 || a.Expires > longest {
+		a.Expires = longest // nobody's patience is longer, whatever a client states
 	}
 	q := c.book(a, class, client, now.Add(a.Expires))
 	event := eiderwinch.Query{
@@ -92,12 +95,13 @@
 			return 0, fmt.Errorf("%w: no shard %d", ErrInvalid, p.Shard)
 		case seen[p.Shard]:
 			return 0, fmt.Errorf("%w: shard %d comes twice", ErrInvalid, p.Shard)
-		case !(p.Weight >= 0) || math.IsInf(p.Weight, 1):
+		case !(p.Weight >= 0 && p.Weight <= 1):
 			return 0, fmt.Errorf("%w: shard %d has weight %v", ErrInvalid, p.Shard, p.Weight)
 		}
 		seen[p.Shard] = true
 	}
-	if sum <= 0 || math.IsInf(sum, 1) {
+	// Shares come rounded, to three digits at the worst; what is further off is a mistake.
+	if rounding := 0.0005 * float64(len(a.Parts)); math.Abs(sum-1) > min(rounding, mostOff)+slack {
 		return 0, fmt.Errorf("%w: the weights add up to %v", ErrInvalid, sum)
 	}
 	return class, nil
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -107,7 +107,7 @@
 }
 
 var reasons = map[int]string{
-	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
+	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
 	413: "Content Too Large", 431: "Request Header Fields Too Large", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
 }
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	requestTimeout = 30 * time.Second              // for a request to come in whole
-	lingerTimeout  = time.Second                   // for a client to read an answer given before its request was read
+	requestTimeout = 2 * time.Second               // for a request to come in whole, the first from connecting on: 3 s are owed
+	lingerTimeout  = 2 * time.Second               // for a client to read an answer given before its request was read
+	maxLinger      = 64 << 20                      // bytes of such a request that are read and thrown away: 60 MB come
+	silentFor      = 500 * time.Millisecond        // a connection that said nothing for less may be a usual client's: it asks at once
+	keptFor        = 2 * time.Second               // a connection idle for less is left open: its client will use it again
 	maxAhead       = http1.MaxHead + http1.MaxBody // bytes of requests that wait for an answer before theirs
 	maxUnread      = 1 << 20                       // bytes of answers that a client has not read
 	healthPath     = "/_health"
@@ -29,6 +32,9 @@
 	conn   gnet.Conn
 	parser http1.RequestParser
 	since  time.Time // when the connection was last between requests
+	begun  time.Time // when the request that is coming in began
+	asked  bool      // a whole request has come
+	spilt  int       // ending: bytes thrown away
 	query  uint64    // the open query; 0 if none
 	busy   bool      // a request waits for its answer
 	last   bool      // the request in hand is the last one here
@@ -45,9 +51,10 @@
 func (c *client) opened(conn gnet.Conn) {
 	n := c.n
 	c.conn, c.since = conn, time.Now()
+	c.begun = c.since
 	n.stats.Clients++
 	n.clients[c] = struct{}{}
-	if len(n.clients) > (n.cfg.Sockets-spare)/2 {
+	if len(n.clients) > (n.cfg.Sockets-spare)*5/8 { // the pool takes a quarter, twice that while it dials
 		n.dropIdlest(c)
 	}
 }
@@ -62,9 +69,19 @@
 }
 
 func (c *client) traffic(b []byte) {
-	if c.ending || c.deaf {
+	if c.ending {
+		// Closing at once would reset the connection and take the error along.
+		if c.spilt += len(b); c.spilt > maxLinger {
+			c.drop()
+		}
+		return
+	}
+	if c.deaf {
 		return
 	}
+	if c.asked && !c.busy && c.parser.Idle() {
+		c.begun = time.Now()
+	}
 	c.parser.Feed(b)
 	if c.busy && c.parser.Buffered() > maxAhead {
 		// Nobody needs to send so far ahead. What is open still gets its answer.
@@ -98,7 +115,7 @@
 
 // serve takes in one request.
 func (c *client) serve(r *http1.Request) {
-	c.busy, c.last = true, r.Close
+	c.busy, c.last, c.asked = true, r.Close, true
 	path, _, _ := strings.Cut(r.Target, "?")
 	switch {
 	case path == healthPath && (r.Method == "GET" || r.Method == "HEAD"):
@@ -255,6 +272,7 @@
 func (c *client) respond(status int, body []byte, fields ...http1.Field) {
 	end := c.last || c.n.draining
 	c.busy, c.since = false, time.Now()
+	c.begun = c.since
 	c.write(http1.AppendResponse(nil, status, body, end, fields...))
 	switch {
 	case c.ending: // the write has failed
@@ -290,16 +308,41 @@
 // idle tells that the connection is between requests.
 func (c *client) idle() bool { return !c.busy && !c.ending && c.parser.Idle() }
 
-// dropIdlest closes the connection that has been between requests for longest
-// or, where all are in the middle of one, the newest, so that descriptors are
-// never used up: gnet ends its loop when accept finds none.
+// dropIdlest closes the connection that is missed least, so that descriptors
+// are never used up: gnet ends its loop when accept finds none. Those come
+// first that are ending, then those that have said nothing for a while, that
+// have been idle for long, that are idle at all, that have said nothing yet,
+// that have not got a request whole; of each sort the oldest. A flood of silent
+// connections must not cost usual clients theirs: a new one's first request may
+// be on its way, and is not sent again. Where all are in use, the newest goes.
 func (n *Node) dropIdlest(newest *client) {
-	idlest := newest
+	const none = 6
+	now := time.Now()
+	rank := func(c *client) int {
+		switch {
+		case c.ending:
+			return 0
+		case !c.asked && c.parser.Idle() && now.Sub(c.since) >= silentFor:
+			return 1
+		case c.idle() && now.Sub(c.since) >= keptFor:
+			return 2
+		case c.idle() && c.asked:
+			return 3
+		case !c.asked && c.parser.Idle():
+			return 4
+		case !c.asked && !c.busy:
+			return 5
+		}
+		return none
+	}
+	idlest, lowest := newest, none
 	for c := range n.clients {
-		if (c.idle() || c.ending) && c.since.Before(idlest.since) {
-			idlest = c
+		at := rank(c)
+		if c != newest && (at < lowest || at == lowest && at < none && c.since.Before(idlest.since)) {
+			idlest, lowest = c, at
 		}
 	}
+	n.stats.Crowded++
 	idlest.drop()
 }
 
@@ -320,8 +363,12 @@
 			c.drop()
 		case c.ending && c.conn.OutboundBuffered() == 0:
 			shutWrite(c.conn.Fd())
-		case !c.busy && !c.ending && !c.parser.Idle() && now.Sub(c.since) > requestTimeout:
+		case c.busy || c.ending || c.asked && c.parser.Idle() || now.Sub(c.begun) < requestTimeout:
+		case c.parser.Idle():
+			n.stats.Silent++
 			c.end()
+		default:
+			c.reject(http.StatusRequestTimeout, "the request did not come in whole in time", true)
 		}
 	}
 }
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -30,6 +30,8 @@
 	Cancelled   int
 
 	Clients    int // connections that clients opened
+	Silent     int // those closed since no request came
+	Crowded    int // those closed to make room for others
 	Dialed     int // connections opened to searchers
 	DialFails  int
 	IdleClosed int // connections to searchers closed as idle
@@ -45,7 +47,8 @@
 func (c *Counters) LogValue() slog.Value {
 	group := func(key string, pairs ...any) slog.Attr { return slog.Group(key, pairs...) }
 	return slog.GroupValue(
-		group("in", "taken", c.Taken, "malformed", c.Malformed, "clients", c.Clients),
+		group("in", "taken", c.Taken, "malformed", c.Malformed, "clients", c.Clients,
+			"silent", c.Silent, "crowded_out", c.Crowded),
 		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.Full,
 			"failed", c.Failed, "overdue", c.Overdue, "gone", c.Gone),
 		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "second_steps", c.SecondSteps,
