Serve kept connections in a drain until shortly before the process may be killed

The log shows n0 draining at 13.1 s and gone at 13.6 s, back at 17.5 s, n1 draining at 16.1 s: both were down for a second. Kept connections were closed at SIGTERM (node.go, Drain) though their clients use them as long as they stay open, and the kill came 3.4 s after SIGTERM.

What is left are clients that had no connection to the second gatherer when the front stopped sending new ones there.

--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -135,6 +135,7 @@
 func (c *client) ask(path string, r *http1.Request) {
 	a, err := readAsk(path, r)
 	if err == nil {
+		a.Expires = c.n.cut(time.Now(), a.Expires)
 		var id uint64
 		id, err = c.n.core.Take(time.Now(), a, c)
 		if id != 0 {
@@ -153,6 +154,19 @@
 	}
 }
 
+// cut shortens the time of a query that comes late in a drain, so that it is
+// answered before the process may be killed.
+func (n *Node) cut(now time.Time, expires time.Duration) time.Duration {
+	if !n.draining || now.Before(n.drainUntil) {
+		return expires
+	}
+	left := max(n.killAt.Add(-killMargin).Sub(now), n.cfg.Gatherer.Tick)
+	if expires == 0 {
+		return left
+	}
+	return min(expires, left)
+}
+
 // askBody is the body of a query.
 type askBody struct {
 	Tablets []struct {
@@ -270,7 +284,7 @@
 
 // respond writes an answer whole and closes the connection if it was the last.
 func (c *client) respond(status int, body []byte, fields ...http1.Field) {
-	end := c.last || c.n.draining
+	end := c.last || c.n.draining && !time.Now().Before(c.n.serveUntil)
 	c.busy, c.since = false, time.Now()
 	c.begun = c.since
 	c.write(http1.AppendResponse(nil, status, body, end, fields...))
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -38,8 +38,26 @@
 	drainAccept  = 600 * time.Millisecond // new connections come for 0.4 s after SIGTERM
 	drainPartial = time.Second            // how much longer a half-sent request is waited for
 	bootTimeout  = 5 * time.Second
+
+	// The kill comes no sooner after SIGTERM than the longest deadline, counted
+	// as killMost where it is longer, plus killMore. Until killReserve before it
+	// kept connections are served: their clients use them as long as they are
+	// open, and a gatherer that would take them instead may be down as well.
+	killMost    = 3 * time.Second
+	killMore    = 700 * time.Millisecond
+	killReserve = time.Second            // most answers take a small part of it
+	killMargin  = 200 * time.Millisecond // the answers must be out so long before the kill
 )
 
+// killAfter is how long after SIGTERM the process surely lives.
+func (c Config) killAfter() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range c.Gatherer.Module.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, killMost) + killMore
+}
+
 // spare is how many descriptors are left to the runtime, the poller, the
 // listener and the standard streams.
 const spare = 32
@@ -66,9 +84,12 @@
 
 	muteAfter  time.Duration // see pool.Abandon
 	acceptFor  time.Duration // how long new connections may come once it drains
+	serveFor   time.Duration // how long kept ones are served then
 	draining   bool
-	drainUntil time.Time
-	closing    bool // the loop is about to end
+	drainUntil time.Time // the end of acceptFor
+	serveUntil time.Time // the end of serveFor
+	killAt     time.Time // the process may be killed from then on
+	closing    bool      // the loop is about to end
 
 	started  chan struct{} // closed once queries are taken
 	bound    string        // the address listened on
@@ -83,6 +104,7 @@
 		started: make(chan struct{}), acceptFor: drainAccept, muteAfter: cfg.ConnectTimeout,
 		dialer: new(net.Dialer).DialContext,
 	}
+	n.serveFor = max(cfg.killAfter()-killReserve, drainAccept)
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.pool = newPool(n)
 	n.watch = &watch{n: n, addr: cfg.Discovery, revision: cfg.Known.Revision, silence: watchSilent}
@@ -121,8 +143,9 @@
 	n.exec(func() error {
 		if !n.draining {
 			n.log.Info("draining", "open", n.core.Open())
-			n.draining, n.drainUntil = true, time.Now().Add(n.acceptFor)
-			n.closeIdleClients()
+			now := time.Now()
+			n.draining, n.drainUntil, n.serveUntil = true, now.Add(n.acceptFor), now.Add(n.serveFor)
+			n.killAt = now.Add(n.cfg.killAfter())
 		}
 		return nil
 	})
@@ -285,12 +308,15 @@
 
 // drained tells that a draining node has nothing left to do.
 func (n *Node) drained(now time.Time) bool {
-	if !n.draining || now.Before(n.drainUntil) || n.core.Open() > 0 {
+	if !n.draining || now.Before(n.drainUntil) || now.Before(n.serveUntil) && len(n.clients) > 0 {
 		return false
 	}
 	n.closeIdleClients()
+	if n.core.Open() > 0 {
+		return false
+	}
 	for c := range n.clients {
-		half := !c.parser.Idle() && now.Before(n.drainUntil.Add(drainPartial))
+		half := !c.parser.Idle() && now.Before(n.serveUntil.Add(drainPartial))
 		if c.unsent() || half && !c.ending {
 			return false
 		}
