Bound the module's trial and overdue times by usual call times, not by aims alone

The recorded probe shows six of twelve searchers set aside for one failure each at its start, for half a second: blame in aggregator.go waited half an aim, and overdueAfter at least a quarter of one.

The first trial now comes after four usual calls at the latest, and a part is overdue after eight.

--- a/aggregator.go
+++ b/aggregator.go
@@ -36,6 +36,8 @@
 	overdueTimes = 2.5 // a part is overdue after so many usual times,
 	overdueLeast = 4   // but not before this fraction (1/4) of its class's aim,
 	overdueMost  = 2   // and at this fraction (1/2) at the latest: a second copy needs the rest
+	overdueFar   = 8   // after so many usual times it is, however long the aim: few calls take half as long
+	trialTimes   = 4   // after so many a server set aside gets its first trial: most calls have ended then
 
 	deadTimes = 4 // after so many usual times without any answer a connection is taken to be dead
 
@@ -200,13 +202,11 @@
 	}
 	a.took = a.now
 	a.credit = min(a.credit+a.share*a.width*since, 2*max(cost, a.width))
-	if a.share < 1 && a.credit < cost {
-		return false
-	}
-	if a.share < 1 {
+	start := a.share >= 1 || a.credit >= cost
+	if start && a.share < 1 {
 		a.credit -= cost
 	}
-	return true
+	return start
 }
 
 // inShare is what a tenant's query is worth if the others send here what they usually do, and it the rest.
@@ -285,17 +285,13 @@
 	p.open--
 	a.release(t)
 	a.learn(t, e)
-	switch e.Status {
-	case Full, NoConnection, NotSent:
-		t.never = true
-	case OK:
-		if !p.in && !p.over {
-			if p.open > 0 && t.number > 0 {
-				a.copies = min(a.copies+1, copyMost) // it paid: another may
-			}
-			p.in = true
-			p.query.in += p.Weight
+	t.never = e.Status == Full || e.Status == NoConnection || e.Status == NotSent
+	if e.Status == OK && !p.in && !p.over {
+		if p.open > 0 && t.number > 0 {
+			a.copies = min(a.copies+1, copyMost) // it paid: another may
 		}
+		p.in = true
+		p.query.in += p.Weight
 	}
 	if p.over && p.open == 0 {
 		delete(a.parts, p.ID)
@@ -411,7 +407,7 @@
 		s.trialAt = a.now + s.backoff
 	} else if s.record >= asideAt && (s.down || !a.last(s)) {
 		s.aside = true
-		s.backoff = t.part.query.class.Aim / 2
+		s.backoff = a.soon(t.part.query.class.Aim/2, trialTimes)
 		s.trialAt = a.now + s.backoff
 		a.logf("server %s set aside", s.ID)
 	}
@@ -429,7 +425,13 @@
 
 // overdueAfter is how long a part of a class may be out before something is taken to be wrong.
 func (a *Aggregator) overdueAfter(c *class) time.Duration {
-	return min(max(time.Duration(c.usual*overdueTimes), c.Aim/overdueLeast), c.Aim/overdueMost)
+	least := a.soon(c.Aim/overdueLeast, overdueFar)
+	return min(max(time.Duration(c.usual*overdueTimes), least), c.Aim/overdueMost)
+}
+
+// soon cuts a wait that an aim sets: else a server would miss fifty short calls for one, and the others jam.
+func (a *Aggregator) soon(aim time.Duration, times float64) time.Duration {
+	return min(aim, max(time.Duration(times*cmp.Or(a.usual, float64(aim))), 2*a.set.Tick))
 }
 
 func (a *Aggregator) tooLong(t *attempt) bool {
