Tell client connections to end with their answer once many are idle, and rank who goes

Silent connections (40 a second) and askers for health at a restart (500 to 700 a second, staying) came on top, but did not bind. Ruled out: closes that cross requests (no failed query, crossed 0), the bound of five eighths.

internal/limit is a table without I/O that decides by named bounds: from 1/16 of the descriptors idle, fresh connections end with their answer (Connection: close), from 1/8 all do, idle ones of 2 s are trimmed, and at 5/8 the lowest rank goes. A connection with unread bytes is spared. Counters tell what each close hit.

Each guard was broken once (notice, notice in a drain, unread bytes, sparing) and its test failed. The module is unchanged.

--- a/cmd/eiderwinch/main.go
+++ b/cmd/eiderwinch/main.go
@@ -39,7 +39,7 @@
 	}
 	debug.SetMemoryLimit(cfg.Memory / 4 * 3) // the rest is for stacks, the runtime and the kernel's part
 	log = log.With("node", cfg.Name)
-	counters := new(stats.Counters)
+	counters := stats.New()
 	limits := cfg.Settings.Limits
 	node := netio.New(netio.Config{
 		Listen: cfg.Listen, Discovery: cfg.Discovery, Known: cfg.Known, Sockets: cfg.Sockets,
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -54,7 +54,7 @@
 		},
 	}}
 	r := &rig{t: t, at: time.Unix(1_000_000, 0)}
-	r.Core = New(set, r, r, new(stats.Counters), slog.New(slog.DiscardHandler), r.at)
+	r.Core = New(set, r, r, stats.New(), slog.New(slog.DiscardHandler), r.at)
 	r.List(r.at, eiderwinch.Whole, []Member{{ID: "a", State: eiderwinch.Ready}, {ID: "b", State: eiderwinch.Ready}})
 	r.after(0)
 	return r
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -13,17 +13,15 @@
 
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/http1"
+	"eiderwinch/internal/limit"
 )
 
 const (
-	requestTimeout = 2 * time.Second               // for a request to come in whole, the first from connecting on: 3 s are owed
-	lingerTimeout  = 2 * time.Second               // for a client to read an answer given before its request was read
-	maxLinger      = 64 << 20                      // bytes of such a request that are read and thrown away: 60 MB come
-	silentFor      = 500 * time.Millisecond        // a connection that said nothing for less may be a usual client's: it asks at once
-	keptFor        = 2 * time.Second               // a connection idle for less is left open: its client will use it again
-	maxAhead       = http1.MaxHead + http1.MaxBody // bytes of requests that wait for an answer before theirs
-	maxUnread      = 1 << 20                       // bytes of answers that a client has not read
-	healthPath     = "/_health"
+	maxLinger  = 64 << 20                      // bytes of a request answered before its end that are read and thrown away: 60 MB come
+	maxAhead   = http1.MaxHead + http1.MaxBody // bytes of requests that wait for an answer before theirs
+	maxUnread  = 1 << 20                       // bytes of answers that a client has not read
+	flushFor   = 10 * time.Second              // for a client to read an answer that its connection ends with: 64 KiB at 6 KiB/s
+	healthPath = "/_health"
 )
 
 // client is one client's connection. Requests are answered one at a time.
@@ -31,36 +29,34 @@
 	n      *Node
 	conn   gnet.Conn
 	parser http1.RequestParser
-	since  time.Time // when the connection was last between requests
-	begun  time.Time // when the request that is coming in began
-	asked  bool      // a whole request has come
-	spilt  int       // ending: bytes thrown away
-	query  uint64    // the open query; 0 if none
-	busy   bool      // a request waits for its answer
-	last   bool      // the request in hand is the last one here
-	deaf   bool      // nothing more is taken in; what is open is still answered
-	ending bool      // the connection is about to be closed
-	until  time.Time // ending: when the connection is closed at the latest
+	seat   limit.Seat[*client]
+	spilt  int    // ending: bytes thrown away
+	query  uint64 // the open query; 0 if none
+	busy   bool   // a request waits for its answer
+	last   bool   // the request in hand is the last one here
+	deaf   bool   // nothing more is taken in; what is open is still answered
+	ending bool   // the connection is about to be closed
+	untold bool   // ending: its client was not told by an answer
 }
 
-func newClient(n *Node) *client { return &client{n: n} }
-
-// unsent tells that an answer has not left whole.
-func (c *client) unsent() bool { return c.busy || c.conn.OutboundBuffered() > 0 }
+func newClient(n *Node) *client {
+	c := &client{n: n}
+	c.seat.Owner = c
+	return c
+}
 
 func (c *client) opened(conn gnet.Conn) {
 	n := c.n
-	c.conn, c.since = conn, time.Now()
-	c.begun = c.since
+	c.conn = conn
 	n.stats.Clients++
-	n.clients[c] = struct{}{}
-	if len(n.clients) > (n.cfg.Sockets-spare)*5/8 { // the pool takes a quarter, twice that while it dials
-		n.dropIdlest(c)
+	n.table.Enter(time.Now(), &c.seat)
+	if n.table.Over() {
+		n.evict(c)
 	}
 }
 
 func (c *client) closed(error) {
-	delete(c.n.clients, c)
+	c.leave()
 	c.ending = true
 	if c.query != 0 {
 		c.n.core.Gone(time.Now(), c.query)
@@ -70,6 +66,10 @@
 
 func (c *client) traffic(b []byte) {
 	if c.ending {
+		if c.untold { // its client had not heard of the end, and sends this once more
+			c.untold = false
+			c.n.stats.Crossed++
+		}
 		// Closing at once would reset the connection and take the error along.
 		if c.spilt += len(b); c.spilt > maxLinger {
 			c.drop()
@@ -79,9 +79,6 @@
 	if c.deaf {
 		return
 	}
-	if c.asked && !c.busy && c.parser.Idle() {
-		c.begun = time.Now()
-	}
 	c.parser.Feed(b)
 	if c.busy && c.parser.Buffered() > maxAhead {
 		// Nobody needs to send so far ahead. What is open still gets its answer.
@@ -107,21 +104,43 @@
 			if c.parser.Continue() {
 				c.write(http1.AppendContinue(nil))
 			}
+			c.wait()
 			return
 		}
 		c.serve(r)
 	}
 }
 
+// wait books that no whole request is at hand.
+func (c *client) wait() {
+	stage := c.seat.Stage()
+	switch {
+	case c.ending:
+	case stage == limit.Silent:
+		c.move(limit.First)
+	case stage == limit.Idle && !c.parser.Idle():
+		c.move(limit.Further)
+	case stage == limit.Further && c.parser.Idle(): // only blank lines came
+		c.move(limit.Idle)
+	}
+}
+
+func (c *client) move(to limit.Stage) { c.n.table.Move(time.Now(), &c.seat, to) }
+
 // serve takes in one request.
 func (c *client) serve(r *http1.Request) {
-	c.busy, c.last, c.asked = true, r.Close, true
+	c.busy, c.last = true, r.Close
+	if c.seat.Asked() > 0 {
+		c.n.stats.Reused++
+	}
+	c.move(limit.Busy)
 	path, _, _ := strings.Cut(r.Target, "?")
 	switch {
 	case path == healthPath && (r.Method == "GET" || r.Method == "HEAD"):
 		status := http.StatusOK
 		if c.n.draining {
 			status = http.StatusServiceUnavailable
+			c.last = c.last || c.seat.Asked() == 0 // those who keep a connection need the place: they can open no new one
 		}
 		c.respond(status, nil)
 	case r.Method != "POST":
@@ -285,12 +304,18 @@
 // respond writes an answer whole and closes the connection if it was the last.
 func (c *client) respond(status int, body []byte, fields ...http1.Field) {
 	end := c.last || c.n.draining && !time.Now().Before(c.n.serveUntil)
-	c.busy, c.since = false, time.Now()
-	c.begun = c.since
+	if !end && !c.n.draining && c.n.table.Notice(&c.seat) { // in a drain no new one could be opened
+		end = true
+		c.n.stats.Noticed++
+	}
+	c.busy = false
+	c.move(limit.Busy) // a request that did not come in whole is answered as well
+	c.move(limit.Idle)
 	c.write(http1.AppendResponse(nil, status, body, end, fields...))
 	switch {
 	case c.ending: // the write has failed
 	case c.conn.OutboundBuffered() > maxUnread:
+		c.n.stats.Unread++
 		c.drop()
 	case end:
 		c.end()
@@ -306,78 +331,71 @@
 // end closes the connection so that the client can still read its answer:
 // closing with unread bytes at hand would reset it and take the answer along.
 func (c *client) end() {
-	c.ending, c.until = true, time.Now().Add(lingerTimeout)
-	if c.conn.OutboundBuffered() == 0 {
-		shutWrite(c.conn.Fd())
+	c.ending = true
+	if c.conn.OutboundBuffered() > 0 {
+		c.move(limit.Busy) // the answer comes first
+		c.n.flushing[c] = time.Now().Add(flushFor)
+		return
 	}
+	c.move(limit.Ending)
+	shutWrite(c.conn.Fd())
 }
 
 // drop closes the connection as it is.
 func (c *client) drop() {
 	c.ending = true
-	delete(c.n.clients, c)
+	c.leave()
 	_ = c.conn.Close()
 }
 
-// idle tells that the connection is between requests.
-func (c *client) idle() bool { return !c.busy && !c.ending && c.parser.Idle() }
-
-// dropIdlest closes the connection that is missed least, so that descriptors
-// are never used up: gnet ends its loop when accept finds none. Those come
-// first that are ending, then those that have said nothing for a while, that
-// have been idle for long, that are idle at all, that have said nothing yet,
-// that have not got a request whole; of each sort the oldest. A flood of silent
-// connections must not cost usual clients theirs: a new one's first request may
-// be on its way, and is not sent again. Where all are in use, the newest goes.
-func (n *Node) dropIdlest(newest *client) {
-	const none = 6
-	now := time.Now()
-	rank := func(c *client) int {
-		switch {
-		case c.ending:
-			return 0
-		case !c.asked && c.parser.Idle() && now.Sub(c.since) >= silentFor:
-			return 1
-		case c.idle() && now.Sub(c.since) >= keptFor:
-			return 2
-		case c.idle() && c.asked:
-			return 3
-		case !c.asked && c.parser.Idle():
-			return 4
-		case !c.asked && !c.busy:
-			return 5
-		}
-		return none
-	}
-	idlest, lowest := newest, none
-	for c := range n.clients {
-		at := rank(c)
-		if c != newest && (at < lowest || at == lowest && at < none && c.since.Before(idlest.since)) {
-			idlest, lowest = c, at
+func (c *client) leave() {
+	c.n.table.Leave(&c.seat)
+	delete(c.n.flushing, c)
+}
+
+// unread tells that something has come on the connection that was not read
+// yet, or that its answer has not left: closing it would hit a client.
+func (c *client) unread() bool { return c.conn.OutboundBuffered() > 0 || pending(c.conn.Fd()) > 0 }
+
+// evict closes the connection that is missed least, so that descriptors are
+// never used up: gnet ends its loop when accept finds none.
+func (n *Node) evict(newest *client) {
+	seat, rank := n.table.Victim(time.Now(), &newest.seat, func(s *limit.Seat[*client]) bool {
+		unread := s.Owner.unread()
+		if unread {
+			n.stats.Spared++
 		}
+		return unread
+	})
+	n.stats.Evicted[rank.String()]++
+	if rank != limit.RankEnding && seat.Owner.unread() {
+		n.stats.Crossed++
 	}
-	n.stats.Crowded++
-	idlest.drop()
+	seat.Owner.drop()
+}
+
+// dismiss ends a connection between requests, whose client could not be told.
+func (c *client) dismiss() {
+	c.untold = true
+	c.end()
 }
 
 // closeIdleClients closes the connections that are between requests.
 func (n *Node) closeIdleClients() {
-	for c := range n.clients {
-		if c.idle() {
-			c.end()
+	for _, stage := range [...]limit.Stage{limit.Silent, limit.Idle} {
+		for s := n.table.Oldest(stage); s != nil; s = n.table.Oldest(stage) {
+			s.Owner.dismiss()
 		}
 	}
 }
 
-// checkClients closes the connections whose time is up.
+// checkClients closes the connections whose time is up, and those that are
+// idle for longest where there are too many.
 func (n *Node) checkClients(now time.Time) {
-	for c := range n.clients {
-		switch {
-		case c.ending && !now.Before(c.until):
+	for s := n.table.Overdue(now); s != nil; s = n.table.Overdue(now) {
+		switch c := s.Owner; {
+		case s.Stage() == limit.Ending:
 			c.drop()
-		case c.ending && c.conn.OutboundBuffered() == 0:
-			shutWrite(c.conn.Fd())
-		case c.busy || c.ending || c.asked && c.parser.Idle() || now.Sub(c.begun) < requestTimeout:
 		case c.parser.Idle():
 			n.stats.Silent++
 			c.end()
@@ -385,4 +403,18 @@
 			c.reject(http.StatusRequestTimeout, "the request did not come in whole in time", true)
 		}
 	}
+	for s := n.table.Trim(now); s != nil && !n.draining; s = n.table.Trim(now) {
+		n.stats.Trimmed++
+		s.Owner.dismiss()
+	}
+	for c, until := range n.flushing {
+		switch {
+		case c.conn.OutboundBuffered() == 0:
+			delete(n.flushing, c)
+			c.end()
+		case !now.Before(until):
+			n.stats.Unread++
+			c.drop()
+		}
+	}
 }
--- /dev/null
+++ b/internal/netio/crowd_test.go
@@ -0,0 +1,237 @@
+package netio
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"eiderwinch/internal/limit"
+	"eiderwinch/internal/testpeer"
+)
+
+const health = "GET /_health HTTP/1.1\r\n\r\n"
+
+// bounded starts a node whose client connections are bounded so.
+func bounded(t *testing.T, soft, firm, hard int) *rig {
+	return start(t, func(r *rig) {
+		b := limit.Defaults(r.cfg.Sockets)
+		b.Soft, b.Firm, b.Hard = soft, firm, hard
+		r.table = limit.New[*client](b)
+		r.decide = nil
+	})
+}
+
+// onLoop runs f on the event loop and waits for it.
+func (r *rig) onLoop(f func()) {
+	r.t.Helper()
+	done := make(chan struct{})
+	r.exec(func() error { f(); close(done); return nil })
+	testpeer.Get(r.t, done, "the loop")
+}
+
+// until waits for what the loop must come to.
+func (r *rig) until(what string, f func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(testpeer.Patience); ; {
+		done := false
+		r.onLoop(func() { done = f() })
+		if done {
+			return
+		}
+		if time.Now().After(end) {
+			r.t.Fatalf("%s did not come", what)
+		}
+	}
+}
+
+// heard says text and tells whether the answer ends the connection.
+func heard(t *testing.T, c *testpeer.Client, text string) (ends bool) {
+	t.Helper()
+	resp, _ := c.Say(text).Hear()
+	if resp.StatusCode != 200 {
+		t.Errorf("have %s", resp.Status)
+	}
+	if resp.Close {
+		c.Closed()
+	}
+	return resp.Close
+}
+
+// Clients that ask once and stay must not hold the places that others need:
+// their answers say so, and no close crosses a request.
+func TestACrowdThatAsksOnceAndStaysIsToldToGo(t *testing.T) {
+	r := bounded(t, 4, 8, 100)
+	usual := testpeer.NewClient(t, r.Addr())
+	heard(t, usual, health)
+	heard(t, usual, health)
+	stayed := 0
+	for range 50 {
+		if !heard(t, testpeer.NewClient(t, r.Addr()), health) {
+			stayed++
+		}
+	}
+	if stayed != 3 {
+		t.Errorf("%d stayed beside the usual one, want 3", stayed)
+	}
+	if heard(t, usual, health) {
+		t.Error("the one that came back before was told to go")
+	}
+	r.onLoop(func() {
+		if r.stats.Noticed != 47 || r.stats.Crossed+len(r.stats.Evicted) > 0 {
+			t.Errorf("noticed %d, crossed %d, evicted %v", r.stats.Noticed, r.stats.Crossed, r.stats.Evicted)
+		}
+	})
+}
+
+// From the firm bound on, the ones that came back are told as well.
+func TestFromTheFirmBoundOnAllAreTold(t *testing.T) {
+	r := bounded(t, 2, 2, 100)
+	a, b, c := testpeer.NewClient(t, r.Addr()), testpeer.NewClient(t, r.Addr()), testpeer.NewClient(t, r.Addr())
+	c.Say(testpeer.Query("search", "t", time.Minute, 1)) // waits for its answer, so two may be idle beside it
+	p := r.part()
+	heard(t, a, health)
+	heard(t, b, health)
+	p.Answer("served", 1, "v")
+	if resp, body := c.Hear(); !resp.Close || !strings.Contains(body, `"v"`) {
+		t.Errorf("have %s %s, close %v", resp.Status, body, resp.Close)
+	}
+}
+
+// In a drain no client can open a new connection, so none is told to.
+func TestADrainGivesNoNotice(t *testing.T) {
+	r := start(t, func(r *rig) {
+		r.serveFor = time.Minute
+		r.cfg.Clients.Soft, r.cfg.Clients.Firm = 1, 1
+		r.table = limit.New[*client](r.cfg.Clients)
+	})
+	a, b := testpeer.NewClient(t, r.Addr()), testpeer.NewClient(t, r.Addr())
+	b.Say(testpeer.Query("search", "t", time.Minute, 1))
+	p := r.part()
+	heard(t, a, health)
+	r.Drain()
+	r.onLoop(func() {})
+	p.Answer("served", 1, "v")
+	if resp, _ := b.Hear(); resp.StatusCode != 200 || resp.Close {
+		t.Errorf("have %s, close %v", resp.Status, resp.Close)
+	}
+	// But who only asks whether it is healthy gives its place back.
+	resp, _ := testpeer.NewClient(t, r.Addr()).Say(health).Hear()
+	if resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("health: %s, close %v", resp.Status, resp.Close)
+	}
+	r.onLoop(func() { r.serveUntil = time.Now() })
+	a.Closed()
+	b.Closed()
+}
+
+// Connections idle for long are closed only where many are, the longest first.
+func TestIdleConnectionsAreTrimmedWhereThereAreMany(t *testing.T) {
+	r := bounded(t, 3, 100, 100)
+	clients := make([]*testpeer.Client, 3)
+	for i := range clients {
+		clients[i] = testpeer.NewClient(t, r.Addr())
+		clients[i].Say(testpeer.Query("search", string(rune('a'+i)), time.Minute, 1))
+	}
+	for range clients {
+		r.part().Answer("served", 1, "v")
+	}
+	for _, c := range clients {
+		c.Hear()
+	}
+	heard(t, clients[0], health) // it came back
+	r.onLoop(func() {
+		r.checkClients(time.Now().Add(r.table.Bounds().KeptFor - time.Millisecond))
+		if r.stats.Trimmed != 0 {
+			t.Error("one was trimmed that had not been idle for long")
+		}
+		r.checkClients(time.Now().Add(r.table.Bounds().KeptFor))
+		if r.stats.Trimmed != 1 || r.table.Count(limit.Idle) != 2 {
+			t.Errorf("%d were trimmed, %d are idle", r.stats.Trimmed, r.table.Count(limit.Idle))
+		}
+	})
+	if heard(t, clients[0], health) {
+		t.Error("the one that came back was chosen")
+	}
+}
+
+// What comes on a connection after it was closed without a word is counted.
+func TestWhatCrossesACloseIsCounted(t *testing.T) {
+	r := bounded(t, 100, 100, 100)
+	c := testpeer.NewClient(t, r.Addr())
+	heard(t, c, health)
+	r.onLoop(func() { r.table.Oldest(limit.Idle).Owner.dismiss() })
+	c.Say(health).Say(health)
+	c.CloseWrite()
+	r.until("a crossing", func() bool { return r.stats.Crossed > 0 })
+	r.onLoop(func() {
+		if r.stats.Crossed != 1 {
+			t.Errorf("%d crossed", r.stats.Crossed)
+		}
+	})
+	c.Closed()
+}
+
+// A connection on which something has come that was not read yet keeps its place.
+func TestARequestThatHasComeIsNotCutOff(t *testing.T) {
+	r := bounded(t, 100, 100, 3)
+	a, b := testpeer.NewClient(t, r.Addr()), testpeer.NewClient(t, r.Addr())
+	heard(t, a, health)
+	heard(t, b, health)
+	r.onLoop(func() {
+		oldest := r.table.Oldest(limit.Idle).Owner
+		a.Say(health)
+		for end := time.Now().Add(testpeer.Patience); pending(oldest.conn.Fd()) == 0 && time.Now().Before(end); {
+		}
+		newest := newClient(r.Node)
+		r.evict(newest)
+		if r.stats.Spared != 1 || r.stats.Evicted["once_new"] != 1 || r.stats.Crossed != 0 {
+			t.Errorf("spared %d, evicted %v, crossed %d", r.stats.Spared, r.stats.Evicted, r.stats.Crossed)
+		}
+	})
+	if resp, _ := a.Hear(); resp.StatusCode != 200 {
+		t.Errorf("have %s", resp.Status)
+	}
+	b.Closed()
+}
+
+// An answer that ends a connection reaches a client that reads slowly, and one
+// that never reads does not hold its place for good.
+func TestALastAnswerIsReadSlowlyOrGivenUp(t *testing.T) {
+	r := start(t, nil)
+	value := strings.Repeat("v", 60_000)
+	slow := func(trace string) *testpeer.Client {
+		c := testpeer.NewClient(t, r.Addr())
+		c.ReadAhead(16 << 10)
+		c.Say(testpeer.Query("search", trace, time.Minute, 4))
+		parts := []testpeer.Part{r.part(), r.part(), r.part(), r.part()}
+		r.onLoop(func() {
+			own := r.table.Oldest(limit.Busy).Owner
+			own.last = true
+			_ = own.conn.SetWriteBuffer(16 << 10)
+		})
+		for _, p := range parts {
+			p.Answer("served", 1, value)
+		}
+		r.until("an answer in the buffer", func() bool { return len(r.flushing) == 1 })
+		return c
+	}
+	c := slow("t")
+	r.onLoop(func() {
+		r.checkClients(time.Now())
+		if len(r.flushing) != 1 || r.table.Count(limit.Busy) != 1 {
+			t.Error("its place was given away before the answer had left")
+		}
+	})
+	resp, body := c.Hear()
+	if resp.StatusCode != 200 || strings.Count(body, value) != 4 {
+		t.Errorf("have %s and %d bytes", resp.Status, len(body))
+	}
+	c.Closed()
+	slow("u")
+	r.onLoop(func() {
+		r.checkClients(time.Now().Add(flushFor))
+		if len(r.flushing) != 0 || r.table.Held() != 0 || r.stats.Unread != 1 {
+			t.Errorf("%d are flushing, %d held, %d unread", len(r.flushing), r.table.Held(), r.stats.Unread)
+		}
+	})
+}
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -15,6 +15,7 @@
 	"eiderwinch"
 	"eiderwinch/internal/catalog"
 	"eiderwinch/internal/gatherer"
+	"eiderwinch/internal/limit"
 	"eiderwinch/internal/stats"
 	"eiderwinch/internal/testpeer"
 )
@@ -69,7 +70,7 @@
 			{ID: "s", HostPort: r.s.Addr, Phase: catalog.Ready},
 		}},
 		Gatherer: gatherer.Settings{Module: module, Tick: module.Tick, MaxOpen: 20, DrainGrace: time.Minute},
-	}, r, new(stats.Counters), slog.New(slog.DiscardHandler))
+	}, r, stats.New(), slog.New(slog.DiscardHandler))
 	r.acceptFor, r.serveFor = 0, 0
 	if set != nil {
 		set(r)
@@ -474,7 +475,7 @@
 		t.Errorf("half a request: %s", resp.Status)
 	}
 	silent.Closed()
-	if took := time.Since(began); took < requestTimeout/2 {
+	if took := time.Since(began); took < r.table.Bounds().Request/2 {
 		t.Errorf("given up after %v", took)
 	}
 	if resp, _ := kept.Say("GET /_health HTTP/1.1\r\n\r\n").Hear(); resp.StatusCode != 200 {
@@ -656,7 +657,11 @@
 }
 
 func TestDescriptorsAreBounded(t *testing.T) {
-	r := start(t, func(r *rig) { r.cfg.Sockets = spare + 13 }) // 8 clients
+	r := start(t, func(r *rig) {
+		b := limit.Defaults(r.cfg.Sockets)
+		b.Soft, b.Firm, b.Hard = 100, 100, 8
+		r.table = limit.New[*client](b)
+	})
 	health := func(c *testpeer.Client) {
 		t.Helper()
 		if resp, _ := c.Say("GET /_health HTTP/1.1\r\n\r\n").Hear(); resp.StatusCode != 200 {
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -17,6 +17,7 @@
 	"eiderwinch"
 	"eiderwinch/internal/catalog"
 	"eiderwinch/internal/gatherer"
+	"eiderwinch/internal/limit"
 	"eiderwinch/internal/stats"
 )
 
@@ -29,6 +30,7 @@
 	Multiplex      int // parts on one connection
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration // searchers close connections idle for so long
+	Clients        limit.Bounds  // of client connections; zero means limit.Defaults for Sockets
 	Gatherer       gatherer.Settings
 }
 
@@ -73,14 +75,16 @@
 	watch *watch
 	next  *watch // on its way to take the place of watch; nil if none is
 
-	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
-	ctx     context.Context // of all dials
-	stop    context.CancelFunc
-	loop    gnet.EventLoop // nil until the first connection shows it
-	timer   *time.Timer
-	armed   time.Time
-	kept    time.Time // last housekeeping
-	clients map[*client]struct{}
+	dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+	ctx    context.Context // of all dials
+	stop   context.CancelFunc
+	loop   gnet.EventLoop // nil until the first connection shows it
+	timer  *time.Timer
+	armed  time.Time
+	kept   time.Time // last housekeeping
+	table  *limit.Table[*client]
+
+	flushing map[*client]time.Time // ending ones whose answer has not left, and until when it may
 
 	muteAfter  time.Duration // see pool.Abandon
 	acceptFor  time.Duration // how long new connections may come once it drains
@@ -98,10 +102,14 @@
 
 // New returns a Node that is to be started with Run.
 func New(cfg Config, d gatherer.Decider, counters *stats.Counters, log *slog.Logger) *Node {
+	if cfg.Clients == (limit.Bounds{}) {
+		cfg.Clients = limit.Defaults(cfg.Sockets - spare)
+	}
 	n := &Node{
 		cfg: cfg, log: log, stats: counters,
-		clients: make(map[*client]struct{}),
-		started: make(chan struct{}), acceptFor: drainAccept, muteAfter: cfg.ConnectTimeout,
+		table:    limit.New[*client](cfg.Clients),
+		flushing: make(map[*client]time.Time),
+		started:  make(chan struct{}), acceptFor: drainAccept, muteAfter: cfg.ConnectTimeout,
 		dialer: new(net.Dialer).DialContext,
 	}
 	n.serveFor = max(cfg.killAfter()-killReserve, drainAccept)
@@ -308,20 +316,13 @@
 
 // drained tells that a draining node has nothing left to do.
 func (n *Node) drained(now time.Time) bool {
-	if !n.draining || now.Before(n.drainUntil) || now.Before(n.serveUntil) && len(n.clients) > 0 {
+	if !n.draining || now.Before(n.drainUntil) || now.Before(n.serveUntil) && n.table.Held() > 0 {
 		return false
 	}
 	n.closeIdleClients()
-	if n.core.Open() > 0 {
-		return false
-	}
-	for c := range n.clients {
-		half := !c.parser.Idle() && now.Before(n.serveUntil.Add(drainPartial))
-		if c.unsent() || half && !c.ending {
-			return false
-		}
-	}
-	return true
+	half := n.table.Count(limit.First)+n.table.Count(limit.Further) > 0
+	half = half && now.Before(n.serveUntil.Add(drainPartial))
+	return !half && n.core.Open() == 0 && n.table.Count(limit.Busy) == 0
 }
 
 // apply hands news of the searchers to the core and the connections.
--- a/internal/netio/socket.go
+++ b/internal/netio/socket.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // boundAddr returns the address that a listening descriptor is bound to, and
@@ -21,6 +23,16 @@
 	return l.Addr().String(), nil
 }
 
+// pending is how many bytes have come on a connection that were not read yet; 0
+// where the system does not tell.
+func pending(fd int) int {
+	n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // shut ends both ways of a connection that is about to be closed.
 func shut(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_RDWR) }
 
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -1,7 +1,11 @@
 // Package stats counts what the program takes in, sends and answers.
 package stats
 
-import "log/slog"
+import (
+	"log/slog"
+	"maps"
+	"slices"
+)
 
 // Counters belongs to the loop that owns the gatherer; it has no locks.
 type Counters struct {
@@ -29,9 +33,16 @@
 	Reset       int
 	Cancelled   int
 
-	Clients    int // connections that clients opened
-	Silent     int // those closed since no request came
-	Crowded    int // those closed to make room for others
+	Clients int            // connections that clients opened
+	Reused  int            // requests on one that had carried another before
+	Noticed int            // those told to end by an answer, since many were idle
+	Trimmed int            // idle ones closed between requests, since many were
+	Silent  int            // those closed since no request came
+	Evicted map[string]int // those closed to make room for others, by rank
+	Spared  int            // those not chosen for that, since something had come on them
+	Crossed int            // requests that came on one after its end, or were cut by it
+	Unread  int            // those closed since their client did not read its answers
+
 	Dialed     int // connections opened to searchers
 	DialFails  int
 	IdleClosed int // connections to searchers closed as idle
@@ -43,12 +54,21 @@
 	ReloadFails int // those that could not be used
 }
 
+// New returns counters that are all 0.
+func New() *Counters { return &Counters{Evicted: make(map[string]int)} }
+
 // LogValue implements slog.LogValuer.
 func (c *Counters) LogValue() slog.Value {
 	group := func(key string, pairs ...any) slog.Attr { return slog.Group(key, pairs...) }
+	var evicted []any
+	for _, rank := range slices.Sorted(maps.Keys(c.Evicted)) {
+		evicted = append(evicted, rank, c.Evicted[rank])
+	}
 	return slog.GroupValue(
-		group("in", "taken", c.Taken, "malformed", c.Malformed, "clients", c.Clients,
-			"silent", c.Silent, "crowded_out", c.Crowded),
+		group("in", "taken", c.Taken, "malformed", c.Malformed),
+		group("clients", "opened", c.Clients, "reused", c.Reused, "noticed", c.Noticed, "trimmed", c.Trimmed,
+			"silent", c.Silent, "spared", c.Spared, "crossed", c.Crossed, "unread", c.Unread),
+		group("evicted", evicted...),
 		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.Full,
 			"failed", c.Failed, "overdue", c.Overdue, "gone", c.Gone),
 		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "second_steps", c.SecondSteps,
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -217,3 +217,9 @@
 		c.t.Errorf("instead of an end: %q, %v", b, err)
 	}
 }
+
+// CloseWrite ends the way from the client to the gatherer.
+func (c *Client) CloseWrite() { _ = c.Conn.(*net.TCPConn).CloseWrite() }
+
+// ReadAhead bounds what waits on the client's side until it is heard.
+func (c *Client) ReadAhead(bytes int) { _ = c.Conn.(*net.TCPConn).SetReadBuffer(bytes) }
