Add a demo on loopback stand-ins and sub-commands: serve, demo, check, version

A newcomer could not see the program do its main job without the operators' kit.

internal/standin plays searchers (rows by segment, reservations known by key at any holder, slots and a queue, drains, kills), discovery with its watch, and a ledger of what ran, from the protocol's description alone: no parser is shared with the gatherer. The command line is kong's; serve stays the default, so `run` is unchanged. A test holds the README's table against the commands.

--- a/cmd/eiderwinch/main.go
+++ b/cmd/eiderwinch/main.go
@@ -1,87 +1,97 @@
-// Command eiderwinch is one real gatherer: it takes queries from clients,
-// sends their parts to searchers and answers. The environment tells it where
-// its configuration is, see package config.
+// Command eiderwinch is a gatherer: it takes queries from clients, sends their
+// parts to searchers and answers. Without a sub-command it serves.
 package main
 
 import (
+	"errors"
 	"fmt"
-	"log/slog"
+	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
-	"eiderwinch"
-	"eiderwinch/internal/config"
-	"eiderwinch/internal/gatherer"
-	"eiderwinch/internal/netio"
-	"eiderwinch/internal/stats"
+	"github.com/alecthomas/kong"
 )
 
 // Exit codes.
 const (
 	exitOK     = 0
-	exitServe  = 1 // it could not serve
-	exitConfig = 2 // the configuration is at fault
+	exitServe  = 1 // it could not serve, or not all of a demo was answered
+	exitConfig = 2 // the configuration or the command line is at fault
 )
 
-func main() { os.Exit(run()) }
+// exitError is an error with the code that the process ends with.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+// commands is the command line.
+type commands struct {
+	Serve   serveCommand   `cmd:"" default:"1" help:"Serve as the environment and the file that LB_CONFIG names say."`
+	Demo    demoCommand    `cmd:"" help:"Start a whole deployment on loopback, ask it queries of all classes and print the answers."`
+	Check   checkCommand   `cmd:"" help:"Check a configuration file and say what is wrong with it."`
+	Version versionCommand `cmd:"" help:"Print the version, and what the program was built from."`
+}
+
+// environment is what a command may use of the world.
+type environment struct {
+	getenv         func(string) string
+	stdout, stderr io.Writer
+	signals        <-chan os.Signal
+}
 
-func run() int {
+func main() {
 	// Before all else: until then SIGHUP would end the process.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	cfg, err := config.Load(os.Getenv)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "eiderwinch: configuration:", err)
-		return exitConfig
-	}
-	debug.SetMemoryLimit(cfg.Memory / 4 * 3) // the rest is for stacks, the runtime and the kernel's part
-	log = log.With("node", cfg.Name)
-	counters := stats.New()
-	limits := cfg.Settings.Limits
-	node := netio.New(netio.Config{
-		Listen: cfg.Listen, Discovery: cfg.Discovery, Known: cfg.Known, Sockets: cfg.Sockets,
-		Multiplex: limits.Multiplex, ConnectTimeout: limits.ConnectTimeout, ConnIdle: limits.ConnIdle,
-		Gatherer: gatherer.Settings{
-			Module: cfg.Settings.Module, Tick: limits.Tick, MaxOpen: limits.MaxOpen, DrainGrace: limits.DrainGrace,
-		},
-	}, eiderwinch.New(cfg.Settings.Module), counters, log)
+	os.Exit(run(os.Args[1:], environment{os.Getenv, os.Stdout, os.Stderr, signals}))
+}
 
-	go func() {
-		<-node.Started()
-		for s := range signals {
-			switch s {
-			case syscall.SIGUSR1:
-				node.Report()
-			case syscall.SIGHUP:
-				reload(cfg, node, log)
-			default:
-				node.Drain()
+// newParser returns the parser of the command line, which fills c.
+func newParser(c *commands, e environment, exit func(int)) (*kong.Kong, error) {
+	return kong.New(c,
+		kong.Name("eiderwinch"),
+		kong.Description("A gatherer for a catalogue that is split over searchers."),
+		kong.Writers(e.stdout, e.stderr),
+		kong.Exit(exit),
+		kong.Bind(e),
+	)
+}
+
+// helped is what a parser's exit after --help is turned into.
+type helped struct{ code int }
+
+func run(args []string, e environment) (code int) {
+	defer func() {
+		if h := recover(); h != nil {
+			asked, ok := h.(helped)
+			if !ok {
+				panic(h)
 			}
+			code = asked.code
 		}
 	}()
-	err = node.Run()
-	log.Info("counters", "counters", counters)
+	var c commands
+	parser, err := newParser(&c, e, func(code int) { panic(helped{code}) })
 	if err != nil {
-		log.Error("can't serve", "err", err)
-		return exitServe
+		panic(err) // the struct above is at fault
 	}
-	return exitOK
-}
-
-// reload reads the configuration again. One that is at fault changes nothing.
-func reload(cfg *config.Config, node *netio.Node, log *slog.Logger) {
-	next, err := config.Reload(os.Getenv)
+	command, err := parser.Parse(args)
 	if err != nil {
-		log.Error("configuration not reloaded, the old one stays", "err", err)
-		node.ReloadFailed()
-		return
+		fmt.Fprintf(e.stderr, "eiderwinch: %v; see eiderwinch --help\n", err)
+		return exitConfig
 	}
-	if keys := cfg.Pending(next); len(keys) > 0 {
-		log.Warn("these keys take effect at the next start", "keys", keys)
+	if err := command.Run(e); err != nil {
+		fmt.Fprintln(e.stderr, "eiderwinch:", err)
+		var coded *exitError
+		if errors.As(err, &coded) {
+			return coded.code
+		}
+		return exitServe
 	}
-	log.Info("configuration reloaded", "discovery", next.Discovery)
-	node.Reload(next.Discovery)
+	return exitOK
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -55,6 +55,11 @@
 // old as the process.
 func Reload(getenv func(string) string) (*Config, error) { return load(getenv, true) }
 
+// Parse reads a configuration from its text alone, whatever the environment says.
+func Parse(text []byte) (*Config, error) {
+	return parse(text, func(string) string { return "" }, false)
+}
+
 // Pending names the keys in which next differs from c and which only a new
 // start puts into effect.
 func (c *Config) Pending(next *Config) []string {
--- /dev/null
+++ b/internal/standin/deployment.go
@@ -0,0 +1,122 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// DeploymentOptions is the size of a Deployment.
+type DeploymentOptions struct {
+	Searchers int // 12 where it is 0
+	Zones     int // 3 where it is 0
+	Cells     int // sets of searchers that hold the same segments; 4 where it is 0
+	PerCell   int // segments of each; 3 where it is 0
+	Service   time.Duration
+	Seed      uint64
+}
+
+// Deployment is a whole world round one gatherer: searchers in zones, the
+// catalogue they hold, and discovery.
+type Deployment struct {
+	opts      DeploymentOptions
+	Searchers []*Searcher
+	Discovery *Discovery
+	Stock     *Stock
+}
+
+var zoneNames = []string{"verona", "brescia", "padova", "trento", "vicenza"}
+
+// callCost is a call's work beside its parts: Dixie's price of a server.
+const callCost = 2 * time.Millisecond
+
+// NewDeployment starts a deployment. Close ends it.
+func NewDeployment(o DeploymentOptions) (*Deployment, error) {
+	for _, at := range []struct {
+		value *int
+		def   int
+	}{{&o.Searchers, 12}, {&o.Zones, 3}, {&o.Cells, 4}, {&o.PerCell, 3}} {
+		if *at.value == 0 {
+			*at.value = at.def
+		}
+	}
+	if o.Zones > len(zoneNames) {
+		return nil, fmt.Errorf("stand-in: %d zones, at most %d", o.Zones, len(zoneNames))
+	}
+	if o.Searchers < o.Cells {
+		return nil, fmt.Errorf("stand-in: %d searchers can't fill %d cells", o.Searchers, o.Cells)
+	}
+	d := &Deployment{opts: o, Stock: NewStock(StockOptions{Segments: o.Cells * o.PerCell, Service: o.Service, Seed: o.Seed})}
+	var err error
+	if d.Discovery, err = NewDiscovery(); err != nil {
+		return nil, err
+	}
+	var members []Member
+	for i := range o.Searchers {
+		s, err := NewSearcher(SearcherOptions{ID: fmt.Sprintf("s-%02d", i), Work: d.Stock, Call: callCost})
+		if err != nil {
+			return nil, errors.Join(err, d.Close())
+		}
+		d.Searchers = append(d.Searchers, s)
+		members = append(members, Member{
+			// The searchers of one cell lie in different zones.
+			ID: s.ID(), Addr: s.Addr(), Zone: zoneNames[i/o.Cells%o.Zones], Kind: "std", Cell: i % o.Cells, Phase: Ready, Size: 1,
+		})
+	}
+	d.Discovery.Tell(members...)
+	return d, nil
+}
+
+// Segments is how many segments there are.
+func (d *Deployment) Segments() int { return d.opts.Cells * d.opts.PerCell }
+
+// Close ends all its parties.
+func (d *Deployment) Close() error {
+	var errs []error
+	for _, s := range d.Searchers {
+		errs = append(errs, s.Close())
+	}
+	if d.Discovery != nil {
+		errs = append(errs, d.Discovery.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// Config is a configuration for a gatherer of this deployment, in the form of
+// the platform's file.
+func (d *Deployment) Config(name, listen string) ([]byte, error) {
+	type object = map[string]any
+	class := func(name, effect string, aim, deadline time.Duration, worth float64) object {
+		return object{"name": name, "effect": effect, "aim": aim.Nanoseconds(), "deadline": deadline.Nanoseconds(),
+			"repeat_window": defaultWindow.Nanoseconds(), "late_worth": 0.1, "worth": worth}
+	}
+	return json.MarshalIndent(object{
+		"name": name, "listen": listen, "discovery": d.Discovery.Addr(), "seed": fmt.Sprintf("%016x", d.opts.Seed),
+		"limits": object{"memory_mb": 192, "sockets": 1024},
+		"known":  json.RawMessage(d.Discovery.List()),
+		"settings": object{
+			"az": zoneNames[0], "balancers": 1, "my_number": 0, "membership_mode": "pushed",
+			"tick": (5 * time.Millisecond).Nanoseconds(),
+			"classes": []object{
+				class("report", "safe", 4*time.Second, 12*time.Second, 3),
+				class("search", "safe", 1500*time.Millisecond, 4*time.Second, 1),
+				class("reserve", "keyed", 1500*time.Millisecond, 5*time.Second, 2),
+			},
+			"domain": object{
+				"per_call": 4, "call_cost": callCost.Nanoseconds(), "places": d.opts.Cells, "in_a_row": 1, "shards": d.Segments(),
+				"class_fetch": []int{3, 0, 0}, "floor_by_class": []int{1, 1, 1}, "whole_at": []int{1, 1, 1},
+			},
+			"policy_limits": object{
+				"attempts_cap": 4, "cancel": true, "retry_after": true, "max_retry_after": time.Second.Nanoseconds(),
+				"max_open": 1000, "multiplex": 32, "connect_timeout": (250 * time.Millisecond).Nanoseconds(),
+				"conn_idle": (30 * time.Second).Nanoseconds(),
+			},
+			"rules": object{
+				"drain_grace": (500 * time.Millisecond).Nanoseconds(), "cold": (18 * time.Second).Nanoseconds(),
+				"start_capacity": 0.18, "fall_multiple": 2.5, "overload_for": (3 * time.Second).Nanoseconds(),
+				"answer_slack": (20 * time.Millisecond).Nanoseconds(),
+			},
+		},
+	}, "", "  ")
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,93 @@
+// Package standin plays the parties round a gatherer on loopback: searchers
+// that hold rows and remember reservations, and discovery. It is written from
+// the protocol's description alone and shares no parser with the gatherer, so
+// that a fault in one is not hidden by the same fault in the other. The demo,
+// experiments and tests run against it.
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+)
+
+// server accepts connections and ends them all when it is closed.
+type server struct {
+	listener net.Listener
+	serve    func(net.Conn)
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+	done   sync.WaitGroup
+}
+
+// maxConns bounds what one stand-in holds; a searcher of the platform accepts 860 to 1,700.
+const maxConns = 1700
+
+func listen(serve func(net.Conn)) (*server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("stand-in: %w", err)
+	}
+	s := &server{listener: l, serve: serve, conns: make(map[net.Conn]struct{})}
+	s.done.Add(1)
+	go s.accept()
+	return s, nil
+}
+
+func (s *server) addr() string { return s.listener.Addr().String() }
+
+func (s *server) accept() {
+	defer s.done.Done()
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !s.enter(c) {
+			_ = c.Close()
+			continue
+		}
+		go func() {
+			defer s.done.Done()
+			defer s.leave(c)
+			s.serve(c)
+		}()
+	}
+}
+
+func (s *server) enter(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxConns {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	s.done.Add(1)
+	return true
+}
+
+func (s *server) leave(c net.Conn) {
+	_ = c.Close()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+// close refuses new connections, breaks the open ones and waits for their ends.
+func (s *server) close() error {
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	err := s.listener.Close()
+	s.done.Wait()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
