Bind each query to one epoch of a layout, and tell the module who holds its segments

Which segments there are and who holds them was fixed for a process's life, so any change meant a restart of everything.

The core binds a query to an epoch as it is taken in; its parts carry their holders to the module (Part.Holders), which still chooses. No send goes to a searcher that does not hold the segment in the query's epoch, so no answer is of two epochs. Without a layout nothing changes on the wire.

--- a/aggregator.go
+++ b/aggregator.go
@@ -462,7 +462,7 @@
 		if c := t.part.query.class; c.Effect == Safe && !t.over && !t.recalled &&
 			c.usual > 0 && float64(a.now-t.sent) >= patience*c.usual &&
 			(a.dead >= 1 || !a.set.SecondCopies && a.share >= 1 && c.easy() &&
-				slices.ContainsFunc(a.holding(t.part.Shard), other)) {
+				slices.ContainsFunc(a.holding(t.part), other)) {
 			t.recalled = true
 			a.do(Cancel{t.part.ID, t.number})
 		}
@@ -481,7 +481,7 @@
 		return
 	}
 	a.askWait = 0
-	a.holders = nil
+	a.forgetHolders()
 	if e.Kind != Changes {
 		for _, s := range a.servers {
 			s.listed, s.State = false, Removed // those that are in it are entered below
@@ -695,7 +695,7 @@
 func (a *Aggregator) startable(q *query) bool {
 	able := 0.0
 	for _, p := range q.parts {
-		for _, s := range a.holding(p.Shard) {
+		for _, s := range a.holding(p) {
 			if a.sound(s) && len(s.out) < int(s.window) {
 				able += p.Weight
 				break
@@ -707,7 +707,7 @@
 
 // orphan tells that a part's shard has no sound server: it goes first, as a trial; its query's rest waits.
 func (a *Aggregator) orphan(p *part) bool {
-	return !slices.ContainsFunc(a.holding(p.Shard), a.sound)
+	return !slices.ContainsFunc(a.holding(p), a.sound)
 }
 
 // plan gives the pending parts to the fewest servers: again and again it takes the server that covers most of
@@ -717,7 +717,7 @@
 		s.pending, s.called = s.pending[:0], false
 	}
 	for _, p := range pending {
-		for _, s := range a.holding(p.Shard) {
+		for _, s := range a.holding(p) {
 			s.pending = append(s.pending, p)
 		}
 	}
@@ -853,7 +853,7 @@
 		return false
 	}
 	least, sound := s.load(), false
-	for _, o := range a.holding(p.Shard) {
+	for _, o := range a.holding(p) {
 		if !a.sound(o) || !a.coldRoom(o, a.set.CallCost) {
 			continue
 		}
--- a/api.go
+++ b/api.go
@@ -89,6 +89,11 @@
 	ID     uint64
 	Shard  int
 	Weight float64 // the weights of a query's parts sum to 1
+
+	// Holders are the replicas that hold the shard for this query, which need not
+	// be listed. Nil means those of Settings.Cells. They are not changed, and what
+	// other queries are told of the shard does not matter: each keeps its own.
+	Holders []string
 }
 
 // SecondStep brings the parts of a query's second step, which its first Answer has asked for where
--- a/internal/gatherer/book.go
+++ b/internal/gatherer/book.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"eiderwinch"
+	"eiderwinch/internal/layout"
 )
 
 type query struct {
@@ -15,7 +16,8 @@
 	text     string
 	client   Client
 	deadline time.Time
-	parts    []*part // of the present step
+	layout   *layout.Layout // the epoch that it is bound to; nil if there is no layout
+	parts    []*part        // of the present step
 
 	second     bool // the second step has begun
 	from       []int
@@ -52,6 +54,11 @@
 	value string
 }
 
+// told is the part as the aggregator is told of it.
+func (p *part) told() eiderwinch.Part {
+	return eiderwinch.Part{ID: p.id, Shard: p.shard, Weight: p.weight, Holders: p.query.holders(p.shard)}
+}
+
 func (c *Core) newID() uint64 {
 	c.lastID++
 	return c.lastID
@@ -59,8 +66,9 @@
 
 func (c *Core) book(a Ask, class int, client Client, deadline time.Time) *query {
 	q := &query{
-		id: c.newID(), trace: a.Trace, class: class, text: a.Text, client: client, deadline: deadline,
+		id: c.newID(), trace: a.Trace, class: class, text: a.Text, client: client, deadline: deadline, layout: c.layout,
 	}
+	c.bound[q.epoch()]++
 	if c.set.Module.Classes[class].Effect == eiderwinch.Keyed {
 		q.key = a.Key
 	}
@@ -101,6 +109,7 @@
 }
 
 func (c *Core) close(q *query) {
+	c.unbind(q)
 	c.dropParts(q)
 	c.open--
 	delete(c.queries, q.id)
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -5,6 +5,7 @@
 //
 // A query passes these stages, each in a file of its own:
 //
+//	epoch   binds a query to one epoch of the layout
 //	intake  checks what a client asks and what discovery tells
 //	admit   refuses at once what is over the limit on open queries
 //	route   hands the aggregator a turn and carries out its actions
@@ -18,6 +19,7 @@
 	"time"
 
 	"eiderwinch"
+	"eiderwinch/internal/layout"
 	"eiderwinch/internal/stats"
 )
 
@@ -59,6 +61,7 @@
 	Pieces     []Piece       // Answered: what the searchers gave
 	RetryAfter time.Duration // Refused: when to come back; 0 means no advice
 	Overdue    bool          // Failed: its time was over
+	Epoch      layout.Epoch  // of the layout that the query was bound to; 0 if there is none
 }
 
 // Piece is one searcher's value.
@@ -73,6 +76,10 @@
 	Tick       time.Duration
 	MaxOpen    int           // queries and parts held at once; 0 means no limit
 	DrainGrace time.Duration // no send to a searcher that is leaving after that
+
+	// Layout is the epoch to begin with. Nil means that the module's settings say
+	// which segments there are and that searchers' cells say who holds them.
+	Layout *layout.Layout
 }
 
 // Core is the gatherer's core.
@@ -96,6 +103,8 @@
 	attempts []*Attempt       // in the order they were sent
 	open     int              // open queries and parts
 	members  map[string]member
+	layout   *layout.Layout
+	bound    map[layout.Epoch]int // open queries by the epoch they are bound to
 }
 
 // New returns a core whose clock starts at start.
@@ -107,6 +116,8 @@
 		traces:  make(map[string]*query),
 		parts:   make(map[uint64]*part),
 		members: make(map[string]member),
+		layout:  set.Layout,
+		bound:   make(map[layout.Epoch]int),
 	}
 }
 
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"eiderwinch"
+	"eiderwinch/internal/layout"
 )
 
 // Ask is a query as a client asks it.
@@ -18,7 +19,8 @@
 	Expires time.Duration // how long the client will wait; 0 means as long as its class allows
 	Repeat  bool          // marked as a repeat by the client
 	Tenant  string
-	Text    string // what every part carries
+	Text    string       // what every part carries
+	Epoch   layout.Epoch // of the layout that the client knew; 0 if it does not say
 	Parts   []AskPart
 }
 
@@ -45,6 +47,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if a.Parts, err = c.bind(a); err != nil {
+		return 0, err
+	}
 	c.stats.Taken++
 	if wait, ok := c.admit(a); !ok {
 		client.Reply(Reply{Verdict: Refused, RetryAfter: wait})
@@ -58,7 +63,7 @@
 		ID: q.id, Class: class, Key: a.About, Repeat: a.Repeat, Tenant: c.tenant(a.Tenant),
 	}
 	for _, p := range q.parts {
-		event.Parts = append(event.Parts, eiderwinch.Part{ID: p.id, Shard: p.shard, Weight: p.weight})
+		event.Parts = append(event.Parts, p.told())
 	}
 	c.tell(now, event) // Left is set when the turn comes
 	return q.id, nil
@@ -91,7 +96,7 @@
 	for _, p := range a.Parts {
 		sum += p.Weight
 		switch {
-		case p.Shard < 0 || p.Shard >= c.set.Module.Shards:
+		case c.layout == nil && (p.Shard < 0 || p.Shard >= c.set.Module.Shards):
 			return 0, fmt.Errorf("%w: no shard %d", ErrInvalid, p.Shard)
 		case seen[p.Shard]:
 			return 0, fmt.Errorf("%w: shard %d comes twice", ErrInvalid, p.Shard)
--- a/internal/gatherer/relay.go
+++ b/internal/gatherer/relay.go
@@ -74,7 +74,7 @@
 	event := eiderwinch.SecondStep{Query: q.id}
 	for _, p := range in[:n] {
 		s := c.bookPart(q, p.shard, 1/float64(n), true)
-		event.Parts = append(event.Parts, eiderwinch.Part{ID: s.id, Shard: s.shard, Weight: s.weight})
+		event.Parts = append(event.Parts, s.told())
 	}
 	c.tell(c.now, event)
 }
@@ -117,5 +117,6 @@
 		c.stats.Partial++
 	}
 	c.close(q)
+	r.Epoch = q.epoch()
 	q.client.Reply(r)
 }
--- a/internal/gatherer/send.go
+++ b/internal/gatherer/send.go
@@ -1,6 +1,7 @@
 package gatherer
 
 import (
+	"slices"
 	"time"
 
 	"eiderwinch"
@@ -26,7 +27,8 @@
 
 // begin starts one attempt. It lets out none that would break a rule,
 // whatever the aggregator thinks: for a part that is over, beside another
-// attempt of the part, or beyond the limit on attempts.
+// attempt of the part, beyond the limit on attempts, or at a searcher that does
+// not hold the part's segment in the query's epoch.
 func (c *Core) begin(x eiderwinch.Send) *Attempt {
 	p := c.parts[x.Part]
 	if p == nil {
@@ -34,7 +36,9 @@
 		return nil
 	}
 	most := c.set.Module.MaxAttempts
-	if p.over || p.out != nil || most > 0 && p.tries >= most || c.barred(x.Replica, c.now) {
+	holders := p.query.holders(p.shard)
+	stranger := holders != nil && !slices.Contains(holders, x.Replica)
+	if p.over || p.out != nil || most > 0 && p.tries >= most || stranger || c.barred(x.Replica, c.now) {
 		c.log.Warn("send not let out", "trace", p.query.trace, "shard", p.shard, "searcher", x.Replica)
 		c.stats.NotSent++
 		c.tell(c.now, eiderwinch.Outcome{
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -13,6 +13,7 @@
 
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/http1"
+	"eiderwinch/internal/layout"
 	"eiderwinch/internal/limit"
 )
 
@@ -22,6 +23,9 @@
 	maxUnread  = 1 << 20                       // bytes of answers that a client has not read
 	flushFor   = 10 * time.Second              // for a client to read an answer that its connection ends with: 64 KiB at 6 KiB/s
 	healthPath = "/_health"
+
+	epochField = "x-layout-epoch" // of requests and answers, where there is a layout
+	aheadRetry = "1"              // seconds: gatherers learn an epoch within seconds of each other
 )
 
 // client is one client's connection. Requests are answered one at a time.
@@ -164,6 +168,9 @@
 	}
 	switch {
 	case err == nil: // refused; Reply has been called
+	case errors.Is(err, gatherer.ErrAhead):
+		c.respond(http.StatusServiceUnavailable, []byte(err.Error()+"\n"),
+			http1.Field{Name: "Content-Type", Value: "text/plain"}, http1.Field{Name: "Retry-After", Value: aheadRetry})
 	case errors.Is(err, gatherer.ErrUnknownClass):
 		c.reject(http.StatusNotFound, err.Error(), false)
 	case errors.Is(err, gatherer.ErrDuplicate):
@@ -222,6 +229,13 @@
 		}
 		a.Expires = time.Duration(ms) * time.Millisecond
 	}
+	if s := r.Header.Get(epochField); s != "" {
+		epoch, err := strconv.ParseUint(s, 10, 64)
+		if err != nil || epoch == 0 {
+			return a, fmt.Errorf("%w: %s is %q, want a number from 1 on", gatherer.ErrInvalid, epochField, s)
+		}
+		a.Epoch = layout.Epoch(epoch)
+	}
 	var b askBody
 	if err := json.Unmarshal(r.Body, &b); err != nil {
 		return a, fmt.Errorf("%w: %w", gatherer.ErrInvalid, err)
@@ -279,7 +293,11 @@
 			c.reject(http.StatusInternalServerError, err.Error(), false)
 			return
 		}
-		c.respond(http.StatusOK, text, http1.Field{Name: "Content-Type", Value: "application/json"})
+		fields := []http1.Field{{Name: "Content-Type", Value: "application/json"}}
+		if r.Epoch != 0 {
+			fields = append(fields, http1.Field{Name: epochField, Value: strconv.FormatUint(uint64(r.Epoch), 10)})
+		}
+		c.respond(http.StatusOK, text, fields...)
 	case r.Verdict == gatherer.Refused && r.RetryAfter > 0:
 		c.respond(http.StatusServiceUnavailable, nil, http1.Field{
 			Name: "Retry-After", Value: strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64),
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -17,6 +17,7 @@
 	"eiderwinch"
 	"eiderwinch/internal/catalog"
 	"eiderwinch/internal/gatherer"
+	"eiderwinch/internal/layout"
 	"eiderwinch/internal/limit"
 	"eiderwinch/internal/stats"
 )
@@ -159,6 +160,17 @@
 	})
 }
 
+// Adopt takes up an epoch of the layout for the queries that come from now on.
+// It may be called from any goroutine.
+func (n *Node) Adopt(l *layout.Layout) {
+	n.exec(func() error {
+		if n.core.Adopt(l) {
+			n.log.Info("layout", "epoch", l.Epoch(), "segments", l.Len())
+		}
+		return nil
+	})
+}
+
 // Reload follows discovery at the address that a new configuration names. What
 // is open is not touched. It may be called from any goroutine.
 func (n *Node) Reload(discovery string) {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -50,6 +50,11 @@
 	Watches    int // watches opened
 	Updates    int // lists and changes received
 
+	Epochs      int // epochs of the layout taken up
+	EpochsOld   int // those that were not newer than the one at hand
+	EpochsAhead int // queries refused that named an epoch not known yet
+	Translated  int // queries whose parts were translated to the epoch at hand
+
 	Reloads     int // configurations read again
 	ReloadFails int // those that could not be used
 }
@@ -77,6 +82,8 @@
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled),
 		group("discovery", "watches", c.Watches, "updates", c.Updates),
+		group("layout", "epochs", c.Epochs, "epochs_old", c.EpochsOld, "epochs_ahead", c.EpochsAhead,
+			"translated", c.Translated),
 		group("config", "reloads", c.Reloads, "reload_fails", c.ReloadFails),
 	)
 }
--- a/state.go
+++ b/state.go
@@ -1,6 +1,7 @@
 package eiderwinch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sort"
@@ -17,7 +18,8 @@
 	classes []*class
 	servers []*server // by id
 	byID    map[string]*server
-	holders [][]*server // by shard; nil until asked for after a change
+	holders [][]*server // by shard, after the cells; nil until asked for after a change
+	changes int         // changes of servers so far; see part.holders
 	queries []*query    // in the order they came
 	open    map[uint64]*query
 	parts   map[uint64]*part         // of open queries or with attempts out
@@ -94,17 +96,28 @@
 }
 
 // last tells that a server holds a shard of which no other server is listed and not set aside.
+// Where holders come with the parts, it is told of the shards that are asked for now.
 func (a *Aggregator) last(s *server) bool {
-	for shard := range a.set.Shards {
+	only := func(holders []*server) bool {
 		holds, other := false, false
-		for _, o := range a.holding(shard) {
+		for _, o := range holders {
 			holds = holds || o == s
 			other = other || o != s && o.listed && !o.aside
 		}
-		if holds && !other {
+		return holds && !other
+	}
+	for shard := range a.set.Shards {
+		if only(a.ofCells(shard)) {
 			return true
 		}
 	}
+	for _, q := range a.queries {
+		for _, p := range q.parts {
+			if p.Holders != nil && only(a.holding(p)) {
+				return true
+			}
+		}
+	}
 	return false
 }
 
@@ -160,6 +173,9 @@
 	attempts []*attempt
 	open     int  // attempts out
 	over     bool // its query or its step of it has ended
+
+	holders []*server // by id, where Holders names them
+	known   int       // Aggregator.changes when holders was made, and 1 more; 0 if it was not
 }
 
 // at tells whether an attempt of a part is out on a server, and whether one has ended there.
@@ -263,8 +279,31 @@
 	return time.Duration(most)
 }
 
-// holding returns the servers that hold a shard, by id.
-func (a *Aggregator) holding(shard int) []*server {
+// holding returns the servers that hold a part's shard, by id.
+func (a *Aggregator) holding(p *part) []*server {
+	if p.Holders == nil {
+		return a.ofCells(p.Shard)
+	}
+	if p.known != a.changes+1 {
+		p.holders, p.known = p.holders[:0], a.changes+1
+		for _, id := range p.Holders {
+			if s := a.byID[id]; s != nil {
+				p.holders = append(p.holders, s)
+			}
+		}
+		slices.SortFunc(p.holders, func(s, t *server) int { return cmp.Compare(s.ID, t.ID) })
+	}
+	return p.holders
+}
+
+// forgetHolders is called when servers have come or gone.
+func (a *Aggregator) forgetHolders() {
+	a.holders = nil
+	a.changes++
+}
+
+// ofCells returns the servers that hold a shard by the cells' rule, by id.
+func (a *Aggregator) ofCells(shard int) []*server {
 	if shard < 0 || shard >= a.set.Shards {
 		return nil
 	}
@@ -303,7 +342,7 @@
 	clear(a.servers[len(left):])
 	a.servers = left
 	if len(left) < before {
-		a.holders = nil
+		a.forgetHolders()
 	}
 	a.budget(0)
 }
