Let serve follow a layout file, and put gatherers together in one place

Epochs of the layout reached a gatherer from code only. Without the flag, as on the platform, nothing is different. internal/daemon builds the gatherer for serve, demo and the soak, which each did it by themselves. The built program is driven over sockets through two epochs and a faulty file.

--- a/cmd/eiderwinch/demo.go
+++ b/cmd/eiderwinch/demo.go
@@ -18,6 +18,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"eiderwinch/internal/config"
+	"eiderwinch/internal/daemon"
 	"eiderwinch/internal/standin"
 	"eiderwinch/internal/stats"
 )
@@ -72,7 +73,7 @@
 	if d.Verbose {
 		log = slog.New(slog.NewTextHandler(e.stderr, nil))
 	}
-	node := newNode(cfg, stats.New(), log)
+	node := daemon.New(cfg, nil, stats.New(), log)
 	ended := make(chan error, 1)
 	go func() { ended <- node.Run() }()
 	select {
--- a/cmd/eiderwinch/layout.go
+++ b/cmd/eiderwinch/layout.go
@@ -49,6 +49,18 @@
 	return l, fleet, nil
 }
 
+// soundLayout reads a layout file that is also in order on its fleet.
+func soundLayout(path string) (*layout.Layout, error) {
+	l, fleet, err := readLayout(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := l.Check(fleet); err != nil {
+		return nil, &exitError{exitConfig, fmt.Errorf("%s: %w", path, err)}
+	}
+	return l, nil
+}
+
 type layoutCheck struct {
 	asJSON
 	File string `arg:"" help:"A layout after deploy/layout.xsd."`
--- a/cmd/eiderwinch/layout_test.go
+++ b/cmd/eiderwinch/layout_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
+
+	"eiderwinch/internal/testpeer"
 )
 
 const layoutText = `<layout xmlns="urn:eiderwinch:layout:1" epoch="1" next="2" replicas="2">
@@ -79,3 +85,65 @@
 		}
 	}
 }
+
+// The layout that serve is given binds queries to its epochs, SIGHUP brings the
+// next one, and a faulty one changes nothing.
+func TestServeFollowsALayoutFile(t *testing.T) {
+	s, d := testpeer.NewSearcher(t), testpeer.NewDiscovery(t)
+	file := write(t, "layout.xml", serveLayout(1, 1, `<segment id="0"><holder searcher="s"/></segment>`))
+	p := launchWith(t, build(t), []string{"serve", "--layout", file}, fmt.Sprintf(configText, d.Addr, testpeer.Member("s", s.Addr, "Ready", 0), settingsText))
+	_, addr, _ := strings.Cut(p.logged(t, "msg=serving"), "addr=")
+	addr, _, _ = strings.Cut(addr, " ")
+	c := testpeer.NewClient(t, addr)
+	ask := func(trace string, segments ...int) {
+		t.Helper()
+		c.Say(testpeer.Query("search", trace, time.Minute, 1)) // segment 0
+		var got []int
+		for range segments {
+			part := testpeer.Get(t, s.Parts, "a part")
+			got = append(got, part.Shard)
+			part.Answer("served", 1, "v")
+		}
+		slices.Sort(got)
+		if resp, body := c.Hear(); resp.StatusCode != 200 || !slices.Equal(got, segments) {
+			t.Errorf("%s: %s %s, asked %v", trace, resp.Status, body, got)
+		} else if epoch := resp.Header.Get("X-Layout-Epoch"); epoch != map[int]string{1: "1", 2: "3"}[len(segments)] {
+			t.Errorf("%s: epoch %q", trace, epoch)
+		}
+	}
+	ask("t1", 0)
+	put := func(text, logged string) {
+		t.Helper()
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_ = p.Process.Signal(syscall.SIGHUP)
+		p.logged(t, logged)
+	}
+	put("<layout", "layout not reloaded")
+	ask("t2", 0)
+	put(serveLayout(3, 3, `<segment id="1" to="k"><holder searcher="s"/></segment><segment id="2" from="k"><holder searcher="s"/></segment>
+		<was segment="0" since="3"><heir segment="1" share="0.5"/><heir segment="2" share="0.5"/></was>`), "msg=layout")
+	ask("t3", 1, 2)
+	_ = p.Process.Signal(syscall.SIGTERM)
+	for range p.lines {
+	}
+	if err := p.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
+func serveLayout(epoch, next int, segments string) string {
+	return fmt.Sprintf(`<layout xmlns="urn:eiderwinch:layout:1" epoch="%d" next="%d" replicas="1"><searcher id="s" zone="x"/>%s</layout>`, epoch, next, segments)
+}
+
+func TestServeRefusesAFaultyLayout(t *testing.T) {
+	file := write(t, "layout.xml", serveLayout(1, 1, `<segment id="0" to="k"><holder searcher="s"/></segment>`))
+	p := launchWith(t, build(t), []string{"serve", "--layout", file}, fmt.Sprintf(configText, "127.0.0.1:1", "", settingsText))
+	p.logged(t, "keys that no serving segment holds")
+	for range p.lines {
+	}
+	if _ = p.Wait(); p.ProcessState.ExitCode() != exitConfig {
+		t.Errorf("it ended with %v", p.ProcessState)
+	}
+}
--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -6,40 +6,36 @@
 	"runtime/debug"
 	"syscall"
 
-	"eiderwinch"
 	"eiderwinch/internal/config"
-	"eiderwinch/internal/gatherer"
+	"eiderwinch/internal/daemon"
+	"eiderwinch/internal/layout"
 	"eiderwinch/internal/netio"
 	"eiderwinch/internal/stats"
 )
 
 // serveCommand is one real gatherer. The environment tells it where its
 // configuration is, see package config.
-type serveCommand struct{}
-
-// newNode puts a gatherer together as a configuration says.
-func newNode(cfg *config.Config, counters *stats.Counters, log *slog.Logger) *netio.Node {
-	limits := cfg.Settings.Limits
-	return netio.New(netio.Config{
-		Listen: cfg.Listen, Discovery: cfg.Discovery, Known: cfg.Known, Sockets: cfg.Sockets,
-		Multiplex: limits.Multiplex, ConnectTimeout: limits.ConnectTimeout, ConnIdle: limits.ConnIdle,
-		Gatherer: gatherer.Settings{
-			Module: cfg.Settings.Module, Tick: limits.Tick, MaxOpen: limits.MaxOpen, DrainGrace: limits.DrainGrace,
-		},
-	}, eiderwinch.New(cfg.Settings.Module), counters, log)
+type serveCommand struct {
+	Layout string `placeholder:"FILE" help:"A layout after deploy/layout.xsd: queries are bound to its epochs. SIGHUP reads it again. Without one the platform's cells say who holds what."`
 }
 
 // Run serves until a signal ends it.
-func (serveCommand) Run(e environment) error {
+func (c serveCommand) Run(e environment) error {
 	log := slog.New(slog.NewTextHandler(e.stderr, nil))
 	cfg, err := config.Load(e.getenv)
 	if err != nil {
 		return &exitError{exitConfig, fmt.Errorf("configuration: %w", err)}
 	}
+	var first *layout.Layout
+	if c.Layout != "" {
+		if first, err = soundLayout(c.Layout); err != nil {
+			return err
+		}
+	}
 	debug.SetMemoryLimit(cfg.Memory / 4 * 3) // the rest is for stacks, the runtime and the kernel's part
 	log = log.With("node", cfg.Name)
 	counters := stats.New()
-	node := newNode(cfg, counters, log)
+	node := daemon.New(cfg, first, counters, log)
 	go func() {
 		<-node.Started()
 		for s := range e.signals {
@@ -48,6 +44,7 @@
 				node.Report()
 			case syscall.SIGHUP:
 				reload(e, cfg, node, log)
+				c.reloadLayout(node, log)
 			default:
 				node.Drain()
 			}
@@ -61,6 +58,20 @@
 	return nil
 }
 
+// reloadLayout reads the layout again. One that is at fault, or not newer than the
+// one in force, changes nothing.
+func (c serveCommand) reloadLayout(node *netio.Node, log *slog.Logger) {
+	if c.Layout == "" {
+		return
+	}
+	l, err := soundLayout(c.Layout)
+	if err != nil {
+		log.Error("layout not reloaded, the old one stays", "err", err)
+		return
+	}
+	node.Adopt(l)
+}
+
 // reload reads the configuration again. One that is at fault changes nothing.
 func reload(e environment, cfg *config.Config, node *netio.Node, log *slog.Logger) {
 	next, err := config.Reload(e.getenv)
--- a/cmd/eiderwinch/soak.go
+++ b/cmd/eiderwinch/soak.go
@@ -3,15 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
 	"text/tabwriter"
 	"time"
 
-	"eiderwinch/internal/config"
-	"eiderwinch/internal/netio"
 	"eiderwinch/internal/soak"
-	"eiderwinch/internal/stats"
 )
 
 // layoutSoak changes the layout of a loopback deployment under load.
@@ -55,13 +51,6 @@
 	}
 	r, err := soak.Run(ctx, soak.Options{
 		Rounds: c.Rounds, Quiet: c.Quiet, Changes: c.Changes, Every: c.Every, Rate: c.Rate, Seed: c.Seed, Dir: dir, Out: progress,
-		NewNode: func(text []byte, counters *stats.Counters, log *slog.Logger) (*netio.Node, error) {
-			cfg, err := config.Parse(text)
-			if err != nil {
-				return nil, err
-			}
-			return newNode(cfg, counters, log), nil
-		},
 	})
 	if err != nil {
 		return err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,6 +24,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/anishathalye/porcupine"
 
+	"eiderwinch/internal/config"
+	"eiderwinch/internal/daemon"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/migrate"
 	"eiderwinch/internal/netio"
@@ -40,8 +42,7 @@
 	Every   time.Duration // a change is asked for so often
 	Rate    float64       // queries a second
 	Seed    uint64
-	Dir     string // for the coordinator's log
-	NewNode func(config []byte, counters *stats.Counters, log *slog.Logger) (*netio.Node, error)
+	Dir     string    // for the coordinator's log
 	Out     io.Writer // progress
 }
 
@@ -252,17 +253,18 @@
 		if err != nil {
 			return err
 		}
-		n := &node{counters: stats.New(), ended: make(chan error, 1)}
-		if n.Node, err = r.NewNode(text, n.counters, slog.New(slog.DiscardHandler)); err != nil {
+		cfg, err := config.Parse(text)
+		if err != nil {
 			return err
 		}
+		n := &node{counters: stats.New(), ended: make(chan error, 1)}
+		n.Node = daemon.New(cfg, first, n.counters, slog.New(slog.DiscardHandler))
 		go func() { n.ended <- n.Node.Run() }()
 		select {
 		case <-n.Started():
 		case err := <-n.ended:
 			return err
 		}
-		n.Adopt(first)
 		r.nodes = append(r.nodes, n)
 	}
 	if err := r.coordinate(ctx); err != nil {
--- a/internal/standin/warehouse.go
+++ b/internal/standin/warehouse.go
@@ -129,10 +129,14 @@
 }
 
 // reserve takes one off a row, once for each idempotency key that the shelf knows.
+// A shelf whose keys are others does nothing and answers nothing.
 func (w *Warehouse) reserve(searcher string, at *shelf, p Part, k layout.Key) (value string, ok bool) {
+	if !at.keys.Holds(k) {
+		return "", true // asked for a segment that was split: the other heir has the row
+	}
 	left, ok := at.rows[k]
 	if !ok || p.Key == "" {
-		return "", false // not a key of this segment
+		return "", false
 	}
 	value, known := at.made[p.Key]
 	if len(w.runs) < w.opts.MaxRuns {
