--- a/cmd/eiderwinch/demo.go
+++ b/cmd/eiderwinch/demo.go
@@ -47,15 +47,8 @@
 
 // Run is the demo. It ends by itself, or cleanly at a signal.
 func (d demoCommand) Run(e environment) (err error) {
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, stop := e.untilSignal()
 	defer stop()
-	go func() {
-		select {
-		case <-e.signals:
-			stop()
-		case <-ctx.Done():
-		}
-	}()
 	world, err := standin.NewDeployment(standin.DeploymentOptions{Seed: d.Seed})
 	if err != nil {
 		return err
--- a/cmd/eiderwinch/layout.go
+++ b/cmd/eiderwinch/layout.go
@@ -49,16 +49,17 @@
 	return l, fleet, nil
 }
 
-// soundLayout reads a layout file that is also in order on its fleet.
-func soundLayout(path string) (*layout.Layout, error) {
+// soundLayout reads a layout file and checks it on its fleet. Where it can be
+// read but is not in order, it is returned beside the error.
+func soundLayout(path string) (*layout.Layout, layout.Fleet, error) {
 	l, fleet, err := readLayout(path)
 	if err != nil {
-		return nil, err
+		return nil, fleet, err
 	}
 	if err := l.Check(fleet); err != nil {
-		return nil, &exitError{exitConfig, fmt.Errorf("%s: %w", path, err)}
+		return l, fleet, &exitError{exitConfig, fmt.Errorf("%s: %w", path, err)}
 	}
-	return l, nil
+	return l, fleet, nil
 }
 
 type layoutCheck struct {
@@ -68,12 +69,7 @@
 
 // Run reads the file and checks the layout on its fleet.
 func (c layoutCheck) Run(e environment) error {
-	l, fleet, err := readLayout(c.File)
-	if err == nil {
-		if fault := l.Check(fleet); fault != nil {
-			err = &exitError{exitConfig, fmt.Errorf("%s: %w", c.File, fault)}
-		}
-	}
+	l, fleet, err := soundLayout(c.File)
 	if !c.JSON {
 		if err != nil {
 			return err
--- a/cmd/eiderwinch/main.go
+++ b/cmd/eiderwinch/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -45,6 +46,19 @@
 	signals        <-chan os.Signal
 }
 
+// untilSignal returns a context that ends at the first signal, or when stop is called.
+func (e environment) untilSignal() (ctx context.Context, stop context.CancelFunc) {
+	ctx, stop = context.WithCancel(context.Background())
+	go func() {
+		select {
+		case <-e.signals:
+			stop()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, stop
+}
+
 func main() {
 	// Before all else: until then SIGHUP would end the process.
 	signals := make(chan os.Signal, 8)
--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -28,7 +28,7 @@
 	}
 	var first *layout.Layout
 	if c.Layout != "" {
-		if first, err = soundLayout(c.Layout); err != nil {
+		if first, _, err = soundLayout(c.Layout); err != nil {
 			return err
 		}
 	}
@@ -64,7 +64,7 @@
 	if c.Layout == "" {
 		return
 	}
-	l, err := soundLayout(c.Layout)
+	l, _, err := soundLayout(c.Layout)
 	if err != nil {
 		log.Error("layout not reloaded, the old one stays", "err", err)
 		return
--- a/cmd/eiderwinch/soak.go
+++ b/cmd/eiderwinch/soak.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"text/tabwriter"
@@ -31,15 +30,8 @@
 
 // Run runs it to its end, or until a signal.
 func (c layoutSoak) Run(e environment) error {
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, stop := e.untilSignal()
 	defer stop()
-	go func() {
-		select {
-		case <-e.signals:
-			stop()
-		case <-ctx.Done():
-		}
-	}()
 	dir, err := os.MkdirTemp("", "eiderwinch-soak-")
 	if err != nil {
 		return err
--- a/internal/gatherer/epoch.go
+++ b/internal/gatherer/epoch.go
@@ -26,11 +26,13 @@
 }
 
 // Epoch is the epoch that new queries are bound to; 0 if there is no layout.
-func (c *Core) Epoch() layout.Epoch {
-	if c.layout == nil {
+func (c *Core) Epoch() layout.Epoch { return epochOf(c.layout) }
+
+func epochOf(l *layout.Layout) layout.Epoch {
+	if l == nil {
 		return 0
 	}
-	return c.layout.Epoch()
+	return l.Epoch()
 }
 
 // OldestEpoch is the oldest epoch that an open query is bound to, else Epoch.
@@ -86,12 +88,7 @@
 }
 
 // epoch is what the query is bound to; 0 if there is no layout.
-func (q *query) epoch() layout.Epoch {
-	if q.layout == nil {
-		return 0
-	}
-	return q.layout.Epoch()
-}
+func (q *query) epoch() layout.Epoch { return epochOf(q.layout) }
 
 // unbind forgets that a query was bound.
 func (c *Core) unbind(q *query) {
--- a/internal/layoutfile/read.go
+++ b/internal/layoutfile/read.go
@@ -97,7 +97,6 @@
 
 	epoch    uint64
 	next     uint64
-	replicas uint64
 	fleet    layout.Fleet
 	segments []layout.Segment
 	lines    []layout.Line
@@ -290,8 +289,8 @@
 	}
 	switch n {
 	case "layout":
-		x.epoch, x.next, x.replicas = v.numbers["epoch"], v.numbers["next"], v.numbers["replicas"]
-		x.fleet.Replicas = int(min(x.replicas, 1<<16))
+		x.epoch, x.next = v.numbers["epoch"], v.numbers["next"]
+		x.fleet.Replicas = int(min(v.numbers["replicas"], 1<<16))
 	case "searcher":
 		if _, twice := x.fleet.Zones[v.text["id"]]; twice {
 			x.fault(line, n, fmt.Sprintf("searcher %q twice", v.text["id"]), "one")
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -53,7 +53,6 @@
 	segments []layout.SegmentID
 	known    layout.Epoch // that the client knew
 	keys     layout.Range // what a scan asks for
-	item     layout.Key   // what a reservation takes
 	id       string       // its idempotency key
 
 	sent, done time.Time
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -201,9 +201,7 @@
 	}
 	stop()
 	r.queries.Wait()
-	r.audit.mu.Lock()
 	report.Held = int(r.held.Load())
-	r.audit.mu.Unlock()
 	err = r.close()
 	for _, n := range r.nodes {
 		c := n.counters
@@ -326,14 +324,7 @@
 
 // gossip tells gatherers the latest epoch again.
 func (r *run) gossip(ctx context.Context) {
-	t := time.NewTicker(gossip)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	for sleep(ctx, gossip) {
 		for _, n := range r.nodes {
 			if r.rng.float() >= missed {
 				n.Adopt(r.latest.Load())
@@ -344,14 +335,7 @@
 
 // hear tells the coordinator what gatherers know.
 func (r *run) hear(ctx context.Context) {
-	t := time.NewTicker(hearEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	for sleep(ctx, hearEvery) {
 		for i, n := range r.nodes {
 			if epoch, oldest, ok := n.Epochs(ctx); ok {
 				r.driver.Load().Tell(reshard.Heard{Gatherer: strconv.Itoa(i), Epoch: epoch, Oldest: oldest})
@@ -591,7 +575,7 @@
 	began := time.Now()
 	for {
 		l := r.known.Load()
-		q := &query{class: "reserve", trace: r.trace(), known: l.Epoch(), item: item, id: id, segments: []layout.SegmentID{l.Find(item).ID}}
+		q := &query{class: "reserve", trace: r.trace(), known: l.Epoch(), id: id, segments: []layout.SegmentID{l.Find(item).ID}}
 		r.post(q, "reserve "+string(item))
 		r.audit.judge(q)
 		if left := q.left(); left >= 0 || time.Since(began) >= tryFor {
