Open a hanging discovery watch again after 2.5 s, so that drains are heard in time

News counts as told 6 s late at the latest, whether it came or not, but silence was taken for death only after 7 s, although an empty line comes every 2 s.

Change: 2.5 s, so a watch that hangs is opened again twice within those 6 s.

--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	listPath      = "/catalog/members"
-	watchPath     = listPath + "?watch=1&from="
-	watchDial     = time.Second
-	watchSilent   = 7 * time.Second // an empty line comes every 2 s
+	listPath  = "/catalog/members"
+	watchPath = listPath + "?watch=1&from="
+	watchDial = time.Second
+	// An empty line comes every 2 s, and news counts as told 6 s late at the latest,
+	// whether it came or not: a watch that hangs must be opened again twice by then.
+	watchSilent   = 2500 * time.Millisecond
 	watchBackoff  = 100 * time.Millisecond
 	watchBackoffs = 2 * time.Second
 )
