--- a/aggregator.go
+++ b/aggregator.go
@@ -637,7 +637,11 @@
 	if n == 0 {
 		return true
 	}
-	if a.set.MaxAttempts > 0 && n >= a.set.MaxAttempts || p.open > 0 && !a.set.SecondCopies {
+	most := a.set.MaxAttempts
+	if q.Attempts > 0 && (most == 0 || q.Attempts < most) {
+		most = q.Attempts
+	}
+	if most > 0 && n >= most || p.open > 0 && !a.set.SecondCopies {
 		return false
 	}
 	return q.class.Effect == Safe || !mayHaveRun(p) ||
--- a/api.go
+++ b/api.go
@@ -82,6 +82,9 @@
 	Repeat bool          // marked as a repeat by the client
 	Tenant int           // whose it is, see Settings.Tenants; 0 if nobody's
 	Parts  []Part
+
+	// Attempts bounds those of each part, beside Settings.MaxAttempts; 0 means no further bound.
+	Attempts int
 }
 
 // Part is the piece of a query that one shard answers.
--- /dev/null
+++ b/cmd/eiderwinch/config_test.go
@@ -0,0 +1,283 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"eiderwinch/internal/bundle"
+	"eiderwinch/internal/keeper"
+	"eiderwinch/internal/standin"
+)
+
+// kept is the built program with an operators' file, round which a stand-in
+// deployment runs.
+type kept struct {
+	path, ops string
+	world     *standin.Deployment
+	text      string // the platform's configuration
+}
+
+func newKept(t *testing.T) *kept {
+	k := &kept{path: build(t), ops: filepath.Join(t.TempDir(), "eiderwinch.xml")}
+	var err error
+	if k.world, err = standin.NewDeployment(standin.DeploymentOptions{Searchers: 4, Seed: 1}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = k.world.Close() })
+	text, err := k.world.Config("g", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.text = string(text)
+	return k
+}
+
+// put writes the operators' file.
+func (k *kept) put(t *testing.T, inner string) {
+	t.Helper()
+	text := fmt.Sprintf(`<eiderwinch xmlns="urn:eiderwinch:operators:1"><admin endpoint="unix:%s/g"/><history file="history.db"/>%s</eiderwinch>`,
+		filepath.Dir(k.ops), inner)
+	if err := os.WriteFile(k.ops, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (k *kept) launch(t *testing.T) (p *program, addr string) {
+	t.Helper()
+	p = launchWith(t, k.path, []string{"serve", "--file", k.ops}, k.text)
+	_, addr, _ = strings.Cut(p.logged(t, "msg=serving"), "addr=")
+	addr, _, _ = strings.Cut(addr, " ")
+	return p, addr
+}
+
+// until waits for a state of the keeper.
+func (k *kept) until(t *testing.T, what string, is func(keeper.Status) bool) keeper.Status {
+	t.Helper()
+	var s keeper.Status
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
+		code, out, _ := call(t, nil, "config", "status", "--json", "--file", k.ops)
+		if s = (keeper.Status{}); code == exitOK && json.Unmarshal([]byte(out), &s) == nil && is(s) {
+			return s
+		}
+	}
+	t.Fatalf("%s did not come about: %+v", what, s)
+	return s
+}
+
+// generation asks a query, and returns the generation that it was answered under.
+func generation(t *testing.T, addr, trace string) string {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/search", strings.NewReader(`{"tablets":[{"tablet":0,"fraction":1}],"statement":"find x"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Trace-Id", trace)
+	req.Header.Set("X-Qos", "search")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.Header.Get("X-Config-Generation")
+}
+
+func state(n int, want string) func(keeper.Status) bool {
+	return func(s keeper.Status) bool { return len(s.Transactions) == n && s.Transactions[n-1].State == want }
+}
+
+// A change goes through SIGHUP and the admin socket, and the program is killed
+// while one is on probation.
+func TestProgramTakesChangesAsTransactions(t *testing.T) {
+	k := newKept(t)
+	k.put(t, `<guard probation="60s" auto="false"/>`)
+	p, addr := k.launch(t)
+	if g := generation(t, addr, "t1"); g != "1" {
+		t.Errorf("generation %q, want 1", g)
+	}
+	hup := func() { _ = p.Process.Signal(syscall.SIGHUP) }
+
+	// All faults of the file in one go; nothing changes.
+	k.put(t, `<class name="search" within="20s" attempts="9"/><class name="nobody"/>`)
+	hup()
+	line := p.logged(t, "configuration not reloaded")
+	for _, want := range []string{"at most the deadline of search, 4s", "at most attempts_cap, 4", "one of report, search, reserve"} {
+		if !strings.Contains(line, want) {
+			t.Errorf("%s is missing in %s", want, line)
+		}
+	}
+
+	// Applied by SIGHUP, confirmed by hand.
+	k.put(t, `<guard probation="60s" auto="false"/><class name="search" open="50"/>`)
+	hup()
+	k.until(t, "probation", state(1, "probation"))
+	if g := generation(t, addr, "t2"); g != "2" {
+		t.Errorf("generation %q, want 2", g)
+	}
+	if code, _, errs := call(t, nil, "config", "confirm", "--file", k.ops, "1"); code != exitOK {
+		t.Errorf("confirm: %s", errs)
+	}
+	if code, out, _ := call(t, nil, "config", "show", "--file", k.ops, "2"); code != exitOK || !strings.Contains(out, `open="50"`) {
+		t.Errorf("show: %s", out)
+	}
+
+	// Staged and applied by hand; a second one is refused; then a kill.
+	k.put(t, `<guard probation="60s" auto="false"/><class name="search" open="60"/>`)
+	if code, out, errs := call(t, nil, "config", "stage", "--file", k.ops, "--operators", k.ops, "--against", "2", "--note", "more"); code != exitOK || !strings.Contains(out, "transaction 2") {
+		t.Fatalf("stage: %s%s", out, errs)
+	}
+	if code, _, errs := call(t, nil, "config", "apply", "--file", k.ops, "2"); code != exitOK {
+		t.Fatalf("apply: %s", errs)
+	}
+	k.until(t, "probation", state(2, "probation"))
+	hup() // the same again
+	if line := p.logged(t, "configuration not"); !strings.Contains(line, "another change is under way") {
+		t.Errorf("a second change: %s", line)
+	}
+	p.kill(t)
+	p, addr = k.launch(t)
+	s := k.until(t, "a status", func(keeper.Status) bool { return true })
+	if s.Confirmed != 2 || s.InForce != 2 || !s.Durable || s.Transactions[1].State != "undone" || !strings.Contains(s.Transactions[1].Reason, "the process ended") {
+		t.Errorf("after the kill: %+v", s)
+	}
+	if g := generation(t, addr, "t3"); g != "2" {
+		t.Errorf("generation %q, want 2: the last that was confirmed", g)
+	}
+	if code, out, _ := call(t, nil, "config", "history", "--file", k.ops); code != exitOK || !strings.Contains(out, "undone") {
+		t.Errorf("history: %s", out)
+	}
+
+	// A confirm that comes after the undo began.
+	hup()
+	n := len(s.Transactions) + 1
+	k.until(t, "probation", state(n, "probation"))
+	tx := fmt.Sprint(k.until(t, "a status", func(keeper.Status) bool { return true }).Transactions[n-1].Tx)
+	if code, _, errs := call(t, nil, "config", "undo", "--file", k.ops, tx); code != exitOK {
+		t.Errorf("undo: %s", errs)
+	}
+	if code, _, errs := call(t, nil, "config", "confirm", "--file", k.ops, tx); code != exitServe || !strings.Contains(errs, "it is in another state") {
+		t.Errorf("a late confirm: code %d, %s", code, errs)
+	}
+	k.until(t, "the undo", state(n, "undone"))
+	_ = p.Process.Signal(syscall.SIGTERM)
+	for range p.lines {
+	}
+	if err := p.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
+// A file that is replaced while it is read is read again.
+func TestAFileThatIsBeingReplacedIsReadAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		readings []string // the last one over and over; "!" can't be read
+		want     string
+	}{
+		"at rest":           {[]string{"a"}, "a"},
+		"half written":      {[]string{"a", "", "ab", "abc"}, "abc"},
+		"away for a moment": {[]string{"!", "!", "b"}, "b"},
+		"gone":              {[]string{"!"}, ""},
+	} {
+		n := 0
+		b, err := stable(func() (bundle.Bundle, error) {
+			s := c.readings[min(n, len(c.readings)-1)]
+			if n++; s == "!" {
+				return bundle.Bundle{}, os.ErrNotExist
+			}
+			return bundle.Bundle{Operators: []byte(s)}, nil
+		}, func() {})
+		if string(b.Operators) != c.want || (err != nil) != (c.want == "") {
+			t.Errorf("%s: have %q, %v", name, b.Operators, err)
+		}
+	}
+	n := 0
+	if _, err := stable(func() (bundle.Bundle, error) { n++; return bundle.Bundle{Operators: fmt.Append(nil, n)}, nil }, func() {}); err == nil {
+		t.Error("one that changes all the time was taken")
+	}
+	// And from real files.
+	dir := t.TempDir()
+	f := files{platform: filepath.Join(dir, "p"), operators: filepath.Join(dir, "o")}
+	for _, path := range []string{f.platform, f.operators} {
+		if err := os.WriteFile(path, []byte("<e/>"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if b, err := f.read(); err != nil || string(b.Operators) != "<e/>" || string(b.Platform) != "<e/>" {
+		t.Errorf("have %s, %v", b.Operators, err)
+	}
+}
+
+func TestConfigFilesAreExplainedFormattedAndCompared(t *testing.T) {
+	a := write(t, "a.xml", `<eiderwinch xmlns="urn:eiderwinch:operators:1"><class open="3" name="search"/></eiderwinch>`)
+	b := write(t, "b.xml", `<eiderwinch xmlns="urn:eiderwinch:operators:1"><class name="search" open="4"/><log/></eiderwinch>`)
+	if code, out, _ := call(t, nil, "config", "check", a); code != exitOK || !strings.Contains(out, "in order") {
+		t.Errorf("check: %s", out)
+	}
+	platform := write(t, "p.json", fmt.Sprintf(configText, "127.0.0.1:1", "", settingsText))
+	odd := write(t, "odd.xml", `<eiderwinch xmlns="urn:eiderwinch:operators:1"><class name="odd"/><class name="search" attempts="5"/></eiderwinch>`)
+	if code, _, errs := call(t, nil, "config", "check", "--platform", platform, odd); code != exitConfig || !strings.Contains(errs, `found class "odd", want one of search`) ||
+		!strings.Contains(errs, "at most attempts_cap, 4") {
+		t.Errorf("check against the platform's: %s", errs)
+	}
+	if code, out, _ := call(t, nil, "config", "diff", a, b); code != exitOK || out != "eiderwinch/class[search]/@open: \"3\" to \"4\"\neiderwinch/log: added\n" {
+		t.Errorf("diff: %q", out)
+	}
+	if code, out, _ := call(t, nil, "config", "fmt", a); code != exitOK || !strings.Contains(out, "\n  <class name=\"search\" open=\"3\"/>\n") {
+		t.Errorf("fmt: %q", out)
+	}
+	if code, out, _ := call(t, nil, "config", "explain", "guard/probation"); code != exitOK || !strings.Contains(out, "30s where it is not given") {
+		t.Errorf("explain: %q", out)
+	}
+	if code, _, errs := call(t, nil, "config", "explain", "nothing"); code != exitConfig || !strings.Contains(errs, `no element "nothing"`) {
+		t.Errorf("explain: %q", errs)
+	}
+}
+
+// Where signing is asked for, nothing is staged without a signature that holds, by
+// hand or by SIGHUP.
+func TestProgramWantsSignedConfigurations(t *testing.T) {
+	k := newKept(t)
+	dir := filepath.Dir(k.ops)
+	keys := filepath.Join(dir, "keys.xml")
+	keyText := func(name, from, until string) string {
+		return fmt.Sprintf(`<key name=%q algorithm="blake3" value="%s=" from="%s-01-01T00:00:00Z" until="%s-01-01T00:00:00Z"/>`, name, strings.Repeat("A", 43), from, until)
+	}
+	if err := os.WriteFile(keys, []byte(`<keys xmlns="urn:eiderwinch:keys:1">`+keyText("now", "2020", "9000")+keyText("then", "2020", "2021")+`</keys>`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	k.put(t, `<signing keys="keys.xml"/>`)
+	p, _ := k.launch(t)
+	k.put(t, `<signing keys="keys.xml"/><class name="search" open="9"/>`)
+	_ = p.Process.Signal(syscall.SIGHUP)
+	p.logged(t, "the configuration is not signed")
+
+	code, sig, errs := call(t, nil, "config", "sign", "--keys", keys, "--key", "now", "--operators", k.ops)
+	if code != exitOK {
+		t.Fatal(errs)
+	}
+	stage := func(sig string) (int, string) {
+		code, out, errs := call(t, nil, "config", "stage", "--file", k.ops, "--operators", k.ops, "--signature", sig)
+		return code, out + errs
+	}
+	sig = strings.TrimSpace(sig)
+	for bad, want := range map[string]string{
+		"": "is not signed", "x": "malformed signature", strings.Replace(sig, "now", "other", 1): "an unknown key",
+		strings.Replace(sig, "now", "then", 1): "does not hold now", sig[:len(sig)-4] + "AAA=": "does not fit",
+	} {
+		if code, out := stage(bad); code != exitServe || !strings.Contains(out, want) {
+			t.Errorf("%q: code %d, %s, want %s", bad, code, out, want)
+		}
+	}
+	if code, out := stage(sig); code != exitOK || !strings.Contains(out, "transaction 1") {
+		t.Errorf("signed: code %d, %s", code, out)
+	}
+	if code, _, errs := call(t, nil, "config", "sign", "--keys", keys, "--key", "then", "--operators", k.ops); code != exitConfig || !strings.Contains(errs, "does not hold now") {
+		t.Errorf("an expired key signs: %s", errs)
+	}
+}
--- /dev/null
+++ b/cmd/eiderwinch/coordinate.go
@@ -0,0 +1,281 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"eiderwinch/internal/admin"
+	"eiderwinch/internal/coordinator"
+	"eiderwinch/internal/reshard"
+	"eiderwinch/internal/settings"
+)
+
+type coordinateCommand struct {
+	File string `arg:"" help:"An operators' file after deploy/eiderwinch.xsd with the element coordinator."`
+}
+
+// Run runs the coordinator until a signal ends it. Changes under way go on where
+// it is started again.
+func (c coordinateCommand) Run(e environment) error {
+	log := slog.New(slog.NewTextHandler(e.stderr, nil))
+	ops, err := readOps(c.File)
+	if err != nil {
+		return err
+	}
+	co := ops.Coordinator
+	if co == nil {
+		return &exitError{exitConfig, fmt.Errorf("%s: found no coordinator, want that element", c.File)}
+	}
+	first, fleet, err := soundLayout(co.Layout)
+	if err != nil {
+		return err
+	}
+	peers := func(list []settings.Peer) (out []coordinator.Peer) {
+		for _, p := range list {
+			out = append(out, coordinator.Peer(p))
+		}
+		return out
+	}
+	ctx, stop := e.untilSignal()
+	defer stop()
+	run, err := coordinator.Start(ctx, coordinator.Options{
+		Log: co.Log, First: first, Fleet: fleet, Limits: co.Limits, Measure: co.Measure, Poll: co.Poll, Timeout: co.Timeout,
+		Gatherers: peers(co.Gatherers), Searchers: peers(co.Searchers), Logger: log,
+	})
+	if err != nil {
+		return &exitError{exitConfig, err}
+	}
+	socket, err := admin.Serve(co.Listen, run.Handler())
+	if err != nil {
+		stop()
+		return errors.Join(err, run.Wait())
+	}
+	log.Info("coordinating", "endpoint", socket.Endpoint(), "log", co.Log)
+	err = run.Wait()
+	return errors.Join(err, socket.Close())
+}
+
+// toCoordinator is how commands find a running coordinator.
+type toCoordinator struct {
+	At      string        `placeholder:"ENDPOINT" help:"Its admin socket: unix:PATH, or a loopback address and a port."`
+	File    string        `placeholder:"FILE" help:"The operators' file that names it."`
+	Timeout time.Duration `default:"5s" help:"An answer is waited for so long."`
+}
+
+// client returns a client of the coordinator.
+func (c toCoordinator) client() (*admin.Client, error) {
+	switch {
+	case (c.At == "") == (c.File == ""):
+		return nil, &exitError{exitConfig, errors.New("want one of --at and --file")}
+	case c.File != "":
+		ops, err := readOps(c.File)
+		if err != nil {
+			return nil, err
+		}
+		if ops.Coordinator == nil {
+			return nil, &exitError{exitConfig, fmt.Errorf("%s: found no coordinator, want that element", c.File)}
+		}
+		c.At = ops.Coordinator.Listen
+	}
+	return admin.NewClient(c.At, c.Timeout, nil), nil
+}
+
+type layoutStatus struct {
+	asJSON
+	toCoordinator
+	Layout bool `help:"Print the layout in force instead, as a file."`
+}
+
+// Run prints how things stand.
+func (c layoutStatus) Run(e environment) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ctx := context.Background()
+	if c.Layout {
+		var text []byte
+		if err := client.Do(ctx, http.MethodGet, "/v1/layout", nil, &text); err != nil {
+			return err
+		}
+		_, err := e.stdout.Write(text)
+		return err
+	}
+	var s admin.Status
+	if err := client.Do(ctx, http.MethodGet, "/v1/status", nil, &s); err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.print(e.stdout, s)
+	}
+	return printStatus(e.stdout, s)
+}
+
+func printStatus(w io.Writer, s admin.Status) error {
+	fmt.Fprintf(w, "epoch %d, %d segments, term %d, copies at up to %.0f rows a second", s.Epoch, s.Segments, s.Term, s.Rows)
+	if s.BaseMS > 0 {
+		fmt.Fprintf(w, ", p99 without copies %.1f ms", s.BaseMS)
+	}
+	n := s.Counts
+	fmt.Fprintf(w, "\nchanges: %d asked, %d refused, %d started, %d cut over, %d done, %d undone (%d too late, %d for a dead holder, %d aborted)\n",
+		n.Submitted, n.Refused, n.Started, n.CutOver, n.Done, n.Undone, n.Late, n.HolderDown, n.Aborted)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "job\tchange\tsegments\tphase\theirs\tfilled\treason")
+	for _, j := range s.Jobs {
+		fmt.Fprintf(table, "%d\t%s\t%v\t%s\t%v\t%d of %d\t%s\n", j.Job, j.Kind, j.Segments, j.Phase, j.Heirs, j.Copied, j.Of, j.Reason)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, g := range s.Gatherers {
+		if !g.Up {
+			fmt.Fprintf(w, "gatherer %s does not answer\n", g.Name)
+		} else if g.Epoch != s.Epoch {
+			fmt.Fprintf(w, "gatherer %s is at epoch %d\n", g.Name, g.Epoch)
+		}
+	}
+	for _, p := range s.Searchers {
+		if !p.Up {
+			fmt.Fprintf(w, "searcher %s does not answer\n", p.Name)
+		}
+	}
+	return nil
+}
+
+type layoutApply struct {
+	asJSON
+	toCoordinator
+	Changes string        `arg:"" help:"Changes as layout plan --json prints them; - reads them from the standard input."`
+	Wait    time.Duration `placeholder:"TIME" help:"Wait so long until all are over, and fail where one is not done."`
+}
+
+// maxChanges bounds a file of changes.
+const maxChanges = 1 << 20
+
+// Run submits the changes and says what became of each.
+func (c layoutApply) Run(e environment) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	in := e.stdin
+	if c.Changes != "-" {
+		f, err := os.Open(c.Changes)
+		if err != nil {
+			return &exitError{exitConfig, err}
+		}
+		defer f.Close()
+		in = f
+	}
+	text, err := io.ReadAll(io.LimitReader(in, maxChanges))
+	if err != nil {
+		return err
+	}
+	var s admin.Submission
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return &exitError{exitConfig, fmt.Errorf("%s: %w; want what layout plan --json prints", c.Changes, err)}
+	}
+	if len(s.Changes) == 0 {
+		fmt.Fprintln(e.stdout, "nothing to change")
+		return nil
+	}
+	var taken []admin.Taken
+	if err := client.Do(context.Background(), http.MethodPost, "/v1/changes", s, &taken); err != nil {
+		return err
+	}
+	var errs []error
+	for i, t := range taken {
+		if t.Error != "" {
+			errs = append(errs, fmt.Errorf("change %d was refused: %s", i+1, t.Error))
+		} else if !c.JSON {
+			fmt.Fprintf(e.stdout, "change %d: %s %v is job %d\n", i+1, s.Changes[i].Kind, s.Changes[i].Segments, t.Job)
+		}
+	}
+	if c.JSON {
+		errs = append(errs, c.print(e.stdout, taken))
+	}
+	if c.Wait > 0 {
+		errs = append(errs, c.await(e, client, taken))
+	}
+	return errors.Join(errs...)
+}
+
+// askEvery is how often a coordinator is asked whether changes are over.
+const askEvery = 100 * time.Millisecond
+
+// await waits until the changes that were taken on are over.
+func (c layoutApply) await(e environment, client *admin.Client, taken []admin.Taken) error {
+	signalled, stop := e.untilSignal()
+	defer stop()
+	ctx, end := context.WithTimeout(signalled, c.Wait)
+	defer end()
+	waiting := make(map[reshard.JobID]bool)
+	for _, t := range taken {
+		if t.Error == "" {
+			waiting[t.Job] = true
+		}
+	}
+	var errs []error
+	tick := time.NewTicker(askEvery)
+	defer tick.Stop()
+	for len(waiting) > 0 {
+		var s admin.Status
+		if err := client.Do(ctx, http.MethodGet, "/v1/status", nil, &s); err == nil { // else it may be about to be started again
+			for _, j := range s.Jobs {
+				if !waiting[j.Job] || !j.Over {
+					continue
+				}
+				delete(waiting, j.Job)
+				if j.Phase != reshard.Done.String() {
+					errs = append(errs, fmt.Errorf("job %d is %s: %s", j.Job, j.Phase, j.Reason))
+				} else if !c.JSON {
+					fmt.Fprintf(e.stdout, "job %d is done\n", j.Job)
+				}
+			}
+		}
+		if len(waiting) == 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(append(errs, fmt.Errorf("%d changes are not over", len(waiting)))...)
+		case <-tick.C:
+		}
+	}
+	return errors.Join(errs...)
+}
+
+type layoutAbort struct {
+	toCoordinator
+	Job    uint64 `arg:"" help:"The job's number, see layout status."`
+	Reason string `default:"by hand" help:"Is shown with the change."`
+}
+
+// Run asks for it.
+func (c layoutAbort) Run(e environment) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	path := "/v1/changes/" + strconv.FormatUint(c.Job, 10) + "/abort"
+	if err := client.Do(context.Background(), http.MethodPost, path, admin.Abortion{Reason: c.Reason}, nil); err != nil {
+		return err
+	}
+	fmt.Fprintf(e.stdout, "job %d is undone\n", c.Job)
+	return nil
+}
--- /dev/null
+++ b/cmd/eiderwinch/coordinate_test.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"eiderwinch/internal/admin"
+	"eiderwinch/internal/layout"
+	"eiderwinch/internal/layoutfile"
+	"eiderwinch/internal/reshard"
+	"eiderwinch/internal/standin"
+)
+
+// moving is a deployment whose segments move: stand-in searchers, and the built
+// program as gatherer and coordinator.
+type moving struct {
+	dir, path, ops string
+	world          *standin.Deployment
+	store          *standin.Warehouse
+}
+
+func newMoving(t *testing.T) *moving {
+	m := &moving{dir: t.TempDir(), path: build(t)}
+	m.ops = filepath.Join(m.dir, "eiderwinch.xml")
+	var err error
+	m.world, err = standin.NewDeployment(standin.DeploymentOptions{
+		Searchers: 4, Zones: 2, Cells: 2, Seed: 1,
+		Work: func(l *layout.Layout) standin.Work {
+			m.store = standin.NewWarehouse(standin.WarehouseOptions{Keys: 20, Seed: 1}, l)
+			return m.store
+		},
+		Layout: func(ids, _ []string) *layout.Layout {
+			l, err := layout.First(layout.Segment{Holders: []string{ids[0], ids[2]}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return l
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = m.world.Close() })
+	var peers strings.Builder
+	for _, s := range m.world.Searchers {
+		c := standin.NewCustodian(s.ID(), m.store, filepath.Join(m.dir, s.ID()))
+		if err := c.Open(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		fmt.Fprintf(&peers, `<searcher name=%q endpoint=%q/>`, s.ID(), c.Endpoint())
+	}
+	var text strings.Builder
+	if err := layoutfile.Write(&text, m.world.First(), m.world.Fleet(2)); err != nil {
+		t.Fatal(err)
+	}
+	for name, text := range map[string]string{
+		"layout.xml": text.String(), "first.xml": text.String(),
+		"eiderwinch.xml": fmt.Sprintf(`<eiderwinch xmlns="urn:eiderwinch:operators:1">
+			<admin endpoint="unix:%[1]s/g"/><layout file="layout.xml" follow="true"/>
+			<coordinator endpoint="unix:%[1]s/co" log="changes.db" layout="first.xml" poll="20ms">
+			<gatherer name="g" endpoint="unix:%[1]s/g"/>%[2]s</coordinator></eiderwinch>`, m.dir, peers.String()),
+	} {
+		if err := os.WriteFile(filepath.Join(m.dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return m
+}
+
+func (m *moving) gatherer(t *testing.T) (p *program, addr string) {
+	text, err := m.world.Config("g", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p = launchWith(t, m.path, []string{"serve", "--file", m.ops}, string(text))
+	_, addr, _ = strings.Cut(p.logged(t, "msg=serving"), "addr=")
+	addr, _, _ = strings.Cut(addr, " ")
+	return p, addr
+}
+
+func (m *moving) coordinator(t *testing.T) *program {
+	p := launchWith(t, m.path, []string{"coordinate", m.ops}, "{}")
+	p.logged(t, "msg=coordinating")
+	return p
+}
+
+// until waits for a state of the coordinator.
+func (m *moving) until(t *testing.T, what string, is func(admin.Status) bool) admin.Status {
+	t.Helper()
+	var s admin.Status
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
+		code, out, _ := call(t, nil, "layout", "status", "--json", "--file", m.ops)
+		if s = (admin.Status{}); code == exitOK && json.Unmarshal([]byte(out), &s) == nil && is(s) {
+			return s
+		}
+	}
+	t.Fatalf("%s did not come about: %+v", what, s)
+	return s
+}
+
+// epoch asks a query and returns the epoch that it was answered in.
+func epoch(t *testing.T, addr, trace string) string {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/search", strings.NewReader(`{"tablets":[{"tablet":0,"fraction":1}],"statement":"scan a z"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Trace-Id", trace)
+	req.Header.Set("X-Qos", "search")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("%s: %s", trace, resp.Status)
+	}
+	return resp.Header.Get("X-Layout-Epoch")
+}
+
+func (p *program) kill(t *testing.T) {
+	t.Helper()
+	_ = p.Process.Kill()
+	for range p.lines {
+	}
+	_ = p.Wait()
+}
+
+// The built programs move a segment; each of them is killed on the way.
+func TestProgramsMoveASegmentAndAreKilled(t *testing.T) {
+	m := newMoving(t)
+	g, addr := m.gatherer(t)
+	co := m.coordinator(t)
+	m.until(t, "a gatherer that answers", func(s admin.Status) bool { return s.Epoch == 1 && s.Gatherers[0].Up })
+	if e := epoch(t, addr, "t1"); e != "1" {
+		t.Errorf("epoch %s, want 1", e)
+	}
+
+	changes := filepath.Join(m.dir, "changes.json")
+	put := func(text string) {
+		if err := os.WriteFile(changes, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(`{"epoch":9,"changes":[{"change":"move","segments":[0],"holders":[["s-01","s-03"]]}]}`)
+	if code, _, errs := call(t, nil, "layout", "apply", "--file", m.ops, changes); code != exitServe || !strings.Contains(errs, "the changes are for epoch 9, in force is 1") {
+		t.Errorf("for another epoch: code %d, %s", code, errs)
+	}
+	put(`{"changes":[{"change":"move","segments":[0],"holders":[["s-01"]]}]}`)
+	if code, _, errs := call(t, nil, "layout", "apply", "--file", m.ops, changes); code != exitServe || !strings.Contains(errs, "too few holders") {
+		t.Errorf("to one holder: code %d, %s", code, errs)
+	}
+	put(`{"epoch":1,"changes":[{"change":"move","segments":[0],"holders":[["s-01","s-03"]]}]}`)
+	if code, out, errs := call(t, nil, "layout", "apply", "--at", "unix:"+m.dir+"/co", changes); code != exitOK || !strings.Contains(out, "is job 1") {
+		t.Fatalf("code %d, %s%s", code, out, errs)
+	}
+	co.kill(t)
+	if code, _, _ := call(t, nil, "layout", "status", "--file", m.ops); code != exitServe {
+		t.Errorf("status without a coordinator: code %d", code)
+	}
+	co = m.coordinator(t)
+	s := m.until(t, "the cut-over", func(s admin.Status) bool {
+		return len(s.Jobs) == 1 && s.Jobs[0].Phase == reshard.Cutting.String() && s.Gatherers[0].Epoch == s.Epoch
+	})
+	if s.Term != 2 || s.Epoch < 3 {
+		t.Errorf("term %d, epoch %d", s.Term, s.Epoch)
+	}
+	if e := epoch(t, addr, "t2"); e != fmt.Sprint(s.Epoch) {
+		t.Errorf("epoch %s, want %d", e, s.Epoch)
+	}
+	if code, _, errs := call(t, nil, "layout", "abort", "--file", m.ops, "1"); code != exitServe || !strings.Contains(errs, "can only go forward") {
+		t.Errorf("an abort after the cut-over: code %d, %s", code, errs)
+	}
+	if code, out, _ := call(t, nil, "layout", "status", "--file", m.ops); code != exitOK || !strings.Contains(out, "cutting") {
+		t.Errorf("status: code %d, %s", code, out)
+	}
+
+	// A gatherer that is killed never goes back to an older epoch.
+	co.kill(t)
+	g.kill(t)
+	g, addr = m.gatherer(t)
+	if e := epoch(t, addr, "t3"); e != fmt.Sprint(s.Epoch) {
+		t.Errorf("epoch %s after a restart, want %d", e, s.Epoch)
+	}
+	// A coordinator whose log is lost begins at the first layout. It must not rule.
+	if err := os.Remove(filepath.Join(m.dir, "changes.db")); err != nil {
+		t.Fatal(err)
+	}
+	lost := m.coordinator(t)
+	lost.logged(t, "searchers obey a coordinator of a later term")
+	for range lost.lines {
+	}
+	if _ = lost.Wait(); lost.ProcessState.ExitCode() != exitServe {
+		t.Errorf("it ended with %v", lost.ProcessState)
+	}
+	if held := m.store.Held("s-01"); len(held) != 1 {
+		t.Errorf("it made a new holder forget: %v", held)
+	}
+	_ = g.Process.Signal(syscall.SIGTERM)
+	for range g.lines {
+	}
+	if err := g.Wait(); err != nil {
+		t.Errorf("the gatherer ended with %v", err)
+	}
+}
--- a/cmd/eiderwinch/demo.go
+++ b/cmd/eiderwinch/demo.go
@@ -66,7 +66,7 @@
 	if d.Verbose {
 		log = slog.New(slog.NewTextHandler(e.stderr, nil))
 	}
-	node := daemon.New(cfg, nil, stats.New(), log)
+	node := daemon.New(cfg, daemon.Options{}, stats.New(), log)
 	ended := make(chan error, 1)
 	go func() { ended <- node.Run() }()
 	select {
--- a/cmd/eiderwinch/layout.go
+++ b/cmd/eiderwinch/layout.go
@@ -11,6 +11,7 @@
 	"text/tabwriter"
 	"time"
 
+	"eiderwinch/internal/admin"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/layoutfile"
 	"eiderwinch/internal/reshard"
@@ -18,10 +19,13 @@
 
 // layoutCommands look into layouts.
 type layoutCommands struct {
-	Check layoutCheck `cmd:"" help:"Check a layout file and the fleet in it, and say all that is wrong."`
-	Diff  layoutDiff  `cmd:"" help:"Say in which ways a second layout differs from a first."`
-	Plan  layoutPlan  `cmd:"" help:"Propose splits, merges and moves from the load of each segment."`
-	Soak  layoutSoak  `cmd:"" help:"Split, merge and move segments of a loopback deployment under load, with kills, and audit every answer."`
+	Check  layoutCheck  `cmd:"" help:"Check a layout file and the fleet in it, and say all that is wrong."`
+	Diff   layoutDiff   `cmd:"" help:"Say in which ways a second layout differs from a first."`
+	Plan   layoutPlan   `cmd:"" help:"Propose splits, merges and moves from the load of each segment."`
+	Status layoutStatus `cmd:"" help:"Say how a running coordinator's changes, gatherers and searchers are."`
+	Apply  layoutApply  `cmd:"" help:"Ask a running coordinator for changes."`
+	Abort  layoutAbort  `cmd:"" help:"Ask a running coordinator to undo a change that is not cut over."`
+	Soak   layoutSoak   `cmd:"" help:"Split, merge and move segments of a loopback deployment under load, with kills, and audit every answer."`
 }
 
 // asJSON is how commands that print for people print for programs.
@@ -189,16 +193,9 @@
 	}
 	proposals := p.Window(time.Time{}, l, fleet, loads)
 	if c.JSON {
-		type proposal struct {
-			Change   string             `json:"change"`
-			Segments []layout.SegmentID `json:"segments"`
-			At       layout.Key         `json:"at,omitempty"`
-			Holders  [][]string         `json:"holders"`
-			Why      string             `json:"why"`
-		}
-		out := []proposal{}
+		out := admin.Submission{Epoch: l.Epoch(), Changes: []admin.Change{}}
 		for _, g := range proposals {
-			out = append(out, proposal{g.Change.Kind.String(), g.Change.Segments, g.Change.At, g.Change.Holders, g.Why})
+			out.Changes = append(out.Changes, admin.NewChange(g.Change, g.Why))
 		}
 		return c.print(e.stdout, out)
 	}
--- a/cmd/eiderwinch/main.go
+++ b/cmd/eiderwinch/main.go
@@ -32,11 +32,13 @@
 
 // commands is the command line.
 type commands struct {
-	Serve   serveCommand   `cmd:"" default:"1" help:"Serve as the environment and the file that LB_CONFIG names say."`
-	Demo    demoCommand    `cmd:"" help:"Start a whole deployment on loopback, ask it queries of all classes and print the answers."`
-	Check   checkCommand   `cmd:"" help:"Check a configuration file and say what is wrong with it."`
-	Layout  layoutCommands `cmd:"" help:"Look into layouts: which segments there are and who holds them."`
-	Version versionCommand `cmd:"" help:"Print the version, and what the program was built from."`
+	Serve      serveCommand      `cmd:"" default:"1" help:"Serve as the environment and the file that LB_CONFIG names say."`
+	Demo       demoCommand       `cmd:"" help:"Start a whole deployment on loopback, ask it queries of all classes and print the answers."`
+	Check      checkCommand      `cmd:"" help:"Check a configuration file and say what is wrong with it."`
+	Layout     layoutCommands    `cmd:"" help:"Look into layouts and change them: which segments there are and who holds them."`
+	Coordinate coordinateCommand `cmd:"" help:"Run the coordinator of layouts that the operators' file names."`
+	Config     configCommands    `cmd:"" help:"Look into the operators' file, and change the configuration of a running gatherer."`
+	Version    versionCommand    `cmd:"" help:"Print the version, and what the program was built from."`
 }
 
 // environment is what a command may use of the world.
@@ -44,6 +46,7 @@
 	getenv         func(string) string
 	stdout, stderr io.Writer
 	signals        <-chan os.Signal
+	stdin          io.Reader
 }
 
 // untilSignal returns a context that ends at the first signal, or when stop is called.
@@ -63,7 +66,7 @@
 	// Before all else: until then SIGHUP would end the process.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
-	os.Exit(run(os.Args[1:], environment{os.Getenv, os.Stdout, os.Stderr, signals}))
+	os.Exit(run(os.Args[1:], environment{os.Getenv, os.Stdout, os.Stderr, signals, os.Stdin}))
 }
 
 // newParser returns the parser of the command line, which fills c.
--- /dev/null
+++ b/cmd/eiderwinch/ops.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"eiderwinch/internal/admin"
+	"eiderwinch/internal/config"
+	"eiderwinch/internal/layoutfile"
+	"eiderwinch/internal/settings"
+	"eiderwinch/internal/signature"
+	"eiderwinch/internal/xmlform"
+)
+
+// readOps reads an operators' file. The files that it names lie beside it where
+// they are not absolute.
+func readOps(path string) (*settings.File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &exitError{exitConfig, err}
+	}
+	f, err := settings.Read(path, bytes.NewReader(text))
+	if err != nil {
+		return nil, &exitError{exitConfig, err}
+	}
+	names := []*string{&f.Layout, &f.History}
+	if f.Coordinator != nil {
+		names = append(names, &f.Coordinator.Layout, &f.Coordinator.Log)
+	}
+	for _, name := range names {
+		if *name != "" {
+			*name = beside(path, *name)
+		}
+	}
+	return f, nil
+}
+
+// beside is where a file lies that another names.
+func beside(path, name string) string {
+	if filepath.IsAbs(name) {
+		return name
+	}
+	return filepath.Join(filepath.Dir(path), name)
+}
+
+// configCommands look into the operators' file, and change what is in force.
+type configCommands struct {
+	Check   configCheck    `cmd:"" help:"Check an operators' file and the layouts that it names, and say all that is wrong."`
+	Format  configFormat   `cmd:"" name:"fmt" help:"Print an operators' file in its one form."`
+	Diff    configDiff     `cmd:"" help:"Say in which values two operators' files differ, defaults included."`
+	Explain explainCommand `cmd:"" help:"Say what an element or attribute of the operators' file, of layouts or key files means."`
+	Schema  schemaCommand  `cmd:"" help:"Print the schema of the operators' file, of layouts or of key files."`
+	Sign    configSign     `cmd:"" help:"Sign a configuration with a key of a key file."`
+	Stage   configStage    `cmd:"" help:"Check a configuration at a running gatherer, try it on the world as it is, and stage it."`
+	Apply   configApply    `cmd:"" help:"Put a staged configuration in force, on probation."`
+	Confirm configConfirm  `cmd:"" help:"Make a configuration on probation stay."`
+	Undo    configUndo     `cmd:"" help:"Take back a configuration that is not confirmed."`
+	Status  configStatus   `cmd:"" help:"Say which configuration is in force, and what is under way."`
+	History configHistory  `cmd:"" help:"List the changes of the configuration."`
+	Show    configShow     `cmd:"" help:"Print the text of a generation."`
+	Soak    configSoak     `cmd:"" help:"Change the configuration of a loopback deployment under load, one change in four bad, and audit every answer."`
+}
+
+// begins is the layout that a new log of the coordinator begins with; empty if
+// there is none.
+func begins(f *settings.File) string {
+	if f.Coordinator == nil {
+		return ""
+	}
+	return f.Coordinator.Layout
+}
+
+type configCheck struct {
+	File     string `arg:"" help:"An operators' file after deploy/eiderwinch.xsd."`
+	Platform string `placeholder:"FILE" help:"The platform's configuration that it is to fit."`
+}
+
+// Run reads the file, and the layouts that it names.
+func (c configCheck) Run(e environment) error {
+	f, err := readOps(c.File)
+	if err != nil {
+		return err
+	}
+	var errs []error
+	if c.Platform != "" {
+		text, err := os.ReadFile(c.Platform)
+		if err == nil {
+			var cfg *config.Config
+			if cfg, err = config.Parse(text); err == nil {
+				err = f.Fit(c.File, cfg.Settings)
+			} else {
+				err = fmt.Errorf("%s: %w", c.Platform, err)
+			}
+		}
+		errs = append(errs, err)
+	}
+	for _, path := range []string{f.Layout, begins(f)} {
+		if path != "" {
+			_, _, err := soundLayout(path)
+			errs = append(errs, err)
+		}
+	}
+	if err := errors.Join(errs...); err != nil {
+		return &exitError{exitConfig, err}
+	}
+	on := func(b bool) string {
+		if b {
+			return "on"
+		}
+		return "off"
+	}
+	fmt.Fprintf(e.stdout, "%s: in order: admin socket %s, layout %s, follows a coordinator %s, coordinator %s\n",
+		c.File, on(f.Admin != ""), on(f.Layout != ""), on(f.Follow), on(f.Coordinator != nil))
+	return nil
+}
+
+// form is a file's form by name.
+func form(name string) *xmlform.Form {
+	switch name {
+	case "layout":
+		return layoutfile.Form()
+	case "keys":
+		return signature.Form()
+	}
+	return settings.Form()
+}
+
+type explainCommand struct {
+	Form string `enum:"operators,layout,keys" default:"operators" help:"Of which file: operators, layout or keys."`
+	What string `arg:"" optional:"" help:"An element, or an attribute as element/attribute. Without it all elements are listed."`
+}
+
+// Run prints meaning, unit, default and bounds.
+func (c explainCommand) Run(e environment) error {
+	if err := form(c.Form).Explain(e.stdout, c.What); err != nil {
+		return &exitError{exitConfig, fmt.Errorf("explain: %w", err)}
+	}
+	return nil
+}
+
+type schemaCommand struct {
+	Form string `arg:"" enum:"operators,layout,keys" help:"Of which file: operators, layout or keys."`
+}
+
+// Run prints the schema.
+func (c schemaCommand) Run(e environment) error { return form(c.Form).Schema(e.stdout) }
+
+type configFormat struct {
+	File  string `arg:"" help:"An operators' file."`
+	Write bool   `help:"Write it back instead of printing it."`
+}
+
+// Run formats the file.
+func (c configFormat) Run(e environment) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return &exitError{exitConfig, err}
+	}
+	var b bytes.Buffer
+	if err := settings.Form().Format(c.File, text, &b); err != nil {
+		return &exitError{exitConfig, err}
+	}
+	if c.Write {
+		return admin.Keep(c.File, b.Bytes())
+	}
+	_, err = e.stdout.Write(b.Bytes())
+	return err
+}
+
+type configDiff struct {
+	Old string `arg:"" help:"The first operators' file."`
+	New string `arg:"" help:"The second operators' file."`
+}
+
+// Run prints the values that differ.
+func (c configDiff) Run(e environment) error {
+	var nodes []*xmlform.Node
+	for _, path := range []string{c.Old, c.New} {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return &exitError{exitConfig, err}
+		}
+		if _, err := settings.Read(path, bytes.NewReader(text)); err != nil {
+			return &exitError{exitConfig, err}
+		}
+		nodes = append(nodes, settings.Form().Read(bytes.NewReader(text), &xmlform.Faults{File: path}))
+	}
+	for _, line := range xmlform.Diff(nodes[0], nodes[1]) {
+		fmt.Fprintln(e.stdout, line)
+	}
+	return nil
+}
--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -1,14 +1,16 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"runtime/debug"
 	"syscall"
 
+	"eiderwinch/internal/admin"
 	"eiderwinch/internal/config"
 	"eiderwinch/internal/daemon"
-	"eiderwinch/internal/layout"
 	"eiderwinch/internal/netio"
 	"eiderwinch/internal/stats"
 )
@@ -16,26 +18,39 @@
 // serveCommand is one real gatherer. The environment tells it where its
 // configuration is, see package config.
 type serveCommand struct {
+	File   string `placeholder:"FILE" help:"An operators' file after deploy/eiderwinch.xsd: an admin socket, own limits, changes as transactions. Without one all that is off."`
 	Layout string `placeholder:"FILE" help:"A layout after deploy/layout.xsd: queries are bound to its epochs. SIGHUP reads it again. Without one the platform's cells say who holds what."`
 }
 
 // Run serves until a signal ends it.
 func (c serveCommand) Run(e environment) error {
-	log := slog.New(slog.NewTextHandler(e.stderr, nil))
+	level := new(slog.LevelVar)
+	log := slog.New(slog.NewTextHandler(e.stderr, &slog.HandlerOptions{Level: level}))
 	cfg, err := config.Load(e.getenv)
 	if err != nil {
 		return &exitError{exitConfig, fmt.Errorf("configuration: %w", err)}
 	}
-	var first *layout.Layout
+	debug.SetMemoryLimit(cfg.Memory / 4 * 3) // the rest is for stacks, the runtime and the kernel's part
+	log = log.With("node", cfg.Name)
+	if c.File != "" {
+		return c.kept(e, cfg, level, log)
+	}
+	var options daemon.Options
 	if c.Layout != "" {
-		if first, _, err = soundLayout(c.Layout); err != nil {
+		if options.Layout, _, err = soundLayout(c.Layout); err != nil {
 			return err
 		}
 	}
-	debug.SetMemoryLimit(cfg.Memory / 4 * 3) // the rest is for stacks, the runtime and the kernel's part
-	log = log.With("node", cfg.Name)
 	counters := stats.New()
-	node := daemon.New(cfg, first, counters, log)
+	node := daemon.New(cfg, options, counters, log)
+	return runNode(e, node, counters, log, func() {
+		reload(e, cfg, node, log)
+		c.reloadLayout(node, log)
+	})
+}
+
+// runNode runs a gatherer, and calls reload at SIGHUP.
+func runNode(e environment, node *netio.Node, counters *stats.Counters, log *slog.Logger, reload func()) error {
 	go func() {
 		<-node.Started()
 		for s := range e.signals {
@@ -43,14 +58,13 @@
 			case syscall.SIGUSR1:
 				node.Report()
 			case syscall.SIGHUP:
-				reload(e, cfg, node, log)
-				c.reloadLayout(node, log)
+				reload()
 			default:
 				node.Drain()
 			}
 		}
 	}()
-	err = node.Run()
+	err := node.Run()
 	log.Info("counters", "counters", counters)
 	if err != nil {
 		return &exitError{exitServe, err}
@@ -58,6 +72,62 @@
 	return nil
 }
 
+// kept runs a gatherer with an operators' file: what it is told changes as
+// transactions only, at SIGHUP as well.
+func (c serveCommand) kept(e environment, cfg *config.Config, level *slog.LevelVar, log *slog.Logger) (err error) {
+	ops, err := readOps(c.File)
+	if err != nil {
+		return err
+	}
+	f := files{platform: e.getenv("LB_CONFIG"), operators: c.File, layout: c.Layout}
+	if ops.Layout != "" {
+		if c.Layout != "" {
+			return &exitError{exitConfig, fmt.Errorf("a layout is named by --layout and by %s, want one", c.File)}
+		}
+		f.layout = ops.Layout
+	}
+	b, err := boot(f, cfg, log)
+	if err != nil {
+		return err
+	}
+	level.Set(logLevel(b.candidate))
+	counters := stats.New()
+	node := daemon.New(b.candidate.Config, daemon.Options{Layout: b.candidate.Layout, Live: b.live(), Record: true}, counters, log)
+	ctx, stop := context.WithCancel(context.Background())
+	k := b.keep(ctx, f, node, level, log)
+	defer func() {
+		stop()
+		err = errors.Join(err, k.Wait())
+		if b.history != nil {
+			err = errors.Join(err, b.history.Close())
+		}
+	}()
+	if ops.Admin != "" {
+		g := &admin.Gatherer{Name: cfg.Name, Node: node, Keeper: k.Handle}
+		if ops.Follow {
+			g.Layout = ops.Layout
+		}
+		socket, err := admin.Serve(ops.Admin, g.Handler())
+		if err != nil {
+			return &exitError{exitServe, err}
+		}
+		log.Info("admin socket", "endpoint", socket.Endpoint())
+		defer func() {
+			if err := socket.Close(); err != nil {
+				log.Error("closing the admin socket", "err", err)
+			}
+		}()
+	}
+	return runNode(e, node, counters, log, func() {
+		go func() {
+			if err := k.Reload(ctx); err != nil {
+				log.Error("configuration not reloaded, the old one stays", "err", err)
+				node.ReloadFailed()
+			}
+		}()
+	})
+}
+
 // reloadLayout reads the layout again. One that is at fault, or not newer than the
 // one in force, changes nothing.
 func (c serveCommand) reloadLayout(node *netio.Node, log *slog.Logger) {
--- a/cmd/eiderwinch/soak.go
+++ b/cmd/eiderwinch/soak.go
@@ -67,6 +67,8 @@
 		{"splits, merges, moves done", fmt.Sprint(r.Splits, r.Merges, r.Moves)},
 		{"changes asked, refused, undone", fmt.Sprint(r.Jobs.Submitted, r.Jobs.Refused, r.Jobs.Undone)},
 		{"searchers, coordinators killed", fmt.Sprint(r.SearcherKills, r.CoordinatorKills)},
+		{"orders to searchers, lost, passed over as older", fmt.Sprint(r.Orders, r.Missed, r.LateOrders)},
+		{"times copies were slowed down", r.Slowed},
 		{"epochs, queries translated", fmt.Sprint(r.Epochs, r.Translated)},
 		{"p99 of searches with changes over without", fmt.Sprintf("%.2f (rounds %.2f)", r.MedianRatio(), r.Ratio)},
 	} {
--- /dev/null
+++ b/internal/admin/gatherer.go
@@ -0,0 +1,141 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"eiderwinch/internal/layout"
+	"eiderwinch/internal/layoutfile"
+	"eiderwinch/internal/netio"
+	"eiderwinch/internal/service"
+)
+
+// Node is a gatherer, as its admin socket uses it.
+type Node interface {
+	State(ctx context.Context, after int64) (netio.State, bool)
+	Adopt(*layout.Layout)
+}
+
+// GathererState is what a gatherer tells of itself.
+type GathererState struct {
+	Name     string           `json:"name"`
+	Epoch    layout.Epoch     `json:"epoch"`
+	Oldest   layout.Epoch     `json:"oldest"` // that an open query is bound to
+	Draining bool             `json:"draining"`
+	Service  []service.Window `json:"service,omitempty"`
+}
+
+// Gatherer is the admin socket of a gatherer.
+//
+//	GET /v1/state?after=SECOND   GathererState, with the seconds after that one
+//	PUT /v1/layout               an epoch, as a layout file
+type Gatherer struct {
+	Name string
+	Node Node
+	// Layout is the file that an epoch is written to before it is taken up, so
+	// that a gatherer that is started again never goes back to an older one: its
+	// coordinator counts on that when it lets old holders forget a segment. Empty
+	// means that epochs are not taken here.
+	Layout string
+	// Keeper adds what is answered of the configuration; nil adds nothing.
+	Keeper func(*http.ServeMux)
+}
+
+// Handler answers on the socket.
+func (g *Gatherer) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/state", g.state)
+	m.HandleFunc("PUT /v1/layout", g.layout)
+	if g.Keeper != nil {
+		g.Keeper(m)
+	}
+	return m
+}
+
+var errNotServing = errors.New("the gatherer does not serve yet, or has ended")
+
+func (g *Gatherer) state(w http.ResponseWriter, r *http.Request) {
+	after := int64(0)
+	if s := r.FormValue("after"); s != "" {
+		var err error
+		if after, err = strconv.ParseInt(s, 10, 64); err != nil {
+			Refuse(w, http.StatusBadRequest, fmt.Errorf("after: found %.40q, want a second", s))
+			return
+		}
+	}
+	s, ok := g.Node.State(r.Context(), after)
+	if !ok {
+		Refuse(w, http.StatusServiceUnavailable, errNotServing)
+		return
+	}
+	Answer(w, http.StatusOK, GathererState{g.Name, s.Epoch, s.Oldest, s.Draining, s.Service})
+}
+
+func (g *Gatherer) layout(w http.ResponseWriter, r *http.Request) {
+	if g.Layout == "" {
+		Refuse(w, http.StatusForbidden, errors.New("this gatherer does not follow a coordinator: see layout/@follow in the operators' file"))
+		return
+	}
+	var text bytes.Buffer
+	if _, err := text.ReadFrom(r.Body); err != nil {
+		Refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	l, fleet, err := layoutfile.Read("layout", bytes.NewReader(text.Bytes()))
+	if err == nil {
+		err = l.Check(fleet)
+	}
+	if err != nil {
+		Refuse(w, http.StatusUnprocessableEntity, err)
+		return
+	}
+	s, ok := g.Node.State(r.Context(), 1<<62)
+	switch {
+	case !ok:
+		Refuse(w, http.StatusServiceUnavailable, errNotServing)
+		return
+	case l.Epoch() < s.Epoch:
+		Refuse(w, http.StatusConflict, fmt.Errorf("found epoch %d, want one after %d", l.Epoch(), s.Epoch))
+		return
+	case l.Epoch() > s.Epoch:
+		if err := Keep(g.Layout, text.Bytes()); err != nil {
+			Refuse(w, http.StatusInternalServerError, fmt.Errorf("epoch %d is not taken up: %w", l.Epoch(), err))
+			return
+		}
+		g.Node.Adopt(l)
+	}
+	Answer(w, http.StatusOK, GathererState{Name: g.Name, Epoch: l.Epoch(), Oldest: s.Oldest, Draining: s.Draining})
+}
+
+// Keep replaces a file by a text, so that it holds the old text or the new one
+// whole whenever the machine stops.
+func Keep(path string, text []byte) (err error) {
+	dir := filepath.Dir(path)
+	f, err := os.CreateTemp(dir, "."+filepath.Base(path)+"-*")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			_ = os.Remove(f.Name())
+		}
+	}()
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	if err = os.Rename(f.Name(), path); err != nil {
+		return err
+	}
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
--- /dev/null
+++ b/internal/bundle/bundle.go
@@ -0,0 +1,106 @@
+// Package bundle holds a gatherer's whole configuration: the platform's file, the
+// operators' file and the layout, as texts. It checks them against each other and
+// names them by a hash. It does no I/O.
+package bundle
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/zeebo/blake3"
+
+	"eiderwinch/internal/change"
+	"eiderwinch/internal/config"
+	"eiderwinch/internal/layout"
+	"eiderwinch/internal/layoutfile"
+	"eiderwinch/internal/settings"
+)
+
+// Bundle is the texts.
+type Bundle struct {
+	Platform  []byte `json:"platform"`  // JSON
+	Operators []byte `json:"operators"` // XML
+	Layout    []byte `json:"layout"`    // XML; empty: the platform's cells say who holds what
+}
+
+// MostBytes bounds a bundle. A layout of 10,000 segments is some 2 MB.
+const MostBytes = 32 << 20
+
+// Hash is the BLAKE3 hash of the texts, each with its length before it.
+func (b Bundle) Hash() change.Hash {
+	h := blake3.New()
+	for _, text := range [...][]byte{b.Platform, b.Operators, b.Layout} {
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text)))) // never fails
+		_, _ = h.Write(text)
+	}
+	return change.Hash(h.Sum(nil))
+}
+
+// Candidate is a bundle that was read.
+type Candidate struct {
+	Bundle
+	Hash   change.Hash
+	Config *config.Config
+	File   *settings.File
+	Layout *layout.Layout // nil: the platform's cells say who holds what
+	Fleet  layout.Fleet
+}
+
+// Names are the files' names, for messages.
+type Names struct{ Platform, Operators, Layout string }
+
+// ErrLarge is why a bundle is not read.
+var ErrLarge = errors.New("the configuration is too large")
+
+// Check reads a bundle and returns all that is wrong with it.
+func Check(b Bundle, n Names) (*Candidate, error) {
+	if size := len(b.Platform) + len(b.Operators) + len(b.Layout); size > MostBytes {
+		return nil, fmt.Errorf("%w: %d bytes, at most %d", ErrLarge, size, MostBytes)
+	}
+	c := &Candidate{Bundle: b, Hash: b.Hash()}
+	var errs []error
+	var err error
+	if c.Config, err = config.Parse(b.Platform); err != nil {
+		errs = append(errs, fmt.Errorf("%s: %w", n.Platform, err))
+	}
+	if c.File, err = settings.Read(n.Operators, bytes.NewReader(b.Operators)); err != nil {
+		errs = append(errs, err)
+	}
+	if c.Config != nil && c.File != nil {
+		errs = append(errs, c.File.Fit(n.Operators, c.Config.Settings))
+	}
+	if len(b.Layout) > 0 {
+		if c.Layout, c.Fleet, err = layoutfile.Read(n.Layout, bytes.NewReader(b.Layout)); err != nil {
+			errs = append(errs, err)
+		} else if err := c.Layout.Check(c.Fleet); err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", n.Layout, err))
+		}
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Restart names what differs between two candidates and takes effect at the next
+// start only: the listener, descriptors, what the decisions are told at a start.
+func Restart(now, next *Candidate) (keys []string) {
+	keys = now.Config.Pending(next.Config)
+	for _, at := range []struct {
+		key     string
+		differs bool
+	}{
+		{"admin", now.File.Admin != next.File.Admin},
+		{"layout/@follow", now.File.Follow != next.File.Follow},
+		{"layout", (now.Layout == nil) != (next.Layout == nil)},
+	} {
+		if at.differs {
+			keys = append(keys, at.key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/coordinator/serve.go
@@ -0,0 +1,160 @@
+package coordinator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"eiderwinch/internal/admin"
+	"eiderwinch/internal/layout"
+	"eiderwinch/internal/migrate"
+	"eiderwinch/internal/reshard"
+)
+
+// Handler answers on the coordinator's admin socket.
+//
+//	GET  /v1/status               admin.Status
+//	GET  /v1/layout               the layout in force, as a file
+//	POST /v1/changes              admin.Submission; []admin.Taken
+//	POST /v1/changes/{job}/abort  admin.Abortion
+func (c *Coordinator) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		if s, err := c.Status(); err != nil {
+			admin.Refuse(w, http.StatusServiceUnavailable, err)
+		} else {
+			admin.Answer(w, http.StatusOK, s)
+		}
+	})
+	m.HandleFunc("GET /v1/layout", func(w http.ResponseWriter, _ *http.Request) {
+		c.mu.Lock()
+		text := c.text
+		c.mu.Unlock()
+		w.Header().Set("Content-Type", "application/xml")
+		_, _ = w.Write(text) // where it fails, whoever asked has left
+	})
+	m.HandleFunc("POST /v1/changes", c.submit)
+	m.HandleFunc("POST /v1/changes/{job}/abort", c.abort)
+	return m
+}
+
+// Submit asks for a change, and returns its number or why it was refused.
+func (c *Coordinator) Submit(change layout.Change) (reshard.JobID, error) {
+	return c.driver.Submit(change)
+}
+
+// Abort asks for a change to be undone.
+func (c *Coordinator) Abort(id reshard.JobID, reason string) error { return c.driver.Abort(id, reason) }
+
+// Status is how things stand.
+func (c *Coordinator) Status() (s admin.Status, err error) {
+	err = c.driver.Look(func(m *reshard.Coordinator) {
+		s.Epoch, s.Segments, s.Counts = m.Layout().Epoch(), m.Layout().Len(), m.Counts()
+		s.Jobs = []admin.Job{}
+		for _, j := range m.Jobs() {
+			s.Jobs = append(s.Jobs, admin.Job{
+				Job: j.Job, Phase: j.Phase.String(), Over: j.Phase.Over(), Heirs: j.Heirs, Copied: j.Copied, Of: j.Of,
+				Reason: j.Reason, Change: admin.NewChange(j.Change, ""),
+			})
+		}
+	})
+	if err != nil {
+		return admin.Status{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.Term, s.Rows, s.Custody = c.term, c.rows, c.ledger.Counts()
+	s.BaseMS = float64(c.meter.Base()) / float64(time.Millisecond)
+	for _, p := range c.opts.Gatherers {
+		epoch, up := c.gatherers[p.Name]
+		s.Gatherers = append(s.Gatherers, admin.PeerState{Name: p.Name, Epoch: epoch, Up: up})
+	}
+	down := c.ledger.Down()
+	for _, id := range c.ledger.Searchers() {
+		s.Searchers = append(s.Searchers, admin.PeerState{Name: id, Up: !slices.Contains(down, id)})
+	}
+	return s, nil
+}
+
+// maxChanges bounds one submission; a coordinator holds no more than that by default.
+const maxChanges = 64
+
+var errEpoch = errors.New("the layout has changed since")
+
+func (c *Coordinator) submit(w http.ResponseWriter, r *http.Request) {
+	var in admin.Submission
+	if !read(w, r, &in) {
+		return
+	}
+	var list []layout.Change
+	for i, x := range in.Changes {
+		change, err := x.Layout()
+		if err != nil {
+			admin.Refuse(w, http.StatusBadRequest, fmt.Errorf("change %d: %w", i+1, err))
+			return
+		}
+		list = append(list, change)
+	}
+	if len(list) == 0 || len(list) > maxChanges {
+		admin.Refuse(w, http.StatusBadRequest, fmt.Errorf("found %d changes, want 1 to %d", len(list), maxChanges))
+		return
+	}
+	c.mu.Lock()
+	epoch := c.layout.Epoch()
+	c.mu.Unlock()
+	if in.Epoch != 0 && in.Epoch != epoch {
+		admin.Refuse(w, http.StatusConflict, fmt.Errorf("%w: the changes are for epoch %d, in force is %d", errEpoch, in.Epoch, epoch))
+		return
+	}
+	var out []admin.Taken
+	for _, change := range list {
+		id, err := c.Submit(change)
+		if errors.Is(err, migrate.ErrEnded) {
+			admin.Refuse(w, http.StatusServiceUnavailable, err)
+			return
+		}
+		t := admin.Taken{Job: id}
+		if err != nil {
+			t.Error = err.Error()
+		}
+		out = append(out, t)
+	}
+	admin.Answer(w, http.StatusOK, out)
+}
+
+func (c *Coordinator) abort(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseUint(r.PathValue("job"), 10, 64)
+	if err != nil {
+		admin.Refuse(w, http.StatusBadRequest, fmt.Errorf("found change %.40q, want a number", r.PathValue("job")))
+		return
+	}
+	var in admin.Abortion
+	if !read(w, r, &in) {
+		return
+	}
+	switch err := c.Abort(reshard.JobID(id), in.Reason); {
+	case err == nil:
+		admin.Answer(w, http.StatusOK, struct{}{})
+	case errors.Is(err, reshard.ErrNoJob):
+		admin.Refuse(w, http.StatusNotFound, err)
+	case errors.Is(err, reshard.ErrTooLate):
+		admin.Refuse(w, http.StatusConflict, err)
+	default:
+		admin.Refuse(w, http.StatusServiceUnavailable, err)
+	}
+}
+
+// read reads a request's JSON.
+func read(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		admin.Refuse(w, http.StatusBadRequest, err)
+		return false
+	}
+	return true
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,25 +3,67 @@
 package daemon
 
 import (
+	"cmp"
 	"log/slog"
 
 	"eiderwinch"
+	"eiderwinch/internal/bundle"
+	"eiderwinch/internal/change"
 	"eiderwinch/internal/config"
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/netio"
+	"eiderwinch/internal/service"
 	"eiderwinch/internal/stats"
 )
 
-// New returns a gatherer that is to be started with its Run. The layout may be
-// nil: then the platform's cells say who holds what.
-func New(cfg *config.Config, l *layout.Layout, counters *stats.Counters, log *slog.Logger) *netio.Node {
+// Options are what a gatherer does beside its configuration.
+type Options struct {
+	Layout *layout.Layout // nil: the platform's cells say who holds what
+	Live   *netio.Live    // the settings that can change; nil: as the configuration says
+	Record bool           // how queries fare is recorded, for its admin socket
+}
+
+// New returns a gatherer that is to be started with its Run.
+func New(cfg *config.Config, o Options, counters *stats.Counters, log *slog.Logger) *netio.Node {
 	limits := cfg.Settings.Limits
+	var recorder *service.Recorder
+	if o.Record {
+		var names []string
+		for _, c := range cfg.Settings.Module.Classes {
+			names = append(names, c.Name)
+		}
+		recorder = service.New(names)
+	}
+	live := netio.Live{Multiplex: limits.Multiplex, ConnectTimeout: limits.ConnectTimeout, ConnIdle: limits.ConnIdle}
+	if o.Live != nil {
+		live = *o.Live
+	}
 	return netio.New(netio.Config{
 		Listen: cfg.Listen, Discovery: cfg.Discovery, Known: cfg.Known, Sockets: cfg.Sockets,
-		Multiplex: limits.Multiplex, ConnectTimeout: limits.ConnectTimeout, ConnIdle: limits.ConnIdle,
+		Multiplex: live.Multiplex, ConnectTimeout: live.ConnectTimeout, ConnIdle: live.ConnIdle,
 		Gatherer: gatherer.Settings{
-			Module: cfg.Settings.Module, Tick: limits.Tick, MaxOpen: limits.MaxOpen, DrainGrace: limits.DrainGrace, Layout: l,
+			Module: cfg.Settings.Module, Tick: limits.Tick, MaxOpen: limits.MaxOpen, DrainGrace: limits.DrainGrace,
+			Layout: o.Layout, Live: live.Core, Service: recorder,
 		},
 	}, eiderwinch.New(cfg.Settings.Module), counters, log)
 }
+
+// Live is what a candidate tells a running gatherer, as a generation.
+func Live(c *bundle.Candidate, gen change.Generation) netio.Live {
+	limits, own := c.Config.Settings.Limits, c.File.Live
+	core := &gatherer.Live{Generation: uint64(gen), MaxOpen: cmp.Or(own.Admission.Open, limits.MaxOpen)}
+	core.Classes = make([]gatherer.ClassLimits, len(c.Config.Settings.Module.Classes))
+	for i, k := range c.Config.Settings.Module.Classes {
+		for _, o := range own.Classes {
+			if o.Name == k.Name {
+				core.Classes[i] = gatherer.ClassLimits{Within: o.Within, Attempts: o.Attempts, Open: o.Open}
+			}
+		}
+	}
+	return netio.Live{
+		Core: core, Multiplex: cmp.Or(own.Pools.Multiplex, limits.Multiplex),
+		ConnectTimeout: cmp.Or(own.Pools.ConnectTimeout, limits.ConnectTimeout), ConnIdle: cmp.Or(own.Pools.Idle, limits.ConnIdle),
+		Discovery: c.Config.Discovery, Layout: c.Layout,
+	}
+}
--- a/internal/gatherer/book.go
+++ b/internal/gatherer/book.go
@@ -15,6 +15,8 @@
 	key      string
 	text     string
 	client   Client
+	live     *Live // the settings that it was taken under
+	taken    time.Time
 	deadline time.Time
 	layout   *layout.Layout // the epoch that it is bound to; nil if there is no layout
 	parts    []*part        // of the present step
@@ -64,11 +66,13 @@
 	return c.lastID
 }
 
-func (c *Core) book(a Ask, class int, client Client, deadline time.Time) *query {
+func (c *Core) book(now time.Time, a Ask, class int, client Client) *query {
 	q := &query{
-		id: c.newID(), trace: a.Trace, class: class, text: a.Text, client: client, deadline: deadline, layout: c.layout,
+		id: c.newID(), trace: a.Trace, class: class, text: a.Text, client: client, live: c.live, layout: c.layout,
+		taken: now, deadline: now.Add(a.Expires),
 	}
 	c.bound[q.epoch()]++
+	c.openOf[class]++
 	if c.set.Module.Classes[class].Effect == eiderwinch.Keyed {
 		q.key = a.Key
 	}
@@ -110,6 +114,7 @@
 
 func (c *Core) close(q *query) {
 	c.unbind(q)
+	c.openOf[q.class]--
 	c.dropParts(q)
 	c.open--
 	delete(c.queries, q.id)
@@ -161,6 +166,12 @@
 	return !ok || m.state != eiderwinch.Ready && now.Sub(m.leaving) >= c.set.DrainGrace
 }
 
+// Ready tells that a searcher is in the list and takes new work.
+func (c *Core) Ready(id string) bool {
+	m, ok := c.members[id]
+	return ok && m.state == eiderwinch.Ready
+}
+
 // Listed tells that a searcher is in the list.
 func (c *Core) Listed(id string) bool {
 	m, ok := c.members[id]
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -5,6 +5,7 @@
 //
 // A query passes these stages, each in a file of its own:
 //
+//	live    the settings that can change, of which each query keeps its own
 //	epoch   binds a query to one epoch of the layout
 //	intake  checks what a client asks and what discovery tells
 //	admit   refuses at once what is over the limit on open queries
@@ -20,6 +21,7 @@
 
 	"eiderwinch"
 	"eiderwinch/internal/layout"
+	"eiderwinch/internal/service"
 	"eiderwinch/internal/stats"
 )
 
@@ -61,6 +63,7 @@
 	Pieces     []Piece       // Answered: what the searchers gave
 	RetryAfter time.Duration // Refused: when to come back; 0 means no advice
 	Overdue    bool          // Failed: its time was over
+	Generation uint64        // of the settings that the query was taken under; 0 if they can't change
 	Epoch      layout.Epoch  // of the layout that the query was bound to; 0 if there is none
 }
 
@@ -74,12 +77,18 @@
 type Settings struct {
 	Module     eiderwinch.Settings
 	Tick       time.Duration
-	MaxOpen    int           // queries and parts held at once; 0 means no limit
+	MaxOpen    int           // queries and parts held at once, where Live is nil; 0 means no limit
 	DrainGrace time.Duration // no send to a searcher that is leaving after that
 
 	// Layout is the epoch to begin with. Nil means that the module's settings say
 	// which segments there are and that searchers' cells say who holds them.
 	Layout *layout.Layout
+
+	// Live is what can change while queries run. Nil means MaxOpen and no more.
+	Live *Live
+
+	// Service records how queries fare, by the numbers of their classes. Nil: nothing does.
+	Service *service.Recorder
 }
 
 // Core is the gatherer's core.
@@ -103,13 +112,19 @@
 	attempts []*Attempt       // in the order they were sent
 	open     int              // open queries and parts
 	members  map[string]member
+	live     *Live
+	openOf   []int // open queries by class
 	layout   *layout.Layout
 	bound    map[layout.Epoch]int // open queries by the epoch they are bound to
 }
 
 // New returns a core whose clock starts at start.
 func New(set Settings, d Decider, s Searchers, counters *stats.Counters, log *slog.Logger, start time.Time) *Core {
+	if set.Live == nil {
+		set.Live = &Live{MaxOpen: set.MaxOpen}
+	}
 	return &Core{
+		live: set.Live, openOf: make([]int, len(set.Module.Classes)),
 		set: set, decide: d, searchers: s, stats: counters, log: log,
 		start: start, next: start,
 		queries: make(map[uint64]*query),
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -8,6 +8,7 @@
 
 	"eiderwinch"
 	"eiderwinch/internal/layout"
+	"eiderwinch/internal/service"
 )
 
 // Ask is a query as a client asks it.
@@ -51,16 +52,25 @@
 		return 0, err
 	}
 	c.stats.Taken++
-	if wait, ok := c.admit(a); !ok {
-		client.Reply(Reply{Verdict: Refused, RetryAfter: wait})
+	if c.set.Service != nil {
+		c.set.Service.Take(now, class)
+	}
+	if wait, ok := c.admit(a, class); !ok {
+		c.record(now, class, Reply{Verdict: Refused}, 0)
+		client.Reply(Reply{Verdict: Refused, RetryAfter: wait, Generation: c.live.Generation})
 		return 0, nil
 	}
 	if longest := c.set.Module.Classes[class].Deadline; a.Expires == 0 || a.Expires > longest {
 		a.Expires = longest // nobody's patience is longer, whatever a client states
 	}
-	q := c.book(a, class, client, now.Add(a.Expires))
+	own := c.live.class(class)
+	if own.Within > 0 {
+		a.Expires = min(a.Expires, own.Within)
+	}
+	q := c.book(now, a, class, client)
 	event := eiderwinch.Query{
 		ID: q.id, Class: class, Key: a.About, Repeat: a.Repeat, Tenant: c.tenant(a.Tenant),
+		Attempts: own.Attempts,
 	}
 	for _, p := range q.parts {
 		event.Parts = append(event.Parts, p.told())
@@ -126,6 +136,9 @@
 func (c *Core) Gone(now time.Time, id uint64) {
 	if q := c.queries[id]; q != nil {
 		c.stats.Gone++
+		if c.set.Service != nil {
+			c.set.Service.Record(now, q.class, service.Gone, now.Sub(q.taken))
+		}
 		c.tell(now, eiderwinch.Gone{Query: id})
 		c.close(q)
 	}
--- a/internal/gatherer/relay.go
+++ b/internal/gatherer/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eiderwinch"
+	"eiderwinch/internal/service"
 )
 
 // slack is how far sums of weights may fall short: they are rounded on their way.
@@ -116,7 +117,25 @@
 	default:
 		c.stats.Partial++
 	}
+	c.record(c.now, q.class, r, c.now.Sub(q.taken))
 	c.close(q)
-	r.Epoch = q.epoch()
+	r.Epoch, r.Generation = q.epoch(), q.live.Generation
 	q.client.Reply(r)
 }
+
+// record books how a query fared, where that is recorded.
+func (c *Core) record(now time.Time, class int, r Reply, took time.Duration) {
+	if c.set.Service == nil {
+		return
+	}
+	o := service.Partial
+	switch {
+	case r.Verdict == Refused:
+		o = service.Refused
+	case r.Verdict == Failed:
+		o = service.Failed
+	case r.Whole:
+		o = service.Whole
+	}
+	c.set.Service.Record(now, class, o, took)
+}
--- a/internal/gatherer/send.go
+++ b/internal/gatherer/send.go
@@ -36,6 +36,9 @@
 		return nil
 	}
 	most := c.set.Module.MaxAttempts
+	if own := p.query.live.class(p.query.class).Attempts; own > 0 && (most == 0 || own < most) {
+		most = own
+	}
 	holders := p.query.holders(p.shard)
 	stranger := holders != nil && !slices.Contains(holders, x.Replica)
 	if p.over || p.out != nil || most > 0 && p.tries >= most || stranger || c.barred(x.Replica, c.now) {
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -86,7 +86,7 @@
 			return nil, buf, bad("malformed field %q", line)
 		}
 		value = strings.Trim(value, " \t")
-		if strings.ContainsAny(value, "\r\n\x00") {
+		if strings.ContainsFunc(value, isControl) {
 			return nil, buf, bad("malformed value of field %q", name)
 		}
 		h.header = append(h.header, Field{strings.ToLower(name), value})
@@ -94,6 +94,9 @@
 	return h, buf[end+4:], nil
 }
 
+// isControl tells a rune that no field's value may hold (RFC 9110, 5.5).
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
 // isToken tells whether s is a token as field names and methods are.
 func isToken(s string) bool {
 	for i := range len(s) {
@@ -127,6 +130,11 @@
 			chunked = true
 		}
 	}
+	for _, name := range [...]string{"transfer-encoding", "content-length", "trailer"} {
+		if chunked && h.has("trailer", name) { // they must not come behind the body (RFC 9110, 6.5.1)
+			return body{}, bad("trailer announces %s", name)
+		}
+	}
 	switch {
 	case chunked && seen: // whichever a peer believes, the other is smuggled in
 		return body{}, bad("both content-length and transfer-encoding")
@@ -165,10 +173,18 @@
 type body struct {
 	state    bodyState
 	left     int64
-	trailing int // bytes of trailer so far
+	trailing int   // bytes of trailer so far
+	excess   int64 // bytes of chunk lines beyond what chunks of that size need
 }
 
-const maxChunkLine = 256
+const (
+	maxChunkLine = 256
+	// maxExcess bounds what chunk lines and their extensions may take beyond
+	// chunkCost and twice the data: a body of single bytes with an extension each
+	// would cost its reader hundreds of times its length.
+	maxExcess = 16 << 10
+	chunkCost = 16
+)
 
 // decode passes on what it can of src to emit, and returns what it has not used.
 func (b *body) decode(src []byte, emit func([]byte) error) (rest []byte, err error) {
@@ -222,11 +238,17 @@
 		}
 		b.state = chunkSize
 	case chunkSize:
-		size, _, _ := bytes.Cut(line, []byte(";"))
+		size, extension, _ := bytes.Cut(line, []byte(";"))
+		if bytes.ContainsAny(extension, "\r\n\x00") { // another reader may end the line there
+			return bad("malformed chunk extension")
+		}
 		n, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 31)
 		if err != nil {
 			return bad("malformed chunk size")
 		}
+		if b.excess = max(b.excess+int64(len(line))+2-chunkCost-2*int64(n), 0); b.excess > maxExcess {
+			return bad("the chunked body is mostly not data")
+		}
 		b.left, b.state = int64(n), chunkData
 		if n == 0 {
 			b.state = trailer
@@ -237,6 +259,11 @@
 		}
 		if len(line) == 0 {
 			b.state = done
+			return nil
+		}
+		name, value, ok := strings.Cut(string(line), ":")
+		if !ok || !isToken(name) || strings.ContainsFunc(value, isControl) {
+			return bad("malformed trailer %q", line)
 		}
 	}
 	return nil
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -1,7 +1,10 @@
 package http1
 
 import (
+	"bufio"
 	"errors"
+	"io"
+	"net/http"
 	"reflect"
 	"strings"
 	"testing"
@@ -62,18 +65,27 @@
 
 func TestRequestsThatCantBeRead(t *testing.T) {
 	for text, want := range map[string]int{
-		"POST /a\r\n\r\n":                                                                        400,
-		"POST a HTTP/1.1\r\n\r\n":                                                                400,
-		"P(ST /a HTTP/1.1\r\n\r\n":                                                               400,
-		"POST /a HTTP/2.0\r\n\r\n":                                                               505,
-		post + "no colon\r\n\r\n":                                                                400,
-		post + "A : b\r\n\r\n":                                                                   400,
-		post + " folded: b\r\n\r\n":                                                              400,
-		post + "A: b\nC: d\r\n\r\n":                                                              400,
-		post + "Content-Length: -1\r\n\r\n":                                                      400,
-		post + "Content-Length: 1x\r\n\r\n":                                                      400,
-		post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n":                                  400,
-		post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n":                         400, // smuggling
+		"POST /a\r\n\r\n":                                                               400,
+		"POST a HTTP/1.1\r\n\r\n":                                                       400,
+		"P(ST /a HTTP/1.1\r\n\r\n":                                                      400,
+		"POST /a HTTP/2.0\r\n\r\n":                                                      505,
+		post + "no colon\r\n\r\n":                                                       400,
+		post + "A : b\r\n\r\n":                                                          400,
+		post + " folded: b\r\n\r\n":                                                     400,
+		post + "A: b\nC: d\r\n\r\n":                                                     400,
+		post + "Content-Length: -1\r\n\r\n":                                             400,
+		post + "Content-Length: 1x\r\n\r\n":                                             400,
+		post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n":                         400,
+		post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n":                400, // smuggling
+		post + "Host: c\r\n\r\n":                                                        400,
+		post + "A: b\x01\r\n\r\n":                                                       400,
+		"POST /a%2 HTTP/1.1\r\n\r\n":                                                    400,
+		"POST /a\nb HTTP/1.1\r\n\r\n":                                                   400,
+		"POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n":                        400,
+		post + "Transfer-Encoding: chunked\r\n\r\n1;x\n\r\na\r\n":                       400,
+		post + "Transfer-Encoding: chunked\r\n\r\n0\r\nno colon\r\n\r\n":                400,
+		post + "Transfer-Encoding: chunked\r\nTrailer: Content-Length\r\n\r\n0\r\n\r\n": 400,
+		post + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1;"+strings.Repeat("x", 200)+"\r\na\r\n", 200): 400,
 		post + "Transfer-Encoding: gzip\r\n\r\n":                                                 501,
 		post + "Transfer-Encoding: gzip, chunked\r\n\r\n":                                        501,
 		post + "Content-Length: 65537\r\n\r\n":                                                   413,
@@ -153,6 +165,38 @@
 	}
 }
 
+// FuzzAgainstStandardLibrary holds the parser against net/http: what ours takes,
+// that must take too, with the same body. A request that two readers understand
+// differently is a way to smuggle another one in.
+func FuzzAgainstStandardLibrary(f *testing.F) {
+	for _, s := range []string{
+		post + "Content-Length: 3\r\n\r\nabc",
+		post + "Transfer-Encoding: chunked\r\n\r\n1;a=b\r\na\r\n2 \r\nbc\r\n0\r\nX: y\r\n\r\n",
+		post + "Host: c\r\n\r\n", "GET /%41?%zz HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+		post + "Transfer-Encoding: chunked\r\nTrailer: X\r\n\r\n1;x\n\r\na\r\n0\r\n\r\n",
+	} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		list, _ := parse(text, len(text)+1)
+		if len(list) == 0 {
+			return
+		}
+		ours := list[0]
+		for strings.HasPrefix(text, "\r\n") {
+			text = text[2:] // net/http takes no blank lines before a request
+		}
+		theirs, err := http.ReadRequest(bufio.NewReaderSize(strings.NewReader(text), 1<<20))
+		if err != nil {
+			t.Fatalf("%q: net/http refuses it: %v", text, err)
+		}
+		body, err := io.ReadAll(theirs.Body)
+		if err != nil || string(body) != string(ours.Body) || theirs.Method != ours.Method || theirs.RequestURI != ours.Target {
+			t.Fatalf("%q: ours %s %s with %q, theirs %s %s with %q, %v", text, ours.Method, ours.Target, ours.Body, theirs.Method, theirs.RequestURI, body, err)
+		}
+	})
+}
+
 // FuzzRequests holds the parser to its bounds, and to the same requests however the bytes are cut.
 func FuzzRequests(f *testing.F) {
 	f.Add(post + "Content-Length: 3\r\n\r\nabc" + post + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n")
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -82,6 +82,21 @@
 	if f[2] != "HTTP/1.1" && f[2] != "HTTP/1.0" {
 		return &Error{Status: 505, Reason: "unknown version"}
 	}
+	if !isTarget(f[1]) {
+		return bad("malformed target")
+	}
+	hosts := 0
+	for _, x := range h {
+		if x.Name == "host" {
+			hosts++
+		}
+		if x.Name == "transfer-encoding" && f[2] == "HTTP/1.0" { // readers differ on what it means there
+			return bad("transfer-encoding in HTTP/1.0")
+		}
+	}
+	if hosts > 1 { // whichever a peer believes (RFC 9112, 3.2)
+		return bad("%d host fields", hosts)
+	}
 	r := &Request{Method: f[0], Target: f[1], Header: h, Close: h.has("connection", "close")}
 	r.Close = r.Close || f[2] == "HTTP/1.0" && !h.has("connection", "keep-alive")
 	if p.body, err = bodyOf(h, false); err != nil {
@@ -96,6 +111,25 @@
 	return nil
 }
 
+// isTarget tells whether a target can be read by all: no controls, and whole
+// escapes in its path.
+func isTarget(s string) bool {
+	path, _, _ := strings.Cut(s, "?")
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] == 0x7f {
+			return false
+		}
+		if s[i] == '%' && i < len(path) && (i+2 >= len(path) || !isHex(path[i+1]) || !isHex(path[i+2])) {
+			return false
+		}
+	}
+	return true
+}
+
+func isHex(c byte) bool {
+	return '0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F'
+}
+
 // AppendRequest appends a request without a body.
 func AppendRequest(dst []byte, method, target, host string) []byte {
 	dst = append(dst, method...)
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,296 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"eiderwinch/internal/bundle"
+	"eiderwinch/internal/change"
+	"eiderwinch/internal/daemon"
+	"eiderwinch/internal/history"
+	"eiderwinch/internal/netio"
+	"eiderwinch/internal/service"
+)
+
+// fakeNode is a gatherer whose service the test makes up.
+type fakeNode struct {
+	mu      sync.Mutex
+	applied []netio.Live
+	windows []service.Window
+	refuse  error
+	list    []netio.Searcher
+}
+
+func (n *fakeNode) State(_ context.Context, after int64) (netio.State, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var s netio.State
+	for _, w := range n.windows {
+		if w.Second > after {
+			s.Service = append(s.Service, w)
+		}
+	}
+	return s, true
+}
+
+func (n *fakeNode) Apply(_ context.Context, l netio.Live) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refuse != nil {
+		return n.refuse
+	}
+	n.applied = append(n.applied, l)
+	return nil
+}
+
+func (n *fakeNode) Searchers(context.Context) ([]netio.Searcher, bool) { return n.list, true }
+
+func (n *fakeNode) last() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.applied) == 0 {
+		return 1
+	}
+	return n.applied[len(n.applied)-1].Core.Generation
+}
+
+const platform = `{"name":"n","listen":"127.0.0.1:0","discovery":%q,"limits":{"memory_mb":192,"sockets":1024},"known":{"revision":1,"members":[]},
+	"settings":{"membership_mode":"pushed","domain":{"places":1,"in_a_row":1,"shards":4,"per_call":4},"policy_limits":{"max_open":1000,"attempts_cap":3},
+	"classes":[{"name":"search","aim":1000000000,"deadline":4000000000,"effect":"safe","worth":1}]}}`
+
+func operators(inner string) []byte {
+	return []byte(`<eiderwinch xmlns="urn:eiderwinch:operators:1">` + inner + `</eiderwinch>`)
+}
+
+// start starts a keeper of a fake node, with a discovery that connects.
+func start(t testing.TB, h History) (*Keeper, *fakeNode) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	boot, err := bundle.Check(bundle.Bundle{Platform: fmt.Appendf(nil, platform, l.Addr()), Operators: operators("")}, bundle.Names{Operators: "e.xml"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &fakeNode{}
+	ctx, stop := context.WithCancel(context.Background())
+	k := Start(ctx, Options{
+		Node: n, Boot: boot, Machine: change.New(boot.Hash, change.Limits{}), History: h, Live: daemon.Live, Logger: slog.New(slog.DiscardHandler),
+		Names: bundle.Names{Operators: "e.xml"}, Read: func() (bundle.Bundle, string, error) { return boot.Bundle, "", nil },
+	})
+	t.Cleanup(func() {
+		stop()
+		_ = k.Wait()
+		_ = l.Close()
+	})
+	return k, n
+}
+
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not come about", what)
+		}
+	}
+}
+
+func (k *Keeper) state(t *testing.T, tx change.Tx) string {
+	t.Helper()
+	s, err := k.Status(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range s.Transactions {
+		if x.Tx == tx {
+			return x.State
+		}
+	}
+	return "unknown"
+}
+
+func stage(t *testing.T, k *Keeper, inner string) change.Tx {
+	t.Helper()
+	s, err := k.Stage(context.Background(), bundle.Bundle{Operators: operators(inner)}, 0, "test", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Tx
+}
+
+func TestAChangeIsAppliedConfirmedAndShown(t *testing.T) {
+	k, n := start(t, nil)
+	ctx := context.Background()
+	tx := stage(t, k, `<class name="search" open="7" attempts="2"/><pools multiplex="3"/>`)
+	by := false
+	if err := k.Apply(ctx, tx, time.Minute, &by); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "probation", func() bool { return k.state(t, tx) == "probation" })
+	if l := n.applied[0]; l.Core.Generation != 2 || l.Core.Classes[0].Open != 7 || l.Core.Classes[0].Attempts != 2 || l.Multiplex != 3 || l.Core.MaxOpen != 1000 {
+		t.Errorf("applied %+v with %+v", l, l.Core)
+	}
+	other := stage(t, k, `<pools multiplex="4"/>`)
+	if err := k.Apply(ctx, other, 0, nil); !errors.Is(err, change.ErrBusy) {
+		t.Errorf("a second one: %v", err)
+	}
+	if err := k.Confirm(ctx, tx); err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Apply(ctx, other, 0, nil); !errors.Is(err, change.ErrStale) {
+		t.Errorf("one made against the generation before: %v", err)
+	}
+	if b, err := k.Show(ctx, 2); err != nil || !strings.Contains(string(b.Operators), `multiplex="3"`) {
+		t.Errorf("generation 2: %v, %s", err, b.Operators)
+	}
+	if _, err := k.Show(ctx, 9); err == nil {
+		t.Error("generation 9 is shown")
+	}
+	if _, err := k.Stage(ctx, bundle.Bundle{Operators: operators(`<class name="search" within="5s" copies="2"/><class name="x"/>`)}, 0, "", ""); err == nil ||
+		!strings.Contains(err.Error(), "copies=2") {
+		t.Errorf("one that breaks the rules: %v", err)
+	}
+	if _, err := k.Stage(ctx, bundle.Bundle{Operators: operators(`<class name="search" within="5s"/><admission open="900000"/>`)}, 0, "", ""); err == nil ||
+		!strings.Contains(err.Error(), "at most the deadline of search, 4s") || !strings.Contains(err.Error(), "at most max_open, 1000") {
+		t.Errorf("one that does not fit: %v", err)
+	}
+}
+
+func TestServiceFallsAndTheChangeIsUndone(t *testing.T) {
+	k, n := start(t, nil)
+	second := time.Now().Unix() - 100
+	add := func(failed int) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		second++
+		n.windows = append(n.windows, service.Window{Second: second, Classes: []service.Class{{
+			Name: "search", Taken: 100, Whole: 100 - failed, Failed: failed, Times: []service.Count{{Micros: 20_000, N: int64(100 - failed)}},
+		}}})
+	}
+	for range 60 {
+		add(0)
+	}
+	tx := stage(t, k, `<class name="search" within="20ms"/>`)
+	if err := k.Apply(context.Background(), tx, time.Hour, nil); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "probation", func() bool { return k.state(t, tx) == "probation" })
+	add(60) // the second of the change itself
+	add(60)
+	add(60)
+	until(t, "the undo", func() bool { return k.state(t, tx) == "undone" })
+	if n.last() != 1 {
+		t.Errorf("generation %d is in force", n.last())
+	}
+	s, _ := k.Status(context.Background())
+	if len(s.Falls) == 0 || !strings.Contains(s.Transactions[0].Reason, "service fell: search: 60.0%") {
+		t.Errorf("%+v", s)
+	}
+}
+
+func TestASwapThatFailsIsUndone(t *testing.T) {
+	k, n := start(t, nil)
+	n.refuse = netio.ErrNotServing
+	tx := stage(t, k, `<pools multiplex="4"/>`)
+	if err := k.Apply(context.Background(), tx, 0, nil); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the undo", func() bool { return k.state(t, tx) == "undone" })
+}
+
+// What is on its way must not be lost, nor texts be held for ever.
+func TestAThousandChangesInARow(t *testing.T) {
+	h, err := history.Open(filepath.Join(t.TempDir(), "h.db"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.Close()
+	k, n := start(t, nil)
+	b, _ := k.m.Base()
+	if err := h.Begin(b, k.inForce.Bundle); err != nil {
+		t.Fatal(err)
+	}
+	ctx := context.Background()
+	most := 1000
+	if testing.Short() {
+		most = 50
+	}
+	for i := range most {
+		tx := stage(t, k, fmt.Sprintf(`<class name="search" open="%d"/>`, i+1))
+		if err := k.Apply(ctx, tx, time.Minute, nil); err != nil {
+			t.Fatal(err)
+		}
+		until(t, "probation", func() bool { return k.Confirm(ctx, tx) == nil })
+	}
+	if n.last() != uint64(most)+1 {
+		t.Errorf("generation %d", n.last())
+	}
+	_ = k.do(ctx, func() {
+		if len(k.texts) > keptTexts+2 || len(k.recent) != len(k.texts) || len(k.m.Txs()) > 256 {
+			t.Errorf("%d texts, %d names of them and %d transactions are held", len(k.texts), len(k.recent), len(k.m.Txs()))
+		}
+	})
+}
+
+func TestADryRunNamesSegmentsWithoutALivingHolder(t *testing.T) {
+	k, n := start(t, nil)
+	alive, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer alive.Close()
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	n.list = []netio.Searcher{{ID: "a", Addr: alive.Addr().String(), Ready: true}, {ID: "b", Addr: dead.Addr().String(), Ready: true}, {ID: "c", Addr: alive.Addr().String()}}
+	text := `<layout xmlns="urn:eiderwinch:layout:1" epoch="1" next="3" replicas="1"><searcher id="a" zone="x"/><searcher id="b" zone="x"/><searcher id="c" zone="x"/>
+		<segment id="0" to="d"><holder searcher="a"/><holder searcher="b"/></segment><segment id="1" from="d" to="k"><holder searcher="b"/></segment>
+		<segment id="2" from="k"><holder searcher="c"/></segment></layout>`
+	_, err = k.Stage(context.Background(), bundle.Bundle{Layout: []byte(text)}, 0, "", "")
+	if err == nil || !strings.Contains(err.Error(), "segment 1: none of its holders [b] can be connected to") ||
+		!strings.Contains(err.Error(), "segment 2: none of its holders [c] is ready") || strings.Contains(err.Error(), "segment 0") {
+		t.Errorf("have %v", err)
+	}
+}
+
+// FuzzAdmin holds the admin interface to answers in its form, whatever is asked.
+func FuzzAdmin(f *testing.F) {
+	for _, s := range []struct{ method, path, body string }{
+		{"POST", "/v1/config", `{"operators":"PGVpZGVyd2luY2gvPg==","note":"x"}`}, {"GET", "/v1/config", ""},
+		{"POST", "/v1/config/1/apply", `{"within_ms":1000,"auto":true}`}, {"POST", "/v1/config/1/confirm", ""},
+		{"POST", "/v1/config/1/undo", `{"reason":"x"}`}, {"GET", "/v1/config/generations/1", ""}, {"POST", "/v1/config/reload", ""},
+	} {
+		f.Add(s.method, s.path, s.body)
+	}
+	k, _ := start(f, nil)
+	m := http.NewServeMux()
+	k.Handle(m)
+	f.Fuzz(func(t *testing.T, method, path, body string) {
+		r, err := http.NewRequest(method, "http://admin/", bytes.NewReader([]byte(body)))
+		if err != nil || !strings.HasPrefix(path, "/") {
+			return
+		}
+		if r.URL.Path = path; len(path) > 1000 {
+			return
+		}
+		w := httptest.NewRecorder()
+		m.ServeHTTP(w, r)
+		if w.Header().Get("Content-Type") == "application/json" && !json.Valid(w.Body.Bytes()) || w.Code < 200 || w.Code == 500 {
+			t.Errorf("%s %q %q: %d %s", method, path, body, w.Code, w.Body)
+		}
+	})
+}
--- /dev/null
+++ b/internal/keeper/serve.go
@@ -0,0 +1,130 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"eiderwinch/internal/admin"
+	"eiderwinch/internal/bundle"
+	"eiderwinch/internal/change"
+)
+
+// Proposal asks for a configuration to be staged. Parts that are empty stay as
+// they are in force.
+type Proposal struct {
+	bundle.Bundle
+	Against   change.Generation `json:"against,omitempty"`
+	Note      string            `json:"note,omitempty"`
+	Signature string            `json:"signature,omitempty"` // of the parts' hash
+}
+
+// Application asks for one to be applied.
+type Application struct {
+	WithinMS int64 `json:"within_ms,omitempty"` // of probation; 0: as the configuration says
+	Auto     *bool `json:"auto,omitempty"`      // at its end it is confirmed; absent: as the configuration says
+}
+
+// Withdrawal asks for one to be undone.
+type Withdrawal struct {
+	Reason string `json:"reason"`
+}
+
+// Handle adds what is answered on a gatherer's admin socket.
+//
+//	POST /v1/config                         Proposal; Staged
+//	POST /v1/config/{transaction}/apply     Application
+//	POST /v1/config/{transaction}/confirm
+//	POST /v1/config/{transaction}/undo      Withdrawal
+//	POST /v1/config/reload                  as SIGHUP
+//	GET  /v1/config                         Status
+//	GET  /v1/config/generations/{number}    bundle.Bundle
+func (k *Keeper) Handle(m *http.ServeMux) {
+	m.HandleFunc("POST /v1/config", func(w http.ResponseWriter, r *http.Request) {
+		var p Proposal
+		if !read(w, r, &p) {
+			return
+		}
+		s, err := k.Stage(r.Context(), p.Bundle, p.Against, p.Note, p.Signature)
+		answer(w, s, err)
+	})
+	m.HandleFunc("POST /v1/config/reload", func(w http.ResponseWriter, r *http.Request) {
+		answer(w, struct{}{}, k.Reload(r.Context()))
+	})
+	m.HandleFunc("GET /v1/config", func(w http.ResponseWriter, r *http.Request) {
+		s, err := k.Status(r.Context())
+		answer(w, s, err)
+	})
+	m.HandleFunc("GET /v1/config/generations/{number}", func(w http.ResponseWriter, r *http.Request) {
+		n, err := strconv.ParseUint(r.PathValue("number"), 10, 64)
+		if err != nil {
+			admin.Refuse(w, http.StatusBadRequest, fmt.Errorf("found generation %.40q, want a number", r.PathValue("number")))
+			return
+		}
+		b, err := k.Show(r.Context(), change.Generation(n))
+		answer(w, b, err)
+	})
+	on := func(verb string, do func(context.Context, change.Tx, *http.Request, func(any) bool) error) {
+		m.HandleFunc("POST /v1/config/{transaction}/"+verb, func(w http.ResponseWriter, r *http.Request) {
+			n, err := strconv.ParseUint(r.PathValue("transaction"), 10, 64)
+			if err != nil {
+				admin.Refuse(w, http.StatusBadRequest, fmt.Errorf("found transaction %.40q, want a number", r.PathValue("transaction")))
+				return
+			}
+			ok := true
+			err = do(r.Context(), change.Tx(n), r, func(v any) bool { ok = read(w, r, v); return ok })
+			if ok {
+				answer(w, struct{}{}, err)
+			}
+		})
+	}
+	on("apply", func(ctx context.Context, tx change.Tx, _ *http.Request, read func(any) bool) error {
+		var a Application
+		if !read(&a) {
+			return nil
+		}
+		return k.Apply(ctx, tx, time.Duration(a.WithinMS)*time.Millisecond, a.Auto)
+	})
+	on("confirm", func(ctx context.Context, tx change.Tx, _ *http.Request, _ func(any) bool) error {
+		return k.Confirm(ctx, tx)
+	})
+	on("undo", func(ctx context.Context, tx change.Tx, _ *http.Request, read func(any) bool) error {
+		var u Withdrawal
+		if !read(&u) {
+			return nil
+		}
+		return k.Undo(ctx, tx, u.Reason)
+	})
+}
+
+// answer writes an answer, or the reason why there is none.
+func answer(w http.ResponseWriter, v any, err error) {
+	switch {
+	case err == nil:
+		admin.Answer(w, http.StatusOK, v)
+	case errors.Is(err, change.ErrNoTx) || errors.Is(err, ErrNoText):
+		admin.Refuse(w, http.StatusNotFound, err)
+	case errors.Is(err, change.ErrBusy) || errors.Is(err, change.ErrStale) || errors.Is(err, change.ErrState) || errors.Is(err, change.ErrFull) ||
+		errors.Is(err, change.ErrNothing):
+		admin.Refuse(w, http.StatusConflict, err)
+	case errors.Is(err, ErrEnded) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded):
+		admin.Refuse(w, http.StatusServiceUnavailable, err)
+	default:
+		admin.Refuse(w, http.StatusUnprocessableEntity, err)
+	}
+}
+
+// read reads a request's JSON.
+func read(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		admin.Refuse(w, http.StatusBadRequest, err)
+		return false
+	}
+	return true
+}
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -127,6 +127,15 @@
 	lines    []*Line    // by number
 }
 
+// Reissue makes a new epoch of l, after the one that is in force: what l says
+// comes back under a number that no epoch had. Numbers of segments that only the
+// one in force has are not given out again; queries that name them are turned away.
+func (l *Layout) Reissue(inForce *Layout) *Layout {
+	again := *l
+	again.epoch, again.next = inForce.epoch+1, max(l.next, inForce.next)
+	return &again
+}
+
 // First makes the first epoch out of segments that serve. Their numbers may
 // have gaps.
 func First(segments ...Segment) (*Layout, error) {
--- a/internal/layoutfile/layoutfile_test.go
+++ b/internal/layoutfile/layoutfile_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"encoding/xml"
 	"errors"
 	"flag"
-	"fmt"
 	"os"
 	"reflect"
 	"slices"
@@ -15,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"eiderwinch/internal/layout"
+	"eiderwinch/internal/xmlform"
 )
 
 // TestMain makes random tests give the same verdict every time. Long runs with
@@ -100,70 +99,27 @@
 	}
 	many := strings.Replace(good, "</layout>", strings.Repeat("<odd/>\n", 200)+"</layout>", 1)
 	_, _, err = Read("l.xml", strings.NewReader(many))
-	if n := strings.Count(err.Error(), "\n"); n != mostFaults || !strings.Contains(err.Error(), "150 faults more") {
+	if n := strings.Count(err.Error(), "\n"); n != xmlform.MostFaults || !strings.Contains(err.Error(), "150 faults more") {
 		t.Errorf("%d lines: %.200v", n, err)
 	}
 }
 
-// What the schema says the loader must say too.
-func TestTheSchemaAndTheLoaderAgree(t *testing.T) {
+// The schema is made of the form: go run ./cmd/eiderwinch schema layout.
+func TestTheSchemaIsOfTheForm(t *testing.T) {
+	form := Form()
+	if err := form.Check(); err != nil {
+		t.Error(err)
+	}
 	text, err := os.ReadFile("../../deploy/layout.xsd")
 	if err != nil {
 		t.Fatal(err)
 	}
-	type attr struct {
-		Name string `xml:"name,attr"`
-		Type string `xml:"type,attr"`
-		Use  string `xml:"use,attr"`
-	}
-	type ref struct {
-		Ref string `xml:"ref,attr"`
-		Min string `xml:"minOccurs,attr"`
-	}
-	var schema struct {
-		Namespace string `xml:"targetNamespace,attr"`
-		Elements  []struct {
-			Name   string `xml:"name,attr"`
-			Attrs  []attr `xml:"complexType>attribute"`
-			Choice []ref  `xml:"complexType>choice>element"`
-			Seq    []ref  `xml:"complexType>sequence>element"`
-		} `xml:"element"`
-	}
-	if err := xml.Unmarshal(text, &schema); err != nil {
-		t.Fatal(err)
-	}
-	types := map[kind]string{text_: "xs:string", name: "name", number: "number", count: "count", share: "share", state: "state"}
-	if schema.Namespace != Namespace || len(schema.Elements) != len(elements) {
-		t.Errorf("%s has %d elements, the loader %d", schema.Namespace, len(schema.Elements), len(elements))
-	}
-	for _, e := range schema.Elements {
-		def, ok := elements[e.Name]
-		if !ok {
-			t.Errorf("the loader does not know %s", e.Name)
-			continue
-		}
-		var children []string
-		for _, r := range append(e.Choice, e.Seq...) {
-			children = append(children, r.Ref)
-		}
-		if !slices.Equal(children, def.children) {
-			t.Errorf("%s: children %v, the loader %v", e.Name, children, def.children)
-		}
-		var have, want []string
-		for _, a := range e.Attrs {
-			have = append(have, fmt.Sprint(a.Name, a.Type, a.Use == "required"))
-		}
-		for _, a := range def.attributes {
-			want = append(want, fmt.Sprint(a.name, types[a.kind], a.required))
-		}
-		if !slices.Equal(have, want) {
-			t.Errorf("%s: attributes %v, the loader %v", e.Name, have, want)
-		}
+	var b bytes.Buffer
+	if err := form.Schema(&b); err != nil || b.String() != string(text) {
+		t.Errorf("deploy/layout.xsd is not what the form says: %v", err)
 	}
 }
 
-const text_ = text
-
 // lines are a layout's lineage in a form that can be compared.
 func lines(l *layout.Layout) (out []layout.Line) {
 	for n := range l.Lines() {
--- a/internal/layoutfile/read.go
+++ b/internal/layoutfile/read.go
@@ -4,326 +4,136 @@
 package layoutfile
 
 import (
-	"encoding/xml"
-	"errors"
 	"fmt"
 	"io"
-	"slices"
-	"strconv"
-	"strings"
 
 	"eiderwinch/internal/layout"
+	"eiderwinch/internal/xmlform"
 )
 
 // Namespace names the form of these files.
 const Namespace = "urn:eiderwinch:layout:1"
 
-// Fault is one fault of a file.
-type Fault struct {
-	File, Element string
-	Line          int
-	Found, Wanted string
-}
-
-func (f Fault) Error() string {
-	return fmt.Sprintf("%s:%d: <%s>: found %s, want %s", f.File, f.Line, f.Element, f.Found, f.Wanted)
-}
-
-// mostFaults bounds what is told of one file; the rest is counted.
-const mostFaults = 50
-
-// maxDepth is how deep elements lie in each other at the most.
-const maxDepth = 3
-
-// kind is how an attribute's value is read.
-type kind int
-
-const (
-	text   kind = iota // any
-	name               // not empty, no blanks
-	number             // 0 to 2^32-1
-	count              // from 1 on
-	share              // above 0, at most 1
-	state              // a state's name
-)
-
-var wanted = [...]string{
-	"text", "a name without blanks", "a number from 0 to 4294967295", "a number from 1 on", "a share above 0 and at most 1",
-	"preparing, serving or retiring",
-}
-
-// attribute is what an element may or must carry.
-type attribute struct {
-	name     string
-	kind     kind
-	required bool
-}
-
-// element is what may stand in a file: the same as in deploy/layout.xsd, which
-// a test holds against this table.
-type element struct {
-	attributes []attribute
-	children   []string
-	needs      string // the child that must stand there at least once
-}
-
-var elements = map[string]element{
-	"layout": {[]attribute{{"epoch", count, true}, {"next", number, true}, {"replicas", count, true}},
-		[]string{"searcher", "segment", "was"}, "segment"},
-	"searcher": {[]attribute{{"id", name, true}, {"zone", name, true}}, nil, ""},
-	"segment": {[]attribute{{"id", number, true}, {"from", text, false}, {"to", text, false}, {"state", state, false}},
-		[]string{"holder", "next", "prev", "of"}, "holder"},
-	"holder": {[]attribute{{"searcher", name, true}}, nil, ""},
-	"next":   {[]attribute{{"searcher", name, true}}, nil, ""},
-	"prev":   {[]attribute{{"searcher", name, true}}, nil, ""},
-	"of":     {[]attribute{{"segment", number, true}}, nil, ""},
-	"was":    {[]attribute{{"segment", number, true}, {"since", count, true}}, []string{"heir"}, "heir"},
-	"heir":   {[]attribute{{"segment", number, true}, {"share", share, true}}, nil, ""},
-}
-
-// node is an element that is open.
-type node struct {
-	name  string
-	line  int
-	needs string // the child that is still missing
+// mostReplicas bounds the replicas that a segment may be said to need.
+const mostReplicas = 1 << 16
+
+// Form returns the form of the files, of which deploy/layout.xsd is made.
+func Form() *xmlform.Form {
+	searcher := []xmlform.Attribute{{Name: "searcher", Kind: xmlform.Name, Required: true, Doc: "the searcher's id"}}
+	segment := xmlform.Attribute{Name: "segment", Kind: xmlform.Number, Required: true, Doc: "the segment's number"}
+	return &xmlform.Form{
+		Namespace: Namespace, Root: "layout", Depth: 3,
+		Doc:   "A layout: which segments there are, the keys of each, and who holds them. See docs/layout.md.",
+		Order: []string{"layout", "searcher", "segment", "holder", "next", "prev", "of", "was", "heir"},
+		Elements: map[string]xmlform.Element{
+			"layout": {Doc: "one epoch", Attributes: []xmlform.Attribute{
+				{Name: "epoch", Kind: xmlform.Count, Required: true, Doc: "the layout's number"},
+				{Name: "next", Kind: xmlform.Number, Required: true, Doc: "the number that the next new segment gets; numbers are never used again"},
+				{Name: "replicas", Kind: xmlform.Count, Required: true, Least: 1, Most: mostReplicas, Doc: "holders that each serving segment needs"},
+			}, Children: []xmlform.Child{{Name: "searcher"}, {Name: "segment", Least: 1}, {Name: "was"}}},
+			"searcher": {Doc: "a searcher of the fleet", Attributes: []xmlform.Attribute{
+				{Name: "id", Kind: xmlform.Name, Required: true, Doc: "its id in discovery"},
+				{Name: "zone", Kind: xmlform.Name, Required: true, Doc: "its data centre"},
+			}},
+			"segment": {Doc: "the keys from 'from', included, to 'to', excluded", Attributes: []xmlform.Attribute{
+				{Name: "id", Kind: xmlform.Number, Required: true, Doc: "its number"},
+				{Name: "from", Kind: xmlform.Text, Doc: "its first key; absent means from the first of all"},
+				{Name: "to", Kind: xmlform.Text, Doc: "the first key that is no longer in it; absent means up to the last"},
+				{Name: "state", Kind: xmlform.Choice, Values: []string{"preparing", "serving", "retiring"}, Default: "serving", Doc: "what it is for"},
+			}, Children: []xmlform.Child{{Name: "holder", Least: 1}, {Name: "next"}, {Name: "prev"}, {Name: "of"}}},
+			"holder": {Doc: "holds the segment", Attributes: searcher},
+			"next":   {Doc: "is being filled to take the holders' place", Attributes: searcher},
+			"prev":   {Doc: "held it before, and still answers queries of older epochs", Attributes: searcher},
+			"of":     {Doc: "of a preparing segment: one whose keys it takes over", Attributes: []xmlform.Attribute{segment}},
+			"was": {Doc: "what became of a segment that serves no more", Attributes: []xmlform.Attribute{
+				segment, {Name: "since", Kind: xmlform.Count, Required: true, Doc: "the epoch from which on it serves no more"},
+			}, Children: []xmlform.Child{{Name: "heir", Least: 1}}},
+			"heir": {Doc: "took over keys of it", Attributes: []xmlform.Attribute{
+				segment, {Name: "share", Kind: xmlform.Share, Required: true, Doc: "the part of its weight that fell to the heir"},
+			}},
+		},
+	}
 }
 
-// reader reads one file.
-type reader struct {
-	file   string
-	faults []error
-	more   int
-	open   []node
-
-	epoch    uint64
-	next     uint64
-	fleet    layout.Fleet
-	segments []layout.Segment
-	lines    []layout.Line
-	lineOf   map[layout.SegmentID]int // where segments stand
-	wasAt    map[layout.SegmentID]int
-}
+// Fault is one fault of a file.
+type Fault = xmlform.Fault
 
 // Read reads a file, whose name is for messages only. The error joins all its
 // faults, each a Fault.
 func Read(file string, r io.Reader) (*layout.Layout, layout.Fleet, error) {
-	x := &reader{
-		file: file, fleet: layout.Fleet{Zones: make(map[string]string)},
-		lineOf: make(map[layout.SegmentID]int), wasAt: make(map[layout.SegmentID]int),
-	}
-	x.tokens(xml.NewDecoder(r))
-	if len(x.faults) > 0 {
-		return nil, layout.Fleet{}, x.err()
-	}
-	l, err := layout.Restore(layout.Epoch(x.epoch), layout.SegmentID(x.next), x.segments, x.lines)
-	if err != nil {
-		x.fault(1, "layout", err.Error(), "a layout in which each key has one serving segment")
-		return nil, layout.Fleet{}, x.err()
-	}
-	return l, x.fleet, nil
-}
-
-func (x *reader) err() error {
-	if x.more > 0 {
-		x.faults = append(x.faults, fmt.Errorf("%s: and %d faults more", x.file, x.more))
-	}
-	return errors.Join(x.faults...)
-}
-
-func (x *reader) fault(line int, element, found, wanted string) {
-	if len(x.faults) >= mostFaults {
-		x.more++
-		return
+	faults := &xmlform.Faults{File: file}
+	root := Form().Read(r, faults)
+	if root == nil {
+		return nil, layout.Fleet{}, faults.Err()
 	}
-	x.faults = append(x.faults, Fault{File: x.file, Line: line, Element: element, Found: found, Wanted: wanted})
-}
-
-func (x *reader) tokens(d *xml.Decoder) {
-	for {
-		line, _ := d.InputPos()
-		t, err := d.Token()
-		if err == io.EOF {
-			if x.epoch == 0 && len(x.faults) == 0 {
-				x.fault(line, "layout", "nothing", "the element layout")
-			}
+	fleet := layout.Fleet{Zones: make(map[string]string), Replicas: int(root.Number("replicas"))}
+	var segments []layout.Segment
+	var lines []layout.Line
+	segmentAt, wasAt := make(map[layout.SegmentID]int), make(map[layout.SegmentID]int)
+	twice := func(at map[layout.SegmentID]int, n *xmlform.Node, id layout.SegmentID) {
+		if !n.Sound {
 			return
 		}
-		if err != nil {
-			var syntax *xml.SyntaxError
-			if errors.As(err, &syntax) {
-				line = syntax.Line
-			}
-			x.fault(line, x.in(), err.Error(), "well-formed XML")
-			return
+		if line, ok := at[id]; ok {
+			faults.Add(n.Line, n.Name, fmt.Sprintf("segment %d, which stands in line %d too", id, line), "a number of its own")
 		}
-		switch t := t.(type) {
-		case xml.StartElement:
-			if !x.start(line, t) {
-				if err := d.Skip(); err != nil {
-					x.fault(line, t.Name.Local, err.Error(), "well-formed XML")
-					return
-				}
-			}
-		case xml.EndElement:
-			last := x.open[len(x.open)-1]
-			x.open = x.open[:len(x.open)-1]
-			if last.needs != "" {
-				x.fault(last.line, last.name, "no "+last.needs, "at least one")
-			}
-		case xml.CharData:
-			if s := strings.TrimSpace(string(t)); s != "" {
-				x.fault(line, x.in(), fmt.Sprintf("text %.40q", s), "elements only")
+		at[id] = n.Line
+	}
+	for _, n := range root.Children {
+		switch n.Name {
+		case "searcher":
+			id := n.Text("id")
+			if _, there := fleet.Zones[id]; there && n.Sound {
+				faults.Add(n.Line, n.Name, fmt.Sprintf("searcher %q twice", id), "one")
 			}
-		case xml.Directive:
-			x.fault(line, x.in(), "a directive", "none: no entities are read")
+			fleet.Zones[id] = n.Text("zone")
+		case "segment":
+			s := segment(n)
+			twice(segmentAt, n, s.ID)
+			segments = append(segments, s)
+		case "was":
+			l := line(n)
+			twice(wasAt, n, l.From)
+			lines = append(lines, l)
 		}
 	}
-}
-
-// in is the element that is open, for messages.
-func (x *reader) in() string {
-	if len(x.open) == 0 {
-		return "layout"
-	}
-	return x.open[len(x.open)-1].name
-}
-
-// start takes in an element, and tells whether its children are to be read.
-func (x *reader) start(line int, t xml.StartElement) bool {
-	n := t.Name.Local
-	def, known := elements[n]
-	switch {
-	case len(x.open) == 0 && (n != "layout" || t.Name.Space != Namespace):
-		x.fault(line, n, fmt.Sprintf("%s of %q", n, t.Name.Space), fmt.Sprintf("layout of %q", Namespace))
-		return false
-	case len(x.open) == 0 && x.epoch != 0:
-		x.fault(line, n, "a second layout", "one")
-		return false
-	case len(x.open) >= maxDepth || len(x.open) > 0 && (!known || t.Name.Space != Namespace || !slices.Contains(elements[x.in()].children, n)):
-		x.fault(line, n, fmt.Sprintf("%s in %s", n, x.in()), "one of "+strings.Join(elements[x.in()].children, ", "))
-		return false
-	}
-	v, ok := x.values(line, n, def, t.Attr)
-	if len(x.open) > 0 {
-		if up := &x.open[len(x.open)-1]; up.needs == n {
-			up.needs = ""
-		}
+	if err := faults.Err(); err != nil {
+		return nil, layout.Fleet{}, err
 	}
-	x.open = append(x.open, node{n, line, def.needs})
-	if ok {
-		x.take(line, n, v)
-	} else if n == "segment" || n == "was" { // so that its children have a place
-		x.take(line, n, values{})
+	l, err := layout.Restore(layout.Epoch(root.Number("epoch")), layout.SegmentID(root.Number("next")), segments, lines)
+	if err != nil {
+		faults.Add(1, "layout", err.Error(), "a layout in which each key has one serving segment")
+		return nil, layout.Fleet{}, faults.Err()
 	}
-	return true
+	return l, fleet, nil
 }
 
-// values are the attributes of an element.
-type values struct {
-	text    map[string]string
-	numbers map[string]uint64
-	share   float64
-	state   layout.State
-}
-
-func (x *reader) values(line int, n string, def element, attrs []xml.Attr) (values, bool) {
-	v := values{text: make(map[string]string), numbers: make(map[string]uint64), state: layout.Serving}
-	before := len(x.faults) + x.more
-	seen := make(map[string]bool)
-	for _, a := range attrs {
-		if a.Name.Space == "xmlns" || a.Name.Local == "xmlns" || a.Name.Space == "http://www.w3.org/2001/XMLSchema-instance" {
-			continue
-		}
-		i := slices.IndexFunc(def.attributes, func(d attribute) bool { return d.name == a.Name.Local && a.Name.Space == "" })
-		if i < 0 {
-			x.fault(line, n, "attribute "+a.Name.Local, "no attribute of that name")
-			continue
-		}
-		if seen[a.Name.Local] {
-			x.fault(line, n, "attribute "+a.Name.Local+" twice", "one")
-		}
-		seen[a.Name.Local] = true
-		d := def.attributes[i]
-		if !v.read(d, a.Value) {
-			x.fault(line, n, fmt.Sprintf("%s=%.40q", d.name, a.Value), wanted[d.kind])
-		}
+// segment is what an element says of a segment.
+func segment(n *xmlform.Node) layout.Segment {
+	s := layout.Segment{
+		ID: layout.SegmentID(n.Number("id")), Keys: layout.Range{From: layout.Key(n.Text("from")), To: layout.Key(n.Text("to"))},
 	}
-	for _, d := range def.attributes {
-		if d.required && !seen[d.name] {
-			x.fault(line, n, "no attribute "+d.name, wanted[d.kind])
+	s.State, _ = layout.ParseState(n.Text("state")) // the form allows no others
+	for _, c := range n.Children {
+		switch c.Name {
+		case "holder":
+			s.Holders = append(s.Holders, c.Text("searcher"))
+		case "next":
+			s.Next = append(s.Next, c.Text("searcher"))
+		case "prev":
+			s.Prev = append(s.Prev, c.Text("searcher"))
+		case "of":
+			s.Of = append(s.Of, layout.SegmentID(c.Number("segment")))
 		}
 	}
-	return v, len(x.faults)+x.more == before
+	return s
 }
 
-// read reads one attribute's value.
-func (v *values) read(d attribute, s string) bool {
-	var err error
-	switch d.kind {
-	case text:
-		v.text[d.name] = s
-	case name:
-		v.text[d.name] = s
-		return s != "" && !strings.ContainsAny(s, " \t\r\n")
-	case number:
-		v.numbers[d.name], err = strconv.ParseUint(s, 10, 32)
-	case count:
-		v.numbers[d.name], err = strconv.ParseUint(s, 10, 63)
-		return err == nil && v.numbers[d.name] > 0
-	case share:
-		v.share, err = strconv.ParseFloat(s, 64)
-		return err == nil && v.share > 0 && v.share <= 1
-	case state:
-		v.state, err = layout.ParseState(s)
-	}
-	return err == nil
-}
-
-// take books an element.
-func (x *reader) take(line int, n string, v values) {
-	id := layout.SegmentID(v.numbers["id"])
-	of := layout.SegmentID(v.numbers["segment"])
-	var last *layout.Segment
-	if len(x.segments) > 0 {
-		last = &x.segments[len(x.segments)-1]
-	}
-	switch n {
-	case "layout":
-		x.epoch, x.next = v.numbers["epoch"], v.numbers["next"]
-		x.fleet.Replicas = int(min(v.numbers["replicas"], 1<<16))
-	case "searcher":
-		if _, twice := x.fleet.Zones[v.text["id"]]; twice {
-			x.fault(line, n, fmt.Sprintf("searcher %q twice", v.text["id"]), "one")
-		}
-		x.fleet.Zones[v.text["id"]] = v.text["zone"]
-	case "segment":
-		if at, twice := x.lineOf[id]; twice && v.text != nil {
-			x.fault(line, n, fmt.Sprintf("segment %d, which stands in line %d too", id, at), "a number of its own")
-		}
-		if v.text != nil {
-			x.lineOf[id] = line
-		}
-		x.segments = append(x.segments, layout.Segment{
-			ID: id, Keys: layout.Range{From: layout.Key(v.text["from"]), To: layout.Key(v.text["to"])}, State: v.state,
-		})
-	case "holder":
-		last.Holders = append(last.Holders, v.text["searcher"])
-	case "next":
-		last.Next = append(last.Next, v.text["searcher"])
-	case "prev":
-		last.Prev = append(last.Prev, v.text["searcher"])
-	case "of":
-		last.Of = append(last.Of, of)
-	case "was":
-		if at, twice := x.wasAt[of]; twice && v.text != nil {
-			x.fault(line, n, fmt.Sprintf("segment %d, which stands in line %d too", of, at), "a number of its own")
-		}
-		if v.text != nil {
-			x.wasAt[of] = line
-		}
-		x.lines = append(x.lines, layout.Line{From: of, Since: layout.Epoch(v.numbers["since"])})
-	case "heir":
-		was := &x.lines[len(x.lines)-1]
-		was.Heirs = append(was.Heirs, layout.Share{To: of, Weight: v.share})
+// line is what an element says of a segment that serves no more.
+func line(n *xmlform.Node) layout.Line {
+	l := layout.Line{From: layout.SegmentID(n.Number("segment")), Since: layout.Epoch(n.Number("since"))}
+	for _, c := range n.Children {
+		l.Heirs = append(l.Heirs, layout.Share{To: layout.SegmentID(c.Number("segment")), Weight: c.Float("share")})
 	}
+	return l
 }
--- a/internal/migrate/driver.go
+++ b/internal/migrate/driver.go
@@ -17,6 +17,8 @@
 // Peers carries out effects at the gatherers and searchers. Its methods must not
 // block; each may be called again with the same values.
 type Peers interface {
+	// Begin comes before all else.
+	Begin(log string, term uint64)
 	Publish(*layout.Layout)
 	Fill(reshard.Fill)
 	Stop(reshard.JobID)
@@ -78,6 +80,7 @@
 		return nil, errors.Join(fmt.Errorf("change log %s: %w", o.Path, err), log.Close())
 	}
 	d := &Driver{peers: p, log: log, c: c, fleet: fleet, events: make(chan request, queued), ended: o.Ended, done: make(chan struct{})}
+	p.Begin(log.ID(), log.Term())
 	for _, e := range effects {
 		d.carryOut(e)
 	}
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -25,7 +25,9 @@
 	healthPath = "/_health"
 
 	epochField = "x-layout-epoch" // of requests and answers, where there is a layout
-	aheadRetry = "1"              // seconds: gatherers learn an epoch within seconds of each other
+
+	generationField = "x-config-generation" // of answers, where the settings can change
+	aheadRetry      = "1"                   // seconds: gatherers learn an epoch within seconds of each other
 )
 
 // client is one client's connection. Requests are answered one at a time.
@@ -282,6 +284,10 @@
 // Reply implements gatherer.Client.
 func (c *client) Reply(r gatherer.Reply) {
 	c.query = 0
+	var fields []http1.Field
+	if r.Generation != 0 {
+		fields = append(fields, http1.Field{Name: generationField, Value: strconv.FormatUint(r.Generation, 10)})
+	}
 	switch {
 	case r.Verdict == gatherer.Answered:
 		b := answerBody{Full: r.Whole, Pieces: []piece{}}
@@ -293,21 +299,21 @@
 			c.reject(http.StatusInternalServerError, err.Error(), false)
 			return
 		}
-		fields := []http1.Field{{Name: "Content-Type", Value: "application/json"}}
+		fields = append(fields, http1.Field{Name: "Content-Type", Value: "application/json"})
 		if r.Epoch != 0 {
 			fields = append(fields, http1.Field{Name: epochField, Value: strconv.FormatUint(uint64(r.Epoch), 10)})
 		}
 		c.respond(http.StatusOK, text, fields...)
 	case r.Verdict == gatherer.Refused && r.RetryAfter > 0:
-		c.respond(http.StatusServiceUnavailable, nil, http1.Field{
+		c.respond(http.StatusServiceUnavailable, nil, append(fields, http1.Field{
 			Name: "Retry-After", Value: strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64),
-		})
+		})...)
 	case r.Verdict == gatherer.Refused:
-		c.respond(http.StatusServiceUnavailable, nil)
+		c.respond(http.StatusServiceUnavailable, nil, fields...)
 	case r.Overdue:
-		c.respond(http.StatusGatewayTimeout, nil)
+		c.respond(http.StatusGatewayTimeout, nil, fields...)
 	default:
-		c.respond(http.StatusBadGateway, nil)
+		c.respond(http.StatusBadGateway, nil, fields...)
 	}
 	c.pump()
 }
--- a/internal/netio/crowd_test.go
+++ b/internal/netio/crowd_test.go
@@ -127,6 +127,7 @@
 // Connections idle for long are closed only where many are, the longest first.
 func TestIdleConnectionsAreTrimmedWhereThereAreMany(t *testing.T) {
 	r := bounded(t, 3, 100, 100)
+	before := time.Now() // none is idle since then or earlier
 	clients := make([]*testpeer.Client, 3)
 	for i := range clients {
 		clients[i] = testpeer.NewClient(t, r.Addr())
@@ -140,7 +141,7 @@
 	}
 	heard(t, clients[0], health) // it came back
 	r.onLoop(func() {
-		r.checkClients(time.Now().Add(r.table.Bounds().KeptFor - time.Millisecond))
+		r.checkClients(before.Add(r.table.Bounds().KeptFor))
 		if r.stats.Trimmed != 0 {
 			t.Error("one was trimmed that had not been idle for long")
 		}
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -19,6 +20,7 @@
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/limit"
+	"eiderwinch/internal/service"
 	"eiderwinch/internal/stats"
 )
 
@@ -171,23 +173,119 @@
 	})
 }
 
-// Epochs returns the epoch that new queries are bound to and the oldest that an
-// open query is bound to; ok is false where the node has ended. It may be called
-// from any goroutine and waits for the loop.
-func (n *Node) Epochs(ctx context.Context) (epoch, oldest layout.Epoch, ok bool) {
-	type epochs struct{ now, oldest layout.Epoch }
-	got := make(chan epochs, 1)
+// State is what a node tells of itself.
+type State struct {
+	Epoch       layout.Epoch     // that new queries are bound to
+	Oldest      layout.Epoch     // that an open query is bound to
+	Service     []service.Window // seconds that are over, where they are recorded
+	Draining    bool
+	Generations []uint64 // of settings that open queries were taken under, and that in force
+}
+
+// Searcher is one as the node knows it.
+type Searcher struct {
+	ID, Addr string
+	Ready    bool
+}
+
+// Searchers returns those that discovery has listed; ok is false where the node
+// has not started or has ended. It may be called from any goroutine and waits for
+// the loop.
+func (n *Node) Searchers(ctx context.Context) (list []Searcher, ok bool) {
+	select {
+	case <-n.started:
+	default:
+		return nil, false
+	}
+	got := make(chan []Searcher, 1)
+	n.exec(func() error {
+		var list []Searcher
+		for id, p := range n.pool.peers {
+			if n.core.Listed(id) {
+				list = append(list, Searcher{id, p.addr, n.core.Ready(id)})
+			}
+		}
+		got <- list
+		return nil
+	})
+	select {
+	case list := <-got:
+		return list, true
+	case <-ctx.Done():
+	case <-n.ctx.Done():
+	}
+	return nil, false
+}
+
+// State returns what the node tells of itself, with the seconds after one; ok is
+// false where it has not started or has ended. It may be called from any goroutine and waits for
+// the loop.
+func (n *Node) State(ctx context.Context, after int64) (s State, ok bool) {
+	select {
+	case <-n.started:
+	default:
+		return State{}, false
+	}
+	got := make(chan State, 1)
+	n.exec(func() error {
+		s := State{Epoch: n.core.Epoch(), Oldest: n.core.OldestEpoch(), Draining: n.draining, Generations: n.core.Generations()}
+		if r := n.cfg.Gatherer.Service; r != nil {
+			s.Service = r.Since(time.Now(), after)
+		}
+		got <- s
+		return nil
+	})
+	select {
+	case s := <-got:
+		return s, true
+	case <-ctx.Done():
+	case <-n.ctx.Done():
+	}
+	return State{}, false
+}
+
+// Live is what of a Config can change while the node runs.
+type Live struct {
+	Core           *gatherer.Live
+	Multiplex      int
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration
+	Discovery      string
+	Layout         *layout.Layout // taken up where it is newer than the one at hand; nil: that stays
+}
+
+// ErrNotServing is why a node can't be changed.
+var ErrNotServing = errors.New("the gatherer does not serve yet, or has ended")
+
+// Apply puts other settings in force, all at once between two events: what comes
+// before it sees the old ones, what comes after it the new ones. It waits for the
+// loop. It may be called from any goroutine.
+func (n *Node) Apply(ctx context.Context, l Live) error {
+	select {
+	case <-n.started:
+	default:
+		return ErrNotServing
+	}
+	done := make(chan struct{})
 	n.exec(func() error {
-		got <- epochs{n.core.Epoch(), n.core.OldestEpoch()}
+		n.core.Apply(l.Core)
+		n.cfg.Multiplex, n.cfg.ConnectTimeout, n.cfg.ConnIdle = l.Multiplex, l.ConnectTimeout, l.ConnIdle
+		n.muteAfter = l.ConnectTimeout
+		if l.Layout != nil && l.Layout.Epoch() > n.core.Epoch() {
+			n.core.Adopt(l.Layout)
+		}
+		n.follow(l.Discovery)
+		close(done)
 		return nil
 	})
 	select {
-	case e := <-got:
-		return e.now, e.oldest, true
+	case <-done:
+		return nil
 	case <-ctx.Done():
+		return ctx.Err()
 	case <-n.ctx.Done():
+		return ErrNotServing
 	}
-	return 0, 0, false
 }
 
 // Reload follows discovery at the address that a new configuration names. What
--- a/internal/reshard/coordinator.go
+++ b/internal/reshard/coordinator.go
@@ -1,11 +1,11 @@
 // Package reshard takes changes of the layout through their steps: prepare,
-// fill, catch up, cut over, drain, retire. It is a state machine without I/O or
+// fill, catch up, cut over, drain, seal. It is a state machine without I/O or
 // clock: Step takes one event and returns what must be written and what must be
 // done then. The caller writes the records first, durably, and only then carries
 // out the effects; after a crash it hands the records to Recover and goes on
 // from there. Every effect may be carried out again.
 //
-//	planned -> filling -> catching -> cutting -> draining -> done
+//	planned -> filling -> catching -> cutting -> draining -> sealing -> done
 //	   |          |           |
 //	   +----------+-----------+----> undone
 //
@@ -37,12 +37,13 @@
 	Catching              // copied; what has changed since is being followed
 	Cutting               // the heirs serve; gatherers are learning the epoch
 	Draining              // all know it; the last older queries are ending
-	Done                  // the old holders are not asked any more
+	Done                  // the old holders have forgotten it
 	Undone                // taken back before the cut-over
+	Sealing               // the old holders are being told to forget it
 	phases
 )
 
-var phaseNames = [phases]string{"planned", "filling", "catching", "cutting", "draining", "done", "undone"}
+var phaseNames = [phases]string{"planned", "filling", "catching", "cutting", "draining", "done", "undone", "sealing"}
 
 func (p Phase) String() string {
 	if p < phases {
@@ -65,6 +66,7 @@
 	LagFresh  time.Duration // and must have said so within that; 1 s
 	FillMost  time.Duration // a job is undone that has not been cut over so long after its start; 30 min
 	Gatherer  time.Duration // a gatherer not heard of for so long has no open query left; 20 s
+	SealMost  time.Duration // an old holder that has not said that it forgot is waited for so long; 1 min
 	RateMost  float64       // rows a second to one new holder; 20,000
 	RateLeast float64       // the copy is never slower: it would never end; 200
 }
@@ -74,6 +76,7 @@
 var defaults = Limits{
 	PerSearcher: 2, PerZone: 8, Queued: 64, Kept: 256,
 	LagMost: 50 * time.Millisecond, LagFresh: time.Second, FillMost: 30 * time.Minute, Gatherer: 20 * time.Second,
+	SealMost: time.Minute,
 	RateMost: 20_000, RateLeast: 200,
 }
 
@@ -96,6 +99,7 @@
 	span(&l.LagFresh, defaults.LagFresh)
 	span(&l.FillMost, defaults.FillMost)
 	span(&l.Gatherer, defaults.Gatherer)
+	span(&l.SealMost, defaults.SealMost)
 	if l.RateMost <= 0 {
 		l.RateMost = defaults.RateMost
 	}
@@ -116,7 +120,7 @@
 }
 
 // Event is something that has happened: Submit, Abort, Tick, Copied, Lag,
-// Heard, Down, Up or Pressure.
+// Dropped, Heard, Down, Up or Pressure.
 type Event interface{ event() }
 
 // Submit asks for a change. Result is what became of it.
@@ -144,6 +148,10 @@
 	Behind time.Duration
 }
 
+// Dropped tells that a searcher does not hold a segment any more: whoever still
+// asks it for that is turned away.
+type Dropped struct{ Target Target }
+
 // Heard tells what a gatherer knows: its epoch, and the oldest epoch that an
 // open query of it is bound to.
 type Heard struct {
@@ -166,6 +174,7 @@
 func (Tick) event()     {}
 func (Copied) event()   {}
 func (Lag) event()      {}
+func (Dropped) event()  {}
 func (Heard) event()    {}
 func (Down) event()     {}
 func (Up) event()       {}
@@ -245,6 +254,10 @@
 	copied  map[Target]bool
 	lag     map[Target]lag
 	targets []Target
+	from    []string // searchers that held the sources at its beginning
+	former  []Target // of Sealing: those who are to forget
+	dropped map[Target]bool
+	sealed  time.Time // of Sealing
 	reason  string
 }
 
@@ -279,6 +292,7 @@
 type Counts struct {
 	Submitted, Refused, Started, CutOver, Done, Undone int
 	Late, HolderDown, Aborted                          int // why they were undone
+	Unsealed                                           int // old holders that never said that they forgot
 	GatherersLost                                      int // not heard of for too long while a job waited for them
 	Slowed                                             int // times the copies were slowed down
 }
@@ -342,6 +356,12 @@
 		if j := c.jobs[e.Job]; j != nil && !j.phase.Over() && slices.Contains(j.targets, e.Target) {
 			j.lag[e.Target] = lag{e.Behind, now}
 		}
+	case Dropped:
+		for _, j := range c.jobs {
+			if j.phase == Sealing && slices.Contains(j.former, e.Target) {
+				j.dropped[e.Target] = true
+			}
+		}
 	case Heard:
 		// News may overtake each other: what a gatherer knew once it does not forget.
 		g := c.gatherers[e.Gatherer]
--- a/internal/reshard/reshard_test.go
+++ b/internal/reshard/reshard_test.go
@@ -38,6 +38,8 @@
 	ended  map[JobID]Phase
 	heard  map[string]Heard
 	epochs map[layout.Epoch]*layout.Layout
+	drops  []Target
+	keep   bool // searchers do not forget at once
 }
 
 func newWorld(t rapid.TB, limits Limits) *world {
@@ -74,6 +76,11 @@
 	for _, x := range r.Effects {
 		w.see(x)
 	}
+	for _, x := range r.Effects {
+		if d, ok := x.(Drop); ok && !w.keep {
+			w.step(Dropped{d.Target})
+		}
+	}
 	return r
 }
 
@@ -95,6 +102,7 @@
 		}
 		w.ended[x.Job] = x.Phase
 	case Drop:
+		w.drops = append(w.drops, x.Target)
 		// Nobody who may still be asked for it may lose it.
 		for _, h := range w.heard {
 			l := w.epochs[h.Oldest]
@@ -171,13 +179,7 @@
 	w.hear("g", cut, cut)
 	w.want("the last old query has ended", w.job(id).Phase, Done)
 	w.want("the parent is gone", w.c.Layout().Segment(1) == nil, true)
-	var drops []string
-	for _, x := range w.last {
-		if d, ok := x.(Drop); ok {
-			drops = append(drops, fmt.Sprint(d.Target.Segment, " ", d.Target.Searcher))
-		}
-	}
-	w.want("who may forget it", drops, []string{"1 s2", "1 s3"})
+	w.want("who may forget it", w.drops, []Target{{1, "s2"}, {1, "s3"}})
 }
 
 func TestAMoveCopiesOnlyToWhoIsNew(t *testing.T) {
@@ -186,7 +188,7 @@
 	w.want("targets", w.c.jobs[id].targets, []Target{{2, "s5"}})
 	w.filled(id) // there is no gatherer to wait for
 	w.want("done", w.job(id).Phase, Done)
-	w.want("dropped", w.last[len(w.last)-2], Drop{Target{2, "s3"}})
+	w.want("dropped", w.drops, []Target{{2, "s3"}})
 }
 
 func TestANewHolderThatDiesBeforeTheCutOverUndoesIt(t *testing.T) {
@@ -268,6 +270,45 @@
 	w.want("counted", w.c.Counts().Late, 1)
 }
 
+// A gatherer that is cut off may ask the old holders for longer than it is waited
+// for. The heirs follow these until each has forgotten the segment, also where the
+// coordinator was started again in between.
+func TestTheHeirsFollowUntilTheOldHoldersHaveForgotten(t *testing.T) {
+	w := newWorld(t, Limits{})
+	w.keep = true
+	id := w.submit(splitOne())
+	w.filled(id)
+	w.want("nobody asks them any more", w.job(id).Phase, Sealing)
+	w.want("stopped", slices.Contains(w.last, Effect(Stop{id})), false)
+	w.step(Dropped{Target{1, "s2"}})
+	w.want("one holds it still", w.job(id).Phase, Sealing)
+	c, effects, err := Recover(w.now, w.base, w.fleet, w.limits, w.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.c = c
+	var fills []string
+	for _, x := range effects {
+		if f, ok := x.(Fill); ok {
+			fills = append(fills, fmt.Sprint(f.Target.Segment, " ", f.From))
+		}
+	}
+	w.want("they follow those of before", fills, []string{"3 [s2 s3]", "3 [s2 s3]", "4 [s2 s3]", "4 [s2 s3]"})
+	w.step(Dropped{Target{1, "s2"}})
+	w.step(Dropped{Target{1, "s3"}})
+	w.want("all have forgotten", w.job(id).Phase, Done)
+	w.want("stopped", slices.Contains(w.last, Effect(Stop{id})), true)
+
+	id = w.submit(moveTwo())
+	w.filled(id)
+	w.now = w.now.Add(defaults.Gatherer) // those after a start
+	w.step(Tick{})
+	w.now = w.now.Add(defaults.SealMost)
+	w.step(Tick{})
+	w.want("one that never answers is not waited for for ever", w.job(id).Phase, Done)
+	w.want("counted", w.c.Counts().Unsealed, 1)
+}
+
 // A gatherer that is not heard of must not keep a change open for ever; its
 // queries are over by then.
 func TestALostGathererIsWaitedForOnlySoLong(t *testing.T) {
@@ -392,6 +433,12 @@
 					w.filled(j.id)
 				}
 			},
+			"slow to forget": func(t *rapid.T) { w.keep = rapid.Bool().Draw(t, "keep") },
+			"dropped": func(t *rapid.T) {
+				if j := open(t); len(j.former) > 0 {
+					w.step(Dropped{rapid.SampledFrom(j.former).Draw(t, "target")})
+				}
+			},
 			"down": func(t *rapid.T) { w.step(Down{searcher.Draw(t, "searcher")}) },
 			"up":   func(t *rapid.T) { w.step(Up{Searcher: searcher.Draw(t, "searcher")}) },
 			"heard": func(t *rapid.T) {
--- a/internal/reshard/step.go
+++ b/internal/reshard/step.go
@@ -49,7 +49,7 @@
 }
 
 func newJob(id JobID, change layout.Change) *job {
-	return &job{id: id, change: change, copied: make(map[Target]bool), lag: make(map[Target]lag)}
+	return &job{id: id, change: change, copied: make(map[Target]bool), lag: make(map[Target]lag), dropped: make(map[Target]bool)}
 }
 
 func (c *Coordinator) admissible(change layout.Change) error {
@@ -175,11 +175,22 @@
 		}
 		s.turn(j, Draining)
 		return true
-	default:
+	case Draining:
 		if !c.all(s.now, func(g gatherer) bool { return g.oldest >= j.cut }) {
 			return false
 		}
-		s.retire(j)
+		s.seal(j)
+		return true
+	default:
+		late := s.now.Sub(j.sealed) >= c.limits.SealMost
+		if len(j.dropped) < len(j.former) && !late {
+			return false
+		}
+		c.counts.Unsealed += len(j.former) - len(j.dropped)
+		s.turn(j, Done)
+		c.counts.Done++
+		s.do(Stop{j.id})
+		s.do(Ended{j.id, Done, ""})
 		return true
 	}
 }
@@ -241,6 +252,7 @@
 // prepared books that a job's heirs are in the layout.
 func (c *Coordinator) prepared(j *job, next *layout.Layout, heirs []layout.SegmentID, now time.Time) {
 	c.layout, j.heirs, j.began = next, heirs, now
+	j.from = c.sources(j)
 	if j.change.Kind == layout.Move {
 		s := next.Segment(j.change.Segments[0])
 		for _, h := range s.Next {
@@ -259,10 +271,9 @@
 
 // fill starts, or starts again, the copies of a job.
 func (s *step) fill(j *job) {
-	from := s.c.sources(j)
 	for _, t := range j.targets {
 		keys := s.c.layout.Segment(t.Segment).Keys
-		s.do(Fill{j.id, t, keys, j.change.Segments, from, s.c.rate})
+		s.do(Fill{j.id, t, keys, j.change.Segments, j.from, s.c.rate})
 	}
 }
 
@@ -341,23 +352,24 @@
 	return true
 }
 
-// retire ends a job: nobody asks the old holders any more.
-func (s *step) retire(j *job) {
+// seal lets the old holders forget what was moved away from them: no gatherer
+// that is heard of asks them any more. One that is cut off may still do so, with
+// an older epoch. Until each of them has said that it forgot, and so turns such
+// parts away unrun, the heirs go on following: a reservation made there in
+// between would be lost otherwise.
+func (s *step) seal(j *job) {
 	c := s.c
-	old := c.former(j)
+	former := c.former(j)
 	next, err := c.layout.Retire(j.change)
 	if err != nil { // can't be: it was cut over
 		panic(fmt.Sprintf("reshard: retiring change %d: %v", j.id, err))
 	}
-	s.turn(j, Done)
-	c.layout = next
-	c.counts.Done++
-	s.do(Stop{j.id})
+	s.turn(j, Sealing)
+	c.layout, j.former, j.sealed = next, former, s.now
 	s.do(Publish{next})
-	for _, t := range old {
+	for _, t := range former {
 		s.do(Drop{t})
 	}
-	s.do(Ended{j.id, Done, ""})
 }
 
 // former are those that held what a job has moved away.
@@ -451,10 +463,13 @@
 	s.do(Publish{c.layout})
 	for _, id := range c.order {
 		switch j := c.jobs[id]; j.phase {
-		case Filling, Catching, Cutting, Draining:
-			// Followers of a job that is cut over are needed until it is retired:
+		case Filling, Catching, Cutting, Draining, Sealing:
+			// Followers of a job that is cut over are needed until it is done:
 			// reservations of older epochs must reach the heirs.
 			s.fill(j)
+			for _, t := range j.former {
+				s.do(Drop{t})
+			}
 		case Done, Undone:
 			s.do(Stop{id})
 		}
@@ -497,7 +512,8 @@
 		if next, err = c.layout.CutOver(j.change, j.heirs); err == nil {
 			j.cut = next.Epoch()
 		}
-	case Done:
+	case Sealing:
+		j.former, j.sealed = c.former(j), now
 		next, err = c.layout.Retire(j.change)
 	case Undone:
 		if j.phase != Planned {
@@ -523,6 +539,8 @@
 	case Cutting:
 		return to == Draining
 	case Draining:
+		return to == Sealing
+	case Sealing:
 		return to == Done
 	}
 	return false
--- a/internal/reshardlog/log.go
+++ b/internal/reshardlog/log.go
@@ -5,7 +5,8 @@
 // Form, version 1. Bucket "meta" holds "version" (one byte, 1), "base" (the
 // layout and fleet that the records begin at, as internal/layoutfile writes
 // them) and "at" (two numbers of 8 bytes, most significant first: the number of
-// the last record before the base, and of the last job given out). Bucket
+// the last record before the base, and of the last job given out) "term" (8
+// bytes: how often the log was opened) and "id" (8 random bytes). Bucket
 // "records" holds one record for each key, which is its number in 8 bytes, most
 // significant first; the value is JSON. Every value but "version" ends in 4 bytes
 // of CRC-32C (RFC 3720, appendix B.4) over key and value, since bbolt checks its
@@ -14,11 +15,12 @@
 
 import (
 	"bytes"
+	"crypto/rand"
 	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -26,6 +28,7 @@
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/layoutfile"
 	"eiderwinch/internal/reshard"
+	"eiderwinch/internal/sealed"
 )
 
 const (
@@ -40,12 +43,13 @@
 	keyVersion    = []byte("version")
 	keyBase       = []byte("base")
 	keyAt         = []byte("at")
-	castagnoli    = crc32.MakeTable(crc32.Castagnoli)
+	keyTerm       = []byte("term")
+	keyID         = []byte("id")
 )
 
 // The faults of a file.
 var (
-	ErrDamaged = errors.New("the log is damaged")
+	ErrDamaged = sealed.ErrDamaged
 	ErrVersion = errors.New("the log is of another version")
 	ErrEmpty   = errors.New("the log holds no layout yet")
 	ErrLong    = errors.New("the log is full: nothing can be compacted while changes are under way")
@@ -54,6 +58,8 @@
 // Log is an open log. It is for one goroutine.
 type Log struct {
 	db    *bbolt.DB
+	id    string
+	term  uint64
 	last  uint64
 	since int // records after the base
 }
@@ -83,13 +89,40 @@
 	v := meta.Get(keyVersion)
 	switch {
 	case v == nil:
-		return meta.Put(keyVersion, []byte{version})
+		if err := meta.Put(keyVersion, []byte{version}); err != nil {
+			return err
+		}
 	case len(v) != 1 || v[0] != version:
 		return fmt.Errorf("%w: found %v, want %d", ErrVersion, v, version)
 	}
-	return nil
+	id := make([]byte, 8)
+	if v := meta.Get(keyID); v == nil {
+		_, _ = rand.Read(id) // never fails
+		if err := meta.Put(keyID, sealed.Seal(keyID, id)); err != nil {
+			return err
+		}
+	} else if id, err = sealed.Open(keyID, v); err != nil {
+		return err
+	}
+	l.id = hex.EncodeToString(id)
+	if v := meta.Get(keyTerm); v != nil {
+		text, err := sealed.Open(keyTerm, v)
+		if err != nil || len(text) != 8 {
+			return fmt.Errorf("%w: the term", ErrDamaged)
+		}
+		l.term = binary.BigEndian.Uint64(text)
+	}
+	l.term++
+	return meta.Put(keyTerm, sealed.Seal(keyTerm, binary.BigEndian.AppendUint64(nil, l.term)))
 }
 
+// ID tells this log from all others, which may have begun at other layouts.
+func (l *Log) ID() string { return l.id }
+
+// Term is one higher each time that the log is opened, from 1 on: what is told
+// to others under a term is older than all that is told under a later one.
+func (l *Log) Term() uint64 { return l.term }
+
 // Close closes the file.
 func (l *Log) Close() error { return l.db.Close() }
 
@@ -104,7 +137,7 @@
 	at = binary.BigEndian.AppendUint64(at, uint64(b.Job))
 	err := l.db.Update(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(bucketMeta)
-		if err := errors.Join(meta.Put(keyBase, sealed(keyBase, text.Bytes())), meta.Put(keyAt, sealed(keyAt, at))); err != nil {
+		if err := errors.Join(meta.Put(keyBase, sealed.Seal(keyBase, text.Bytes())), meta.Put(keyAt, sealed.Seal(keyAt, at))); err != nil {
 			return err
 		}
 		if err := tx.DeleteBucket(bucketRecords); err != nil {
@@ -141,7 +174,7 @@
 				return err
 			}
 			key := binary.BigEndian.AppendUint64(nil, r.Seq)
-			if err := bucket.Put(key, sealed(key, text)); err != nil {
+			if err := bucket.Put(key, sealed.Seal(key, text)); err != nil {
 				return err
 			}
 		}
@@ -164,11 +197,11 @@
 		if meta.Get(keyBase) == nil {
 			return ErrEmpty
 		}
-		text, err := open(keyBase, meta.Get(keyBase))
+		text, err := sealed.Open(keyBase, meta.Get(keyBase))
 		if err != nil {
 			return err
 		}
-		at, err := open(keyAt, meta.Get(keyAt))
+		at, err := sealed.Open(keyAt, meta.Get(keyAt))
 		if err != nil || len(at) != 16 {
 			return fmt.Errorf("%w: where the base stands", ErrDamaged)
 		}
@@ -179,7 +212,7 @@
 		next := b.Seq
 		return tx.Bucket(bucketRecords).ForEach(func(key, value []byte) error {
 			next++
-			text, err := open(key, value)
+			text, err := sealed.Open(key, value)
 			if err != nil {
 				return err
 			}
@@ -200,23 +233,3 @@
 	l.last, l.since = b.Seq+uint64(len(records)), len(records)
 	return b, f, records, nil
 }
-
-const sumSize = 4
-
-func sum(key, value []byte) uint32 {
-	return crc32.Update(crc32.Checksum(key, castagnoli), castagnoli, value)
-}
-
-// sealed returns a value with its checksum behind it.
-func sealed(key, value []byte) []byte {
-	return binary.BigEndian.AppendUint32(bytes.Clone(value), sum(key, value))
-}
-
-// open checks a value and returns it without its checksum.
-func open(key, value []byte) ([]byte, error) {
-	n := len(value) - sumSize
-	if n < 0 || binary.BigEndian.Uint32(value[n:]) != sum(key, value[:n]) {
-		return nil, fmt.Errorf("%w: the checksum of %q does not fit", ErrDamaged, key)
-	}
-	return bytes.Clone(value[:n]), nil
-}
--- a/internal/reshardlog/log_test.go
+++ b/internal/reshardlog/log_test.go
@@ -49,9 +49,13 @@
 		reshard.Lag{Job: 1, Target: lower}, reshard.Lag{Job: 1, Target: upper},
 		reshard.Heard{Gatherer: "g", Epoch: 3, Oldest: 1},
 		reshard.Heard{Gatherer: "g", Epoch: 4, Oldest: 4},
+		reshard.Dropped{Target: old},
 	}
 }
 
+// old is who held the segment that is split.
+var old = reshard.Target{Segment: 0, Searcher: "a"}
+
 // TestACoordinatorKilledAtAnyStepGoesOn kills it after each event in turn, reads
 // the log from disk, and takes the change to its end from there.
 func TestACoordinatorKilledAtAnyStepGoesOn(t *testing.T) {
@@ -96,8 +100,10 @@
 		}
 		// One that was started anew waits until it knows which gatherers there are.
 		later := now.Add(time.Minute)
-		if err := l.Append(c.Step(later, reshard.Heard{Gatherer: "g", Epoch: 4, Oldest: 4}).Records); err != nil {
-			t.Fatal(err)
+		for _, e := range []reshard.Event{reshard.Heard{Gatherer: "g", Epoch: 4, Oldest: 4}, reshard.Dropped{Target: old}} {
+			if err := l.Append(c.Step(later, e).Records); err != nil {
+				t.Fatal(err)
+			}
 		}
 		if s := c.Jobs()[0]; s.Phase != reshard.Done || c.Layout().Len() != 2 {
 			t.Errorf("killed after event %d: the change ends as %v", kill, s.Phase)
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,55 @@
+package service
+
+import (
+	"testing"
+	"time"
+)
+
+func TestSecondsAreClosedAndBounded(t *testing.T) {
+	r := New([]string{"search", "reserve"})
+	at := time.Unix(1000, 0)
+	r.Record(at, 0, Whole, 10*time.Millisecond)
+	r.Record(at.Add(900*time.Millisecond), 0, Refused, 0)
+	r.Record(at.Add(-time.Second), 1, Failed, time.Second) // a clock that was set back
+	if w := r.Since(at.Add(950*time.Millisecond), 0); len(w) > 0 {
+		t.Errorf("the second at hand is told: %v", w)
+	}
+	w := r.Since(at.Add(time.Second), 0)
+	if len(w) != 1 || w[0].Second != 1000 || w[0].Classes[0].Whole != 1 || w[0].Classes[0].Refused != 1 || w[0].Classes[1].Failed != 1 ||
+		len(w[0].Classes[0].Times) != 1 || len(w[0].Classes[1].Times) != 0 {
+		t.Errorf("have %+v", w)
+	}
+	for i := range 2 * Kept {
+		r.Record(at.Add(time.Duration(i+1)*time.Second), 0, Partial, time.Hour)
+	}
+	end := at.Add(time.Duration(2*Kept+1) * time.Second)
+	if w := r.Since(end, 0); len(w) != Kept || w[Kept-1].Second != end.Unix()-1 {
+		t.Errorf("%d seconds are kept", len(w))
+	}
+	if w := r.Since(end, end.Unix()-3); len(w) != 2 {
+		t.Errorf("after a second: %v", w)
+	}
+}
+
+func TestSumsOfWindowsKeepTheirQuantiles(t *testing.T) {
+	a, b, sum := New([]string{"x"}), New([]string{"x"}), NewSum()
+	at := time.Unix(5, 0)
+	for i := range 1000 {
+		r := a
+		if i%2 == 0 {
+			r = b
+		}
+		r.Record(at, 0, Whole, time.Duration(i+1)*time.Millisecond)
+	}
+	for _, r := range []*Recorder{a, b} {
+		for _, w := range r.Since(at.Add(time.Second), 0) {
+			sum.Add(w.Classes[0])
+		}
+	}
+	if p := sum.Quantile(0.99); sum.Answered() != 1000 || sum.Whole != 1000 || p < 980*time.Millisecond || p > 1000*time.Millisecond {
+		t.Errorf("%d answers, p99 %v", sum.Answered(), p)
+	}
+	if sum.Reset(); sum.Answered() != 0 || sum.Whole != 0 {
+		t.Error("a reset leaves something")
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,315 @@
+// Package settings reads the operators' file: XML after deploy/eiderwinch.xsd, for
+// what the platform's configuration does not know. All of it is off where it is
+// not named. It does no I/O of its own.
+package settings
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"eiderwinch"
+	"eiderwinch/internal/config"
+	"eiderwinch/internal/guard"
+	"eiderwinch/internal/reshard"
+	"eiderwinch/internal/xmlform"
+)
+
+// Namespace names the form of these files.
+const Namespace = "urn:eiderwinch:operators:1"
+
+// File is what an operators' file says.
+type File struct {
+	Admin       string // endpoint of a gatherer's admin socket; empty: none
+	Layout      string // a layout's file; empty: the platform's cells say who holds what
+	Follow      bool   // epochs are taken from a coordinator, and written to Layout
+	Coordinator *Coordinator
+
+	Live    Live
+	Guard   Guard
+	Signing string // the file with the keys that configurations must be signed with; empty: none need be
+	History string // the file that changes of the configuration are written to; empty: memory
+}
+
+// Live is what can change while queries run. The zero value of a field means what
+// the platform's configuration says.
+type Live struct {
+	Classes   []Class
+	Pools     Pools
+	Admission Admission
+	Log       string // debug, info, warn or error; empty: info
+}
+
+// Class is the operators' own limits for a class.
+type Class struct {
+	Name     string
+	Within   time.Duration // no query of it takes longer
+	Attempts int           // of each part
+	Open     int           // queries of it at once; further ones are refused
+	Line     int           // where it stands
+}
+
+// Pools are the connections to searchers.
+type Pools struct {
+	Multiplex      int           // parts that one carries at once
+	ConnectTimeout time.Duration // a call waits so long for one
+	Idle           time.Duration // one is closed that was idle for so long
+	Line           int
+}
+
+// Admission is what clients may hold at once.
+type Admission struct {
+	Open int // queries and parts
+	Line int
+}
+
+// Guard is how a change is watched.
+type Guard struct {
+	Probation time.Duration
+	Auto      bool // a change that service did not fall under is confirmed by itself
+	Limits    guard.Limits
+}
+
+// Coordinator is what a coordinator is told.
+type Coordinator struct {
+	Listen, Log, Layout string
+	Measure             string
+	Poll, Timeout       time.Duration
+	Limits              reshard.Limits
+	Gatherers           []Peer
+	Searchers           []Peer
+}
+
+// Peer is a gatherer or searcher, and the endpoint of its admin socket.
+type Peer struct{ Name, Endpoint string }
+
+// Form returns the form of the files, of which deploy/eiderwinch.xsd is made.
+func Form() *xmlform.Form {
+	endpoint := func(doc string, required bool) xmlform.Attribute {
+		return xmlform.Attribute{Name: "endpoint", Kind: xmlform.Endpoint, Required: required, Doc: doc}
+	}
+	peer := []xmlform.Attribute{
+		{Name: "name", Kind: xmlform.Name, Required: true, Doc: "its name; of a searcher, its id in discovery"},
+		endpoint("its admin socket", true),
+	}
+	return &xmlform.Form{
+		Namespace: Namespace, Root: "eiderwinch", Depth: 3,
+		Doc:   "The operators' file of eiderwinch. All is off that it does not name. See docs/operate-layout.md.",
+		Order: []string{"eiderwinch", "admin", "log", "class", "pools", "admission", "guard", "history", "signing", "layout", "coordinator", "gatherer", "searcher"},
+		Elements: map[string]xmlform.Element{
+			"eiderwinch": {Doc: "the whole file", Children: []xmlform.Child{
+				{Name: "admin", Most: 1}, {Name: "log", Most: 1}, {Name: "class", Most: 64}, {Name: "pools", Most: 1}, {Name: "admission", Most: 1},
+				{Name: "guard", Most: 1}, {Name: "history", Most: 1}, {Name: "signing", Most: 1}, {Name: "layout", Most: 1}, {Name: "coordinator", Most: 1},
+			}},
+			"log": {Doc: "what a gatherer logs; can change while it runs", Attributes: []xmlform.Attribute{
+				{Name: "level", Kind: xmlform.Choice, Values: []string{"debug", "info", "warn", "error"}, Default: "info", Doc: "the least level that is logged"},
+			}},
+			"class": {Doc: "own limits of a class of queries; can change while they run, and each query keeps those that it was taken under", Attributes: []xmlform.Attribute{
+				{Name: "name", Kind: xmlform.Name, Required: true, Doc: "the class, as the platform's configuration has it"},
+				{Name: "within", Kind: xmlform.Span, Least: 0.01, Most: 3600, Doc: "a query is answered or given up within this; at most the class's deadline, which holds where it is not given"},
+				{Name: "attempts", Kind: xmlform.Count, Least: 1, Most: 16, Doc: "attempts of each part, one after the other; at most the platform's attempts_cap, which holds where it is not given"},
+				{Name: "copies", Kind: xmlform.Count, Least: 1, Most: 2, Default: "1", Doc: "attempts of a part out at once; the rules allow 1 only"},
+				{Name: "open", Kind: xmlform.Count, Least: 1, Most: 1e6, Doc: "queries at once; further ones are refused at once. Without it only what is open in all counts"},
+			}},
+			"pools": {Doc: "connections to searchers; can change while queries run", Attributes: []xmlform.Attribute{
+				{Name: "multiplex", Kind: xmlform.Count, Least: 1, Most: 1024, Unit: "parts", Doc: "parts that one connection carries at once; at most the platform's multiplex"},
+				{Name: "connect-timeout", Kind: xmlform.Span, Least: 0.001, Most: 10, Doc: "a call waits so long for a connection"},
+				{Name: "idle", Kind: xmlform.Span, Least: 0.1, Most: 3600, Doc: "a connection is closed that was idle for so long; at most the platform's conn_idle, after which searchers close it"},
+			}},
+			"admission": {Doc: "what clients may hold at once; can change while queries run", Attributes: []xmlform.Attribute{
+				{Name: "open", Kind: xmlform.Count, Least: 1, Most: 1e6, Unit: "queries and parts", Doc: "more are refused at once; at most the platform's max_open"},
+			}},
+			"signing": {Doc: "configurations must be signed to be staged", Attributes: []xmlform.Attribute{
+				{Name: "keys", Kind: xmlform.Text, Required: true, Doc: "a file after deploy/keys.xsd, read anew each time; from the directory of this file on, where it is not absolute"},
+			}},
+			"history": {Doc: "where changes of the configuration are written down; without it they are in memory, and gone at a restart", Attributes: []xmlform.Attribute{
+				{Name: "file", Kind: xmlform.Text, Required: true, Doc: "a file on a disk that lasts; from the directory of this file on, where it is not absolute"},
+			}},
+			"guard": {Doc: "how a change of the configuration is watched", Attributes: []xmlform.Attribute{
+				{Name: "probation", Kind: xmlform.Span, Default: "30s", Least: 1, Most: 86400, Doc: "a change is watched for so long"},
+				{Name: "auto", Kind: xmlform.Flag, Default: "true", Doc: "at the end of the probation a change under which service did not fall is confirmed; else it is undone where nobody has confirmed it"},
+				{Name: "chance", Kind: xmlform.Factor, Default: "0.001", Least: 1e-9, Most: 0.5, Doc: "the chance of undoing a change that changed nothing, in one probation"},
+				{Name: "points", Kind: xmlform.Share, Default: "0.05", Doc: "the share of a class's queries that must fare worse than before"},
+				{Name: "slower", Kind: xmlform.Factor, Default: "1.5", Least: 1, Most: 1000, Doc: "p99 over what it was"},
+			}},
+			"admin": {Doc: "a gatherer's admin socket", Attributes: []xmlform.Attribute{endpoint("where it listens; on the machine itself only, since it has no passwords", true)}},
+			"layout": {Doc: "the layout that a gatherer binds its queries to", Attributes: []xmlform.Attribute{
+				{Name: "file", Kind: xmlform.Text, Required: true, Doc: "a layout after deploy/layout.xsd; from the directory of this file on, where it is not absolute"},
+				{Name: "follow", Kind: xmlform.Flag, Default: "false", Doc: "take epochs from a coordinator over the admin socket, and write each to the file before it is taken up"},
+			}},
+			"coordinator": {Doc: "changes layouts while queries run: eiderwinch coordinate", Attributes: []xmlform.Attribute{
+				endpoint("its admin socket, for layout status, apply and abort", true),
+				{Name: "log", Kind: xmlform.Text, Required: true, Doc: "the file of its durable log"},
+				{Name: "layout", Kind: xmlform.Text, Required: true, Doc: "the layout that a new log begins with; its list of searchers holds for an old one too"},
+				{Name: "measure", Kind: xmlform.Text, Default: "search", Doc: "the safe class whose p99 copies yield to"},
+				{Name: "poll", Kind: xmlform.Span, Default: "200ms", Least: 0.01, Most: 10, Doc: "gatherers and searchers are asked so often"},
+				{Name: "timeout", Kind: xmlform.Span, Default: "2s", Least: 0.05, Most: 60, Doc: "and have so long to answer; three misses in a row mean that a searcher is down"},
+				{Name: "per-searcher", Kind: xmlform.Count, Default: "2", Least: 1, Most: 64, Doc: "changes that copy from or to one searcher at once"},
+				{Name: "per-zone", Kind: xmlform.Count, Default: "8", Least: 1, Most: 1024, Doc: "changes that copy from or to one data centre at once"},
+				{Name: "queued", Kind: xmlform.Count, Default: "64", Least: 1, Most: 64, Doc: "changes that are not over; more are refused"},
+				{Name: "lag", Kind: xmlform.Span, Default: "50ms", Least: 0.001, Most: 10, Doc: "new holders may be so far behind at the cut-over"},
+				{Name: "fill-within", Kind: xmlform.Span, Default: "30m", Least: 1, Most: 86400, Doc: "a change is undone that is not cut over so long after its start"},
+				{Name: "gatherer-lost", Kind: xmlform.Span, Default: "20s", Least: 13, Most: 600, Doc: "a gatherer not heard of for so long has no open query left; above the longest deadline, 12 s, and a second for its last answer"},
+				{Name: "rows", Kind: xmlform.Factor, Default: "20000", Least: 1, Most: 1e9, Unit: "rows a second to each new holder", Doc: "copies are never faster"},
+				{Name: "rows-least", Kind: xmlform.Factor, Default: "200", Least: 1, Most: 1e9, Unit: "rows a second to each new holder", Doc: "copies are never slower: they would not end"},
+			}, Children: []xmlform.Child{{Name: "gatherer", Least: 1}, {Name: "searcher", Least: 1}}},
+			"gatherer": {Doc: "a gatherer that follows this coordinator", Attributes: peer},
+			"searcher": {Doc: "a searcher of the layout's fleet", Attributes: peer},
+		},
+	}
+}
+
+// Read reads a file, whose name is for messages only. The error joins all its
+// faults, each an xmlform.Fault.
+func Read(file string, r io.Reader) (*File, error) {
+	faults := &xmlform.Faults{File: file}
+	root := Form().Read(r, faults)
+	if root == nil {
+		return nil, faults.Err()
+	}
+	f := &File{}
+	if n := root.Child("admin"); n != nil {
+		f.Admin = n.Text("endpoint")
+	}
+	f.live(root, faults)
+	if n := root.Child("signing"); n != nil {
+		if f.Signing = n.Text("keys"); n.Sound && f.Signing == "" {
+			faults.Add(n.Line, n.Name, `keys=""`, "the name of a file")
+		}
+	}
+	if n := root.Child("history"); n != nil {
+		if f.History = n.Text("file"); n.Sound && f.History == "" {
+			faults.Add(n.Line, n.Name, `file=""`, "the name of a file")
+		}
+	}
+	f.Guard = Guard{Probation: 30 * time.Second, Auto: true}
+	if n := root.Child("guard"); n != nil && n.Sound {
+		f.Guard = Guard{n.Span("probation"), n.Flag("auto"), guard.Limits{Chance: n.Float("chance"), Points: n.Float("points"), Slower: n.Float("slower")}}
+	}
+	if n := root.Child("layout"); n != nil {
+		f.Layout, f.Follow = n.Text("file"), n.Flag("follow")
+		if n.Sound && f.Layout == "" {
+			faults.Add(n.Line, n.Name, `file=""`, "the name of a file")
+		}
+		if f.Follow && root.Child("admin") == nil {
+			faults.Add(n.Line, n.Name, "follow without an admin socket", "the element admin: epochs come over it")
+		}
+	}
+	if n := root.Child("coordinator"); n != nil {
+		f.Coordinator = coordinator(n, faults)
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// live reads what can change while queries run.
+func (f *File) live(root *xmlform.Node, faults *xmlform.Faults) {
+	l := &f.Live
+	if n := root.Child("log"); n != nil {
+		l.Log = n.Text("level")
+	}
+	if n := root.Child("pools"); n != nil {
+		l.Pools = Pools{int(n.Number("multiplex")), n.Span("connect-timeout"), n.Span("idle"), n.Line}
+	}
+	if n := root.Child("admission"); n != nil {
+		l.Admission = Admission{int(n.Number("open")), n.Line}
+	}
+	seen := make(map[string]int)
+	for _, n := range root.Children {
+		if n.Name != "class" || !n.Sound {
+			continue
+		}
+		c := Class{n.Text("name"), n.Span("within"), int(n.Number("attempts")), int(n.Number("open")), n.Line}
+		if line, ok := seen[c.Name]; ok {
+			faults.Add(n.Line, n.Name, fmt.Sprintf("class %q, which stands in line %d too", c.Name, line), "one of it")
+		}
+		seen[c.Name] = n.Line
+		if n.Number("copies") != 1 {
+			faults.Add(n.Line, n.Name, fmt.Sprintf("copies=%d", n.Number("copies")), "1: the rules allow one attempt of a part out at a time")
+		}
+		l.Classes = append(l.Classes, c)
+	}
+}
+
+// Fit tells all in which a file does not fit the platform's configuration.
+func (f *File) Fit(file string, c config.Settings) error {
+	faults := &xmlform.Faults{File: file}
+	for _, own := range f.Live.Classes {
+		i := slices.IndexFunc(c.Module.Classes, func(k eiderwinch.Class) bool { return k.Name == own.Name })
+		if i < 0 {
+			var names []string
+			for _, k := range c.Module.Classes {
+				names = append(names, k.Name)
+			}
+			faults.Add(own.Line, "class", fmt.Sprintf("class %q", own.Name), "one of "+strings.Join(names, ", "))
+			continue
+		}
+		if k := c.Module.Classes[i]; own.Within > k.Deadline {
+			faults.Add(own.Line, "class", fmt.Sprintf("within=%v", own.Within), fmt.Sprintf("at most the deadline of %s, %v", k.Name, k.Deadline))
+		}
+		if most := c.Module.MaxAttempts; most > 0 && own.Attempts > most {
+			faults.Add(own.Line, "class", fmt.Sprintf("attempts=%d", own.Attempts), fmt.Sprintf("at most attempts_cap, %d", most))
+		}
+	}
+	p, l := f.Live.Pools, c.Limits
+	if p.Multiplex > l.Multiplex {
+		faults.Add(p.Line, "pools", fmt.Sprintf("multiplex=%d", p.Multiplex), fmt.Sprintf("at most the platform's, %d", l.Multiplex))
+	}
+	if p.Idle > l.ConnIdle {
+		faults.Add(p.Line, "pools", fmt.Sprintf("idle=%v", p.Idle), fmt.Sprintf("at most conn_idle, %v: searchers close connections then", l.ConnIdle))
+	}
+	if open := f.Live.Admission.Open; l.MaxOpen > 0 && open > l.MaxOpen {
+		faults.Add(f.Live.Admission.Line, "admission", fmt.Sprintf("open=%d", open), fmt.Sprintf("at most max_open, %d", l.MaxOpen))
+	}
+	return faults.Err()
+}
+
+func coordinator(n *xmlform.Node, faults *xmlform.Faults) *Coordinator {
+	c := &Coordinator{
+		Listen: n.Text("endpoint"), Log: n.Text("log"), Layout: n.Text("layout"), Measure: n.Text("measure"),
+		Poll: n.Span("poll"), Timeout: n.Span("timeout"),
+		Limits: reshard.Limits{
+			PerSearcher: int(n.Number("per-searcher")), PerZone: int(n.Number("per-zone")), Queued: int(n.Number("queued")),
+			LagMost: n.Span("lag"), FillMost: n.Span("fill-within"), Gatherer: n.Span("gatherer-lost"),
+			RateMost: n.Float("rows"), RateLeast: n.Float("rows-least"),
+		},
+	}
+	// News of how far a copy is must be younger than LagFresh at the cut-over, and
+	// comes once in a poll.
+	c.Limits.LagFresh = max(time.Second, 2*c.Poll)
+	if n.Sound {
+		for _, name := range []string{"log", "layout"} {
+			if n.Text(name) == "" {
+				faults.Add(n.Line, n.Name, name+`=""`, "the name of a file")
+			}
+		}
+		if c.Limits.RateLeast > c.Limits.RateMost {
+			faults.Add(n.Line, n.Name, fmt.Sprintf("rows-least=%v", c.Limits.RateLeast), fmt.Sprintf("at most rows=%v", c.Limits.RateMost))
+		}
+		if c.Timeout+c.Poll >= c.Limits.Gatherer {
+			faults.Add(n.Line, n.Name, fmt.Sprintf("timeout=%v and poll=%v", c.Timeout, c.Poll), fmt.Sprintf("less than gatherer-lost=%v together", c.Limits.Gatherer))
+		}
+	}
+	seen := make(map[string]int)
+	for _, p := range n.Children {
+		if !p.Sound {
+			continue
+		}
+		name := p.Text("name")
+		if line, ok := seen[name]; ok {
+			faults.Add(p.Line, p.Name, fmt.Sprintf("name %q, which stands in line %d too", name, line), "a name of its own")
+		}
+		seen[name] = p.Line
+		peer := Peer{name, p.Text("endpoint")}
+		if p.Name == "gatherer" {
+			c.Gatherers = append(c.Gatherers, peer)
+		} else {
+			c.Searchers = append(c.Searchers, peer)
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,113 @@
+package settings
+
+import (
+	"bytes"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const full = `<eiderwinch xmlns="urn:eiderwinch:operators:1">
+  <admin endpoint="unix:/run/e/admin.sock"/>
+  <layout file="layout.xml" follow="true"/>
+  <coordinator endpoint="unix:/run/e/co.sock" log="changes.db" layout="layout.xml" poll="2s" rows="500">
+    <gatherer name="g0" endpoint="unix:/run/e/admin.sock"/>
+    <searcher name="s0" endpoint="127.0.0.1:7000"/>
+    <searcher name="s1" endpoint="[::1]:7000"/>
+  </coordinator>
+</eiderwinch>
+`
+
+func TestAFileIsReadAsItStands(t *testing.T) {
+	f, err := Read("e.xml", strings.NewReader(full))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := f.Coordinator
+	if f.Admin != "unix:/run/e/admin.sock" || f.Layout != "layout.xml" || !f.Follow || c == nil ||
+		c.Log != "changes.db" || c.Measure != "search" || c.Poll != 2*time.Second || c.Timeout != 2*time.Second ||
+		c.Limits.RateMost != 500 || c.Limits.RateLeast != 200 || c.Limits.PerSearcher != 2 || c.Limits.LagFresh != 4*time.Second ||
+		len(c.Gatherers) != 1 || len(c.Searchers) != 2 || c.Searchers[1] != (Peer{"s1", "[::1]:7000"}) {
+		t.Errorf("have %+v with %+v", f, c)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`endpoint="unix:/run/e/admin.sock"/>` + "\n  <layout", `endpoint="10.0.0.1:80"/>` + "\n  <layout", `e.xml:2: <admin>: found endpoint="10.0.0.1:80", want unix:PATH`},
+		{`  <admin endpoint="unix:/run/e/admin.sock"/>`, ``, `e.xml:3: <layout>: found follow without an admin socket`},
+		{`file="layout.xml"`, `file=""`, `e.xml:3: <layout>: found file="", want the name of a file`},
+		{`log="changes.db"`, `log=""`, `found log=""`},
+		{`follow="true"`, `follow="yes"`, `want true or false`},
+		{`rows="500"`, `rows="100"`, `found rows-least=200, want at most rows=100`},
+		{`poll="2s"`, `poll="10s" timeout="15s"`, `want less than gatherer-lost=20s together`},
+		{`poll="2s"`, `gatherer-lost="5s"`, `from 13s to 10m0s`},
+		{`name="s1"`, `name="g0"`, `e.xml:7: <searcher>: found name "g0", which stands in line 5 too`},
+		{`<gatherer name="g0" endpoint="unix:/run/e/admin.sock"/>`, ``, `e.xml:4: <coordinator>: found no gatherer`},
+		{`</eiderwinch>`, `<admin endpoint="127.0.0.1:0"/></eiderwinch>`, `found a further admin in eiderwinch`},
+	} {
+		text := strings.Replace(full, c.old, c.new, 1)
+		if _, err := Read("e.xml", strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s for %s: have %v, want %s", c.new, c.old, err, c.want)
+		}
+	}
+}
+
+// The file under deploy/ names nothing: all is off on the platform.
+func TestTheFilesUnderDeploy(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/eiderwinch.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f, err := Read("eiderwinch.xml", bytes.NewReader(text)); err != nil || !reflect.DeepEqual(f, &File{Guard: Guard{Probation: 30 * time.Second, Auto: true}}) {
+		t.Errorf("have %+v, %v", f, err)
+	}
+	form := Form()
+	if err := form.Check(); err != nil {
+		t.Error(err)
+	}
+	schema, err := os.ReadFile("../../deploy/eiderwinch.xsd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	if err := form.Schema(&b); err != nil || b.String() != string(schema) {
+		t.Errorf("deploy/eiderwinch.xsd is not what the form says (%v): print it with eiderwinch schema operators", err)
+	}
+}
+
+// FuzzRead holds the reader to an error or a file that can be formatted, read again
+// to the same, and compared with itself.
+func FuzzRead(f *testing.F) {
+	f.Add(full)
+	f.Add(`<eiderwinch xmlns="urn:eiderwinch:operators:1"><class name="a" within="1s" open="3"/><guard slower="2"/></eiderwinch>`)
+	f.Add("<eiderwinch")
+	f.Fuzz(func(t *testing.T, text string) {
+		file, err := Read("e.xml", strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		var b, c bytes.Buffer
+		if err := Form().Format("e.xml", []byte(text), &b); err != nil {
+			t.Fatal(err)
+		}
+		again, err := Read("e.xml", bytes.NewReader(b.Bytes()))
+		if err != nil {
+			t.Fatalf("formatted it can't be read: %v\n%s", err, b.String())
+		}
+		for _, f := range []*File{file, again} { // lines may differ
+			f.Live.Pools.Line, f.Live.Admission.Line = 0, 0
+			for i := range f.Live.Classes {
+				f.Live.Classes[i].Line = 0
+			}
+		}
+		if !reflect.DeepEqual(file, again) {
+			t.Fatalf("%+v became %+v", file, again)
+		}
+		if err := Form().Format("e.xml", b.Bytes(), &c); err != nil || c.String() != b.String() {
+			t.Fatalf("formatted twice: %v\n%s\n%s", err, b.String(), c.String())
+		}
+	})
+}
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -59,17 +59,21 @@
 	status     int
 	full       bool
 	epoch      layout.Epoch
+	generation uint64 // of the settings; 0 where they can't change
 	pieces     []piece
 	err        error
 }
 
-// judge looks at one answer.
-func (a *audit) judge(q *query) {
+// judge looks at one answer, of which something else may be known to be wrong.
+func (a *audit) judge(q *query, wrong string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.report
 	r.Asked++
 	switch {
+	case wrong != "":
+		a.fault(&r.Mixed, "%s %s: %s", q.class, q.trace, wrong)
+		return
 	case q.err != nil:
 		a.fault(&r.Lost, "%s %s: %v", q.class, q.trace, q.err)
 		return
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,10 +24,11 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/anishathalye/porcupine"
 
+	"eiderwinch/internal/admin"
 	"eiderwinch/internal/config"
+	"eiderwinch/internal/coordinator"
 	"eiderwinch/internal/daemon"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/migrate"
 	"eiderwinch/internal/netio"
 	"eiderwinch/internal/reshard"
 	"eiderwinch/internal/standin"
@@ -61,6 +62,8 @@
 	Jobs                            reshard.Counts
 	Splits, Merges, Moves           int // done
 	SearcherKills, CoordinatorKills int
+	Orders, Missed, LateOrders      int // of the coordinator to searchers: given, failed, and passed over as older
+	Slowed                          int // times copies were slowed down for queries
 	Epochs                          layout.Epoch
 	Translated                      int
 	QuietP99, ChangeP99, Ratio      []float64 // of searches, in ms, by round
@@ -93,14 +96,11 @@
 	replicas  = 3
 	segments  = 6                      // at the start
 	mostOpen  = 500                    // queries of ours at once
-	learnMost = 400 * time.Millisecond // a gatherer learns an epoch so late
-	gossip    = 300 * time.Millisecond // and is told again so often
-	missed    = 0.3                    // share of that which gets lost
-	hearEvery = 100 * time.Millisecond // gatherers tell what they know
-	copyEvery = 20 * time.Millisecond
-	lagEvery  = 200 * time.Millisecond
-	downFor   = time.Second     // a killed searcher
-	tryFor    = 2 * time.Second // a reservation is tried again within its window of 2.5 s
+	learnMost = 400 * time.Millisecond // what the coordinator and its peers say is so late at the most
+	delayed   = 0.2                    // share of that which is late
+	missed    = 0.1                    // share of questions, and of answers, which get lost
+	downFor   = time.Second            // a killed searcher
+	tryFor    = 2 * time.Second        // a reservation is tried again within its window of 2.5 s
 	queryTime = 4 * time.Second
 	stock     = 1_000_000
 )
@@ -108,38 +108,34 @@
 // run is one soak.
 type run struct {
 	Options
-	rng     *lockedRand
-	world   *standin.Deployment
-	ids     []string // of searchers, those of one zone in a row
-	fleet   layout.Fleet
-	store   *standin.Warehouse
-	nodes   []*node
-	audit   *audit
-	client  *http.Client
-	latest  atomic.Pointer[layout.Layout] // as it was published last
-	known   atomic.Pointer[layout.Layout] // as clients know it, seconds late
-	driver  atomic.Pointer[migrate.Driver]
-	stopCo  context.CancelFunc
-	rate    atomic.Uint64 // rows a second
-	report  *Report
-	kinds   map[reshard.JobID]layout.ChangeKind
-	mu      sync.Mutex // of searchers, fills, kinds
-	fills   map[fillID]context.CancelFunc
-	search  atomic.Pointer[window]
-	queries sync.WaitGroup
-	open    atomic.Int64
-	held    atomic.Int64
-	traces  atomic.Int64
-}
-
-type fillID struct {
-	job    reshard.JobID
-	target reshard.Target
+	rng        *lockedRand
+	world      *standin.Deployment
+	ids        []string // of searchers, those of one zone in a row
+	fleet      layout.Fleet
+	store      *standin.Warehouse
+	nodes      []*node
+	audit      *audit
+	client     *http.Client
+	latest     atomic.Pointer[layout.Layout] // as it was published last
+	known      atomic.Pointer[layout.Layout] // as clients know it, seconds late
+	co         atomic.Pointer[coordinator.Coordinator]
+	stopCo     context.CancelFunc
+	report     *Report
+	judge      func(*query) string // what is wrong with an answer beside what the audit sees; may be nil
+	kinds      map[reshard.JobID]layout.ChangeKind
+	mu         sync.Mutex // of report's counts of changes and kills, and kinds
+	custodians map[string]*standin.Custodian
+	search     atomic.Pointer[window]
+	queries    sync.WaitGroup
+	open       atomic.Int64
+	held       atomic.Int64
+	traces     atomic.Int64
 }
 
 type node struct {
 	*netio.Node
 	counters *stats.Counters
+	admin    *admin.Server
 	ended    chan error
 }
 
@@ -177,12 +173,11 @@
 func Run(ctx context.Context, o Options) (report Report, err error) {
 	r := &run{
 		Options: o, rng: &lockedRand{r: rand.New(rand.NewPCG(o.Seed, 4))}, report: &report,
-		fills: make(map[fillID]context.CancelFunc), kinds: make(map[reshard.JobID]layout.ChangeKind),
+		custodians: make(map[string]*standin.Custodian), kinds: make(map[reshard.JobID]layout.ChangeKind),
 	}
-	r.rate.Store(20_000)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	if err := r.start(ctx); err != nil {
+	if err := r.start(); err != nil {
 		return report, errors.Join(err, r.close())
 	}
 	for round := range max(o.Rounds, 1) {
@@ -216,7 +211,47 @@
 	return report, err
 }
 
-func (r *run) start(ctx context.Context) error {
+func (r *run) start() error {
+	if err := r.deploy(); err != nil {
+		return err
+	}
+	for i := range gatherers {
+		text, err := r.world.Config("g"+strconv.Itoa(i), "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		cfg, err := config.Parse(text)
+		if err != nil {
+			return err
+		}
+		n := &node{counters: stats.New(), ended: make(chan error, 1)}
+		n.Node = daemon.New(cfg, daemon.Options{Layout: r.world.First(), Record: true}, n.counters, slog.New(slog.DiscardHandler))
+		if err := r.serve(n); err != nil {
+			return err
+		}
+		file := filepath.Join(r.Dir, cfg.Name)
+		g := &admin.Gatherer{Name: cfg.Name, Node: n.Node, Layout: file + ".xml"}
+		if n.admin, err = admin.Serve("unix:"+file+".sock", g.Handler()); err != nil {
+			return err
+		}
+	}
+	return r.coordinate()
+}
+
+// serve starts a gatherer.
+func (r *run) serve(n *node) error {
+	go func() { n.ended <- n.Node.Run() }()
+	select {
+	case <-n.Started():
+	case err := <-n.ended:
+		return err
+	}
+	r.nodes = append(r.nodes, n)
+	return nil
+}
+
+// deploy starts searchers, discovery and the audit.
+func (r *run) deploy() error {
 	world, err := standin.NewDeployment(standin.DeploymentOptions{Seed: r.Seed, Work: func(first *layout.Layout) standin.Work {
 		r.store = standin.NewWarehouse(standin.WarehouseOptions{Seed: r.Seed, Stock: stock}, first)
 		return r.store
@@ -245,50 +280,84 @@
 	r.latest.Store(first)
 	r.known.Store(first)
 	r.audit = &audit{epochs: map[layout.Epoch]*layout.Layout{1: first}, keys: r.store.Keys(), report: r.report, start: time.Now()}
-	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
-	for i := range gatherers {
-		text, err := world.Config("g"+strconv.Itoa(i), "127.0.0.1:0")
-		if err != nil {
+	for _, id := range r.ids {
+		c := standin.NewCustodian(id, r.store, filepath.Join(r.Dir, id+".sock"))
+		r.custodians[id] = c
+		if err := c.Open(); err != nil {
 			return err
 		}
-		cfg, err := config.Parse(text)
-		if err != nil {
-			return err
-		}
-		n := &node{counters: stats.New(), ended: make(chan error, 1)}
-		n.Node = daemon.New(cfg, first, n.counters, slog.New(slog.DiscardHandler))
-		go func() { n.ended <- n.Node.Run() }()
-		select {
-		case <-n.Started():
-		case err := <-n.ended:
-			return err
-		}
-		r.nodes = append(r.nodes, n)
-	}
-	if err := r.coordinate(ctx); err != nil {
-		return err
 	}
-	go r.gossip(ctx)
-	go r.hear(ctx)
+	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
 	return nil
 }
 
 // coordinate starts the coordinator, the first time or after a kill.
-func (r *run) coordinate(ctx context.Context) error {
-	co, stop := context.WithCancel(ctx)
-	d, err := migrate.Start(co, migrate.Options{
-		Path: filepath.Join(r.Dir, "changes.db"), First: r.world.First(), Fleet: r.fleet,
-		Limits: reshard.Limits{Gatherer: 3 * time.Second}, Ended: r.ended,
-	}, r)
+func (r *run) coordinate() error {
+	var gatherers, searchers []coordinator.Peer
+	for i, n := range r.nodes {
+		gatherers = append(gatherers, coordinator.Peer{Name: "g" + strconv.Itoa(i), Endpoint: n.admin.Endpoint()})
+	}
+	for _, id := range r.ids {
+		searchers = append(searchers, coordinator.Peer{Name: id, Endpoint: r.custodians[id].Endpoint()})
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	c, err := coordinator.Start(ctx, coordinator.Options{
+		Log: filepath.Join(r.Dir, "changes.db"), First: r.world.First(), Fleet: r.fleet,
+		Limits:    reshard.Limits{Gatherer: 3 * time.Second},
+		Gatherers: gatherers, Searchers: searchers, Measure: "search", Timeout: time.Second,
+		Wrap:      func(t http.RoundTripper) http.RoundTripper { return &flaky{t, r.rng} },
+		Published: r.publish, Ended: r.ended, Logger: slog.New(slog.DiscardHandler),
+	})
 	if err != nil {
 		stop()
 		return err
 	}
 	r.stopCo = stop
-	r.driver.Store(d)
+	r.co.Store(c)
 	return nil
 }
 
+// flaky loses and delays what the coordinator and its peers say to each other.
+type flaky struct {
+	http.RoundTripper
+	rng *lockedRand
+}
+
+var errLost = errors.New("lost on its way")
+
+func (f *flaky) RoundTrip(r *http.Request) (*http.Response, error) {
+	delay := time.Duration(f.rng.float() * float64(learnMost))
+	if f.rng.float() >= delayed {
+		delay = 0
+	}
+	if !sleep(r.Context(), delay) {
+		return nil, r.Context().Err()
+	}
+	if f.rng.float() < missed { // the question
+		return nil, errLost
+	}
+	resp, err := f.RoundTripper.RoundTrip(r)
+	if err == nil && f.rng.float() < missed { // the answer
+		return nil, errors.Join(errLost, resp.Body.Close())
+	}
+	return resp, err
+}
+
+// endCoordinator ends it where it stands.
+func (r *run) endCoordinator() error {
+	c := r.co.Load()
+	if c == nil {
+		return nil
+	}
+	if s, err := c.Status(); err == nil {
+		r.report.Slowed += s.Counts.Slowed
+		r.report.Orders += s.Custody.Orders
+		r.report.Missed += s.Custody.Misses
+	}
+	r.stopCo()
+	return c.Wait()
+}
+
 func (r *run) ended(e reshard.Ended) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -307,96 +376,16 @@
 	}
 }
 
-// Publish implements migrate.Peers: gatherers learn an epoch late, some not at all.
-func (r *run) Publish(l *layout.Layout) {
+// publish is told of each epoch before any gatherer is.
+func (r *run) publish(l *layout.Layout) {
 	if l.Epoch() < r.latest.Load().Epoch() {
 		return
 	}
 	r.audit.publish(l)
 	r.latest.Store(l)
-	for _, n := range r.nodes {
-		if r.rng.float() >= missed {
-			time.AfterFunc(time.Duration(r.rng.float()*float64(learnMost)), func() { n.Adopt(l) })
-		}
-	}
 	time.AfterFunc(time.Duration(r.rng.float()*2*float64(time.Second)), func() { r.known.Store(l) })
 }
 
-// gossip tells gatherers the latest epoch again.
-func (r *run) gossip(ctx context.Context) {
-	for sleep(ctx, gossip) {
-		for _, n := range r.nodes {
-			if r.rng.float() >= missed {
-				n.Adopt(r.latest.Load())
-			}
-		}
-	}
-}
-
-// hear tells the coordinator what gatherers know.
-func (r *run) hear(ctx context.Context) {
-	for sleep(ctx, hearEvery) {
-		for i, n := range r.nodes {
-			if epoch, oldest, ok := n.Epochs(ctx); ok {
-				r.driver.Load().Tell(reshard.Heard{Gatherer: strconv.Itoa(i), Epoch: epoch, Oldest: oldest})
-			}
-		}
-	}
-}
-
-// Fill implements migrate.Peers.
-func (r *run) Fill(f reshard.Fill) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	id := fillID{f.Job, f.Target}
-	if r.fills[id] != nil {
-		return
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	r.fills[id] = stop
-	go r.fill(ctx, f)
-}
-
-func (r *run) fill(ctx context.Context, f reshard.Fill) {
-	t := time.NewTicker(copyEvery)
-	defer t.Stop()
-	var said time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		most := max(int(float64(r.rate.Load())*copyEvery.Seconds()), 1)
-		done, _ := r.store.Fill(f.Target.Searcher, f.Target.Segment, f.Keys, f.Sources, f.From, most)
-		if !done || ctx.Err() != nil || time.Since(said) < lagEvery {
-			continue
-		}
-		said = time.Now()
-		d := r.driver.Load()
-		d.Tell(reshard.Copied{Job: f.Job, Target: f.Target})
-		d.Tell(reshard.Lag{Job: f.Job, Target: f.Target})
-	}
-}
-
-// Stop implements migrate.Peers.
-func (r *run) Stop(job reshard.JobID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, stop := range r.fills {
-		if id.job == job {
-			stop()
-			delete(r.fills, id)
-		}
-	}
-}
-
-// Rate implements migrate.Peers.
-func (r *run) Rate(rows float64) { r.rate.Store(uint64(rows)) }
-
-// Drop implements migrate.Peers.
-func (r *run) Drop(t reshard.Target) { r.store.Drop(t.Searcher, t.Segment) }
-
 // pass lets a window go by: queries run, one searcher is killed, and with
 // changes these are asked for and the coordinator is killed as well.
 func (r *run) pass(ctx context.Context, length time.Duration, changes bool) {
@@ -434,16 +423,15 @@
 	}
 	i := r.rng.intn(len(r.ids))
 	id := r.ids[i]
-	r.driver.Load().Tell(reshard.Down{Searcher: id})
-	if err := r.world.Kill(i); err != nil {
-		return
+	if err := errors.Join(r.custodians[id].Close(), r.world.Kill(i)); err != nil {
+		fmt.Fprintln(r.Out, "a searcher was not killed cleanly:", err)
 	}
 	r.mu.Lock()
 	r.report.SearcherKills++
 	r.mu.Unlock()
 	time.Sleep(downFor) // it comes back though the window is over
-	if err := r.world.Restart(i); err == nil {
-		r.driver.Load().Tell(reshard.Up{Searcher: id})
+	if err := errors.Join(r.world.Restart(i), r.custodians[id].Open()); err != nil {
+		fmt.Fprintln(r.Out, "a searcher did not come back:", err)
 	}
 }
 
@@ -452,10 +440,11 @@
 	if !sleep(ctx, after) {
 		return
 	}
-	r.stopCo()
-	_ = r.driver.Load().Wait()
+	if err := r.endCoordinator(); err != nil {
+		fmt.Fprintln(r.Out, "the coordinator had ended:", err)
+	}
 	r.report.CoordinatorKills++
-	if err := r.coordinate(context.WithoutCancel(ctx)); err != nil {
+	if err := r.coordinate(); err != nil {
 		fmt.Fprintln(r.Out, "the coordinator did not come up:", err)
 	}
 }
@@ -464,7 +453,7 @@
 func (r *run) change(ctx context.Context) {
 	for i := 0; ; i++ {
 		if c, ok := r.choose(layout.ChangeKind(i % 3)); ok {
-			id, err := r.driver.Load().Submit(c)
+			id, err := r.co.Load().Submit(c)
 			r.mu.Lock()
 			r.report.Jobs.Submitted++
 			if err != nil {
@@ -563,7 +552,7 @@
 	if class == "search" && q.status == http.StatusOK {
 		r.search.Load().record(q.done.Sub(q.sent))
 	}
-	r.audit.judge(q)
+	r.look(q)
 }
 
 // reserve takes one of a row, with the same key again where it is not told that
@@ -577,7 +566,7 @@
 		l := r.known.Load()
 		q := &query{class: "reserve", trace: r.trace(), known: l.Epoch(), id: id, segments: []layout.SegmentID{l.Find(item).ID}}
 		r.post(q, "reserve "+string(item))
-		r.audit.judge(q)
+		r.look(q)
 		if left := q.left(); left >= 0 || time.Since(began) >= tryFor {
 			r.audit.reserved(0, item, began, time.Now(), left)
 			return
@@ -586,6 +575,15 @@
 	}
 }
 
+// look judges an answer.
+func (r *run) look(q *query) {
+	what := ""
+	if r.judge != nil && q.err == nil {
+		what = r.judge(q)
+	}
+	r.audit.judge(q, what)
+}
+
 // post asks one query and reads its answer.
 func (r *run) post(q *query, statement string) {
 	type tablet struct {
@@ -626,6 +624,7 @@
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
 	q.done, q.status, q.err = time.Now(), resp.StatusCode, err
+	q.generation, _ = strconv.ParseUint(resp.Header.Get("X-Config-Generation"), 10, 64)
 	if err != nil || q.status != http.StatusOK {
 		return
 	}
@@ -641,20 +640,18 @@
 
 // close ends all parties.
 func (r *run) close() error {
-	var errs []error
-	if d := r.driver.Load(); d != nil {
-		r.stopCo()
-		errs = append(errs, d.Wait())
-	}
-	r.mu.Lock()
-	for _, stop := range r.fills {
-		stop()
+	errs := []error{r.endCoordinator()}
+	for _, c := range r.custodians {
+		errs = append(errs, c.Close())
+		r.report.LateOrders += c.Late()
 	}
-	r.mu.Unlock()
 	if r.client != nil {
 		r.client.CloseIdleConnections()
 	}
 	for _, n := range r.nodes {
+		if n.admin != nil {
+			errs = append(errs, n.admin.Close())
+		}
 		n.Drain()
 		errs = append(errs, <-n.ended)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,6 +11,7 @@
 
 // TestChangesUnderLoad is the short form of `eiderwinch layout soak`.
 func TestChangesUnderLoad(t *testing.T) {
+	t.Parallel()
 	r, err := Run(context.Background(), Options{
 		Rounds: 1, Quiet: 3 * time.Second, Changes: 12 * time.Second, Every: time.Second, Rate: 80, Seed: 1,
 		Dir: t.TempDir(), Out: io.Discard,
@@ -27,6 +28,24 @@
 	t.Logf("%+v", r)
 }
 
+// TestConfigurationChangesUnderLoad is the short form of `eiderwinch config soak`.
+func TestConfigurationChangesUnderLoad(t *testing.T) {
+	t.Parallel()
+	r, err := RunConfig(context.Background(), ConfigOptions{
+		Warm: 6 * time.Second, Changes: 16 * time.Second, Every: time.Second, Rate: 100, Row: 30, Seed: 1, Dir: t.TempDir(), Out: io.Discard,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Err(); err != nil {
+		t.Error(err)
+	}
+	if r.Bad == 0 || r.Confirmed == 0 || r.Generations < 3 {
+		t.Errorf("it did not do what it is for: %+v", r)
+	}
+	t.Logf("%+v", r)
+}
+
 // The audit must see what it is there to see.
 func TestTheAuditSeesWhatIsWrong(t *testing.T) {
 	l, err := layout.First(
@@ -49,7 +68,7 @@
 	} {
 		r := new(Report)
 		a := &audit{epochs: map[layout.Epoch]*layout.Layout{1: l}, keys: []layout.Key{"k1", "k2", "k3"}, report: r}
-		a.judge(&query{class: "search", status: 200, full: true, epoch: c.epoch, pieces: c.pieces})
+		a.judge(&query{class: "search", status: 200, full: true, epoch: c.epoch, pieces: c.pieces}, "")
 		if c.count(r) != 1 {
 			t.Errorf("%s: %+v", name, r)
 		}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -33,7 +33,7 @@
 
 // Discovery is a loopback discovery. Its methods may be called from any goroutine.
 type Discovery struct {
-	srv  *server
+	srv  *Server
 	stop chan struct{}
 
 	mu       sync.Mutex
@@ -54,14 +54,14 @@
 func NewDiscovery() (*Discovery, error) {
 	d := &Discovery{members: make(map[string]entry), news: make(chan struct{}), stop: make(chan struct{})}
 	var err error
-	if d.srv, err = listen(d.serve); err != nil {
+	if d.srv, err = Listen(d.serve); err != nil {
 		return nil, err
 	}
 	return d, nil
 }
 
 // Addr is where it listens.
-func (d *Discovery) Addr() string { return d.srv.addr() }
+func (d *Discovery) Addr() string { return d.srv.Addr() }
 
 // Close ends it.
 func (d *Discovery) Close() error {
@@ -72,7 +72,7 @@
 		close(d.stop)
 	}
 	d.mu.Unlock()
-	return d.srv.close()
+	return d.srv.Close()
 }
 
 // Tell publishes changes as one revision.
--- a/internal/standin/searcher.go
+++ b/internal/standin/searcher.go
@@ -20,6 +20,7 @@
 	Key   string        // idempotency key; empty in classes without
 	From  []int         // second step: the shards that were in
 	Text  string
+	List  string // the list of fields as it came
 }
 
 // Second tells that the part belongs to a second step.
@@ -60,7 +61,7 @@
 // Searcher is a loopback searcher. All its methods may be called from any goroutine.
 type Searcher struct {
 	opts SearcherOptions
-	srv  *server
+	srv  *Server
 	room chan struct{} // one for each part in work or waiting
 	slot chan struct{} // one for each part in work
 	stop chan struct{} // closed when it ends
@@ -95,14 +96,14 @@
 		opts: o, room: make(chan struct{}, o.Slots+o.Queue), slot: make(chan struct{}, o.Slots), stop: make(chan struct{}),
 	}
 	var err error
-	if s.srv, err = listen(s.serve); err != nil {
+	if s.srv, err = Listen(s.serve); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
 // Addr is where it listens.
-func (s *Searcher) Addr() string { return s.srv.addr() }
+func (s *Searcher) Addr() string { return s.srv.Addr() }
 
 // ID is its id in discovery.
 func (s *Searcher) ID() string { return s.opts.ID }
@@ -136,7 +137,7 @@
 		close(s.stop)
 	}
 	s.mu.Unlock()
-	return s.srv.close()
+	return s.srv.Close()
 }
 
 // link is one connection from a gatherer.
@@ -159,7 +160,7 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	for {
-		letter, rest, err := readFrame(c)
+		letter, rest, err := ReadFrame(c)
 		if err != nil {
 			if errors.Is(err, errFrame) {
 				l.write("e" + err.Error())
@@ -177,7 +178,7 @@
 				close(c.(chan struct{}))
 			}
 		case 'q':
-			list, err := parseCall(rest)
+			list, err := ParseCall(rest)
 			if err != nil {
 				l.write("e" + err.Error())
 				return
@@ -266,7 +267,8 @@
 // errFrame marks what a gatherer has sent wrong.
 var errFrame = errors.New("malformed frame")
 
-func readFrame(r io.Reader) (letter byte, rest string, err error) {
+// ReadFrame reads one frame: its letter, and what follows that.
+func ReadFrame(r io.Reader) (letter byte, rest string, err error) {
 	var size [4]byte
 	if _, err := io.ReadFull(r, size[:]); err != nil {
 		return 0, "", err
@@ -282,9 +284,9 @@
 	return b[0], string(b[1:]), nil
 }
 
-// parseCall reads the parts of a call: for each a line "ID SHARD LIST LENGTH"
+// ParseCall reads the parts of a call: for each a line "ID SHARD LIST LENGTH"
 // and so many bytes.
-func parseCall(rest string) ([]Part, error) {
+func ParseCall(rest string) ([]Part, error) {
 	var list []Part
 	for rest != "" {
 		line, after, ok := strings.Cut(rest, "\n")
@@ -292,7 +294,7 @@
 		if !ok || len(f) != 4 {
 			return nil, fmt.Errorf("%w: part line %.60q", errFrame, line)
 		}
-		p := Part{ID: f[0]}
+		p := Part{ID: f[0], List: f[2]}
 		n, err := strconv.Atoi(f[3])
 		if err != nil || n < 0 || n > len(after) {
 			return nil, fmt.Errorf("%w: text length %.20q", errFrame, f[3])
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -12,8 +12,8 @@
 	"sync"
 )
 
-// server accepts connections and ends them all when it is closed.
-type server struct {
+// Server accepts connections and ends them all when it is closed.
+type Server struct {
 	listener net.Listener
 	serve    func(net.Conn)
 
@@ -26,20 +26,22 @@
 // maxConns bounds what one stand-in holds; a searcher of the platform accepts 860 to 1,700.
 const maxConns = 1700
 
-func listen(serve func(net.Conn)) (*server, error) {
+// Listen serves connections on a loopback port of its own.
+func Listen(serve func(net.Conn)) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("stand-in: %w", err)
 	}
-	s := &server{listener: l, serve: serve, conns: make(map[net.Conn]struct{})}
+	s := &Server{listener: l, serve: serve, conns: make(map[net.Conn]struct{})}
 	s.done.Add(1)
 	go s.accept()
 	return s, nil
 }
 
-func (s *server) addr() string { return s.listener.Addr().String() }
+// Addr is where it listens.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-func (s *server) accept() {
+func (s *Server) accept() {
 	defer s.done.Done()
 	for {
 		c, err := s.listener.Accept()
@@ -58,7 +60,7 @@
 	}
 }
 
-func (s *server) enter(c net.Conn) bool {
+func (s *Server) enter(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed || len(s.conns) >= maxConns {
@@ -69,15 +71,15 @@
 	return true
 }
 
-func (s *server) leave(c net.Conn) {
+func (s *Server) leave(c net.Conn) {
 	_ = c.Close()
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
 }
 
-// close refuses new connections, breaks the open ones and waits for their ends.
-func (s *server) close() error {
+// Close refuses new connections, breaks the open ones and waits for their ends.
+func (s *Server) Close() error {
 	s.mu.Lock()
 	s.closed = true
 	for c := range s.conns {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -28,7 +28,7 @@
 
 func hear(t *testing.T, c net.Conn) string {
 	t.Helper()
-	letter, rest, err := readFrame(c)
+	letter, rest, err := ReadFrame(c)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/warehouse.go
+++ b/internal/standin/warehouse.go
@@ -18,9 +18,10 @@
 // reservations made on them. It is a Work; a searcher that has no full shelf of a
 // segment turns its parts away, which proves that they never ran.
 //
-// A reservation is made on every shelf that holds its row, as searchers that
-// replicate a segment do, and on those being filled with it too: what happens
-// between copy and cut-over, and at old holders after it, reaches the heirs.
+// A reservation is made on every shelf of its segment, as searchers that replicate
+// one do. A shelf that was filled from other segments follows them, and they it,
+// until that is ended: what happens between copy and cut-over, and at old holders
+// after it, reaches the heirs, and the other way round.
 type Warehouse struct {
 	opts WarehouseOptions
 
@@ -51,6 +52,9 @@
 	rows map[layout.Key]int // what is left
 	made map[string]string  // reservations by idempotency key: what was answered
 	full bool               // all rows are there
+	job  uint64             // that it was filled for; 0 from the beginning on
+
+	follows []layout.SegmentID // what it was filled from, until Unfollow
 }
 
 // Range is the keys of a shelf.
@@ -148,7 +152,11 @@
 		return value, true
 	}
 	value = strconv.Itoa(left - 1)
-	for _, other := range w.shelves {
+	here := layout.SegmentID(p.Shard)
+	for o, other := range w.shelves {
+		if o.segment != here && !slices.Contains(other.follows, here) && !slices.Contains(at.follows, o.segment) {
+			continue
+		}
 		if _, holds := other.rows[k]; holds {
 			other.rows[k] = left - 1
 			other.made[p.Key] = value
@@ -185,14 +193,14 @@
 }
 
 // Fill puts the next rows on a shelf that is being filled, at the most so many,
-// from any full shelf of the sources. It tells whether all are there now; ok is
+// from any full shelf of the sources. A shelf of another job is cleared first. It tells whether all are there now; ok is
 // false where no source has them.
-func (w *Warehouse) Fill(searcher string, segment layout.SegmentID, keys Range, sources []layout.SegmentID, from []string, most int) (done, ok bool) {
+func (w *Warehouse) Fill(searcher string, segment layout.SegmentID, job uint64, keys Range, sources []layout.SegmentID, from []string, most int) (done, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at := w.shelves[place{searcher, segment}]
-	if at == nil {
-		at = &shelf{keys: keys, rows: make(map[layout.Key]int), made: make(map[string]string)}
+	if at == nil || at.job != job {
+		at = &shelf{job: job, keys: keys, rows: make(map[layout.Key]int), made: make(map[string]string), follows: sources}
 		w.shelves[place{searcher, segment}] = at
 	}
 	if at.full {
@@ -245,6 +253,28 @@
 	delete(w.shelves, place{searcher, segment})
 }
 
+// Unfollow ends that a shelf follows what it was filled from for a job.
+func (w *Warehouse) Unfollow(searcher string, segment layout.SegmentID, job uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if at := w.shelves[place{searcher, segment}]; at != nil && at.job == job {
+		at.follows = nil
+	}
+}
+
+// Held are the segments of which a searcher has a shelf, full or not.
+func (w *Warehouse) Held(searcher string) (out []layout.SegmentID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for p := range w.shelves {
+		if p.searcher == searcher {
+			out = append(out, p.segment)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Wipe clears all shelves of a searcher that has lost its disk.
 func (w *Warehouse) Wipe(searcher string) {
 	w.mu.Lock()
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -55,6 +55,9 @@
 	EpochsAhead int // queries refused that named an epoch not known yet
 	Translated  int // queries whose parts were translated to the epoch at hand
 
+	Generations int // settings put in force
+	ClassFull   int // refusals since as many of the class were open as may be; of Full
+
 	Reloads     int // configurations read again
 	ReloadFails int // those that could not be used
 }
@@ -84,6 +87,7 @@
 		group("discovery", "watches", c.Watches, "updates", c.Updates),
 		group("layout", "epochs", c.Epochs, "epochs_old", c.EpochsOld, "epochs_ahead", c.EpochsAhead,
 			"translated", c.Translated),
-		group("config", "reloads", c.Reloads, "reload_fails", c.ReloadFails),
+		group("config", "reloads", c.Reloads, "reload_fails", c.ReloadFails, "generations", c.Generations,
+			"class_full", c.ClassFull),
 	)
 }
--- a/internal/testpeer/testpeer.go
+++ b/internal/testpeer/testpeer.go
@@ -1,5 +1,6 @@
-// Package testpeer plays the parties round a gatherer in tests: searchers,
-// discovery and clients, on loopback sockets.
+// Package testpeer hands the parties round a gatherer to a test, which decides
+// what each says and when: searchers, discovery and clients on loopback sockets.
+// Its searchers read as those of package standin do, which decide for themselves.
 package testpeer
 
 import (
@@ -12,6 +13,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"eiderwinch/internal/standin"
 )
 
 // Patience is how long a test waits for what must come; only a failing test uses it up.
@@ -30,22 +33,12 @@
 }
 
 func listen(t testing.TB, serve func(net.Conn)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := standin.Listen(serve)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { c.Close() })
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(func() { _ = s.Close() })
+	return s.Addr()
 }
 
 // Searcher takes frames and leaves it to the test to answer.
@@ -73,27 +66,20 @@
 func (s *Searcher) serve(c net.Conn) {
 	defer func() { s.Ends <- struct{}{} }()
 	for call := 0; ; call++ {
-		var size [4]byte
-		if _, err := io.ReadFull(c, size[:]); err != nil {
+		letter, rest, err := standin.ReadFrame(c)
+		if err != nil {
 			return
 		}
-		b := make([]byte, binary.BigEndian.Uint32(size[:]))
-		if _, err := io.ReadFull(c, b); err != nil {
-			return
-		}
-		if b[0] == 'c' {
-			s.Cancels <- string(b[1:])
+		if letter == 'c' {
+			s.Cancels <- rest
 			continue
 		}
-		for rest := string(b[1:]); rest != ""; {
-			line, after, _ := strings.Cut(rest, "\n")
-			p := Part{Call: call, Conn: c}
-			var n int
-			if _, err := fmt.Sscanf(line, "%s %d %s %d", &p.ID, &p.Shard, &p.List, &n); err != nil {
-				panic("malformed call: " + line)
-			}
-			p.Text, rest = after[:n], after[n:]
-			s.Parts <- p
+		parts, err := standin.ParseCall(rest)
+		if err != nil {
+			panic("malformed call: " + err.Error())
+		}
+		for _, p := range parts {
+			s.Parts <- Part{p.ID, p.List, p.Text, p.Shard, call, c}
 		}
 	}
 }
@@ -127,6 +113,7 @@
 // NewDiscovery starts a Discovery.
 func NewDiscovery(t testing.TB) *Discovery {
 	d := &Discovery{Watches: make(chan *Watch, 100), Whole: make(chan string, 100)}
+	ended := make(chan struct{})
 	d.Addr = listen(t, func(c net.Conn) {
 		in := bufio.NewReader(c)
 		r, err := http.ReadRequest(in)
@@ -141,7 +128,9 @@
 		}
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 		d.Watches <- &Watch{r.URL.Query().Get("from"), c}
+		<-ended // the test has it until then
 	})
+	t.Cleanup(func() { close(ended) }) // before the listener's own
 	return d
 }
 
--- /dev/null
+++ b/internal/xmlform/schema.go
@@ -0,0 +1,176 @@
+package xmlform
+
+import (
+	"encoding/xml"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Schema writes the form as an XML Schema (W3C, XML Schema 1.0). The reader
+// rejects all that the schema rejects. It rejects more: bounds of times, elements
+// that must stand there next to others that may stand there often, and whatever
+// the package that uses the form finds.
+func (f *Form) Schema(w io.Writer) error {
+	var b strings.Builder
+	b.WriteString(xml.Header)
+	fmt.Fprintf(&b, "<!-- %s -->\n", f.Doc)
+	fmt.Fprintf(&b, "<xs:schema xmlns:xs=\"http://www.w3.org/2001/XMLSchema\" xmlns=%q\n           targetNamespace=%q elementFormDefault=\"qualified\">\n",
+		f.Namespace, f.Namespace)
+	for _, name := range f.Order {
+		e := f.Elements[name]
+		fmt.Fprintf(&b, "  <xs:element name=%q>\n", name)
+		if e.Doc != "" {
+			fmt.Fprintf(&b, "    <xs:annotation><xs:documentation>%s</xs:documentation></xs:annotation>\n", escape(e.Doc))
+		}
+		b.WriteString("    <xs:complexType>\n")
+		e.children(&b)
+		for _, a := range e.Attributes {
+			a.schema(&b)
+		}
+		b.WriteString("    </xs:complexType>\n  </xs:element>\n")
+	}
+	b.WriteString("</xs:schema>\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// children writes what may stand in an element: each at most once in any order,
+// or any number of each in any order.
+func (e Element) children(b *strings.Builder) {
+	if len(e.Children) == 0 {
+		return
+	}
+	single, needed := true, 0
+	for _, c := range e.Children {
+		single = single && c.Most == 1
+		needed = max(needed, min(c.Least, 1))
+	}
+	if single {
+		b.WriteString("      <xs:all>\n")
+		for _, c := range e.Children {
+			fmt.Fprintf(b, "        <xs:element ref=%q minOccurs=\"%d\"/>\n", c.Name, c.Least)
+		}
+		b.WriteString("      </xs:all>\n")
+		return
+	}
+	fmt.Fprintf(b, "      <xs:choice minOccurs=\"%d\" maxOccurs=\"unbounded\">\n", needed)
+	for _, c := range e.Children {
+		fmt.Fprintf(b, "        <xs:element ref=%q/>\n", c.Name)
+	}
+	b.WriteString("      </xs:choice>\n")
+}
+
+// schema writes an attribute.
+func (a Attribute) schema(b *strings.Builder) {
+	fmt.Fprintf(b, "      <xs:attribute name=%q", a.Name)
+	if a.Required {
+		b.WriteString(` use="required"`)
+	}
+	if a.Default != "" {
+		fmt.Fprintf(b, " default=%q", escape(a.Default))
+	}
+	doc := a.Doc
+	if a.Unit != "" {
+		doc += " (" + a.Unit + ")"
+	}
+	fmt.Fprintf(b, ">\n        <xs:annotation><xs:documentation>%s</xs:documentation></xs:annotation>\n", escape(doc))
+	base, facets := a.facets()
+	fmt.Fprintf(b, "        <xs:simpleType><xs:restriction base=%q>%s</xs:restriction></xs:simpleType>\n      </xs:attribute>\n", base, facets)
+}
+
+// facets are a kind's base in the schema, and what narrows it.
+func (a Attribute) facets() (base, facets string) {
+	bounded := a.Least != 0 || a.Most != 0
+	bounds := func(least, most string) string {
+		if bounded {
+			least, most = fmt.Sprint(a.Least), fmt.Sprint(a.Most)
+		}
+		out := ""
+		if least != "" {
+			out = fmt.Sprintf("<xs:minInclusive value=%q/>", least)
+		}
+		if most != "" {
+			out += fmt.Sprintf("<xs:maxInclusive value=%q/>", most)
+		}
+		return out
+	}
+	switch a.Kind {
+	case Name:
+		return "xs:string", `<xs:pattern value="\S+"/>`
+	case Number:
+		return "xs:unsignedInt", bounds("", "")
+	case Count:
+		return "xs:long", bounds("1", "")
+	case Share:
+		return "xs:double", `<xs:minExclusive value="0"/><xs:maxInclusive value="1"/>`
+	case Factor:
+		return "xs:double", bounds("0", "")
+	case Span:
+		return "xs:string", `<xs:pattern value="0|([0-9]+(\.[0-9]*)?(ns|us|µs|ms|s|m|h))+"/>`
+	case Choice:
+		for _, v := range a.Values {
+			facets += fmt.Sprintf("<xs:enumeration value=%q/>", escape(v))
+		}
+		return "xs:string", facets
+	case Flag:
+		return "xs:boolean", `<xs:pattern value="true|false"/>`
+	case Address:
+		return "xs:string", `<xs:pattern value="\S+:[0-9]+"/>`
+	case Endpoint:
+		return "xs:string", `<xs:pattern value="unix:.+|\S+:[0-9]+"/>`
+	}
+	return "xs:string", ""
+}
+
+func escape(s string) string {
+	var b strings.Builder
+	_ = xml.EscapeText(&b, []byte(s)) // a strings.Builder takes all
+	return b.String()
+}
+
+// Explain says what an element, or an attribute as "element/attribute", means:
+// kind, unit, default, bounds. An empty name lists all elements.
+func (f *Form) Explain(w io.Writer, name string) error {
+	if name == "" {
+		for _, n := range f.Order {
+			fmt.Fprintf(w, "%-14s %s\n", n, f.Elements[n].Doc)
+		}
+		return nil
+	}
+	element, attribute, one := strings.Cut(name, "/")
+	e, ok := f.Elements[element]
+	if !ok {
+		return fmt.Errorf("no element %q, want one of %s", element, strings.Join(f.Order, ", "))
+	}
+	if one && e.attribute(attribute) < 0 {
+		var have []string
+		for _, a := range e.Attributes {
+			have = append(have, a.Name)
+		}
+		return fmt.Errorf("no attribute %q in %s, want one of %s", attribute, element, strings.Join(have, ", "))
+	}
+	if !one {
+		fmt.Fprintf(w, "%s: %s\n", element, e.Doc)
+	}
+	for _, a := range e.Attributes {
+		if one && a.Name != attribute {
+			continue
+		}
+		fmt.Fprintf(w, "  %s: %s\n    %s", a.Name, a.Doc, a.wanted())
+		if a.Unit != "" {
+			fmt.Fprintf(w, ", in %s", a.Unit)
+		}
+		switch {
+		case a.Required:
+			fmt.Fprint(w, "; must be given")
+		case a.Default != "":
+			fmt.Fprintf(w, "; %s where it is not given", a.Default)
+		}
+		fmt.Fprintln(w)
+	}
+	if !one && len(e.Children) > 0 {
+		fmt.Fprintf(w, "  holds: %s\n", strings.Join(e.names(), ", "))
+	}
+	return nil
+}
