Play deployments in virtual time round the real core, and keep timers in heaps

Need: designs could only be tried at a dozen searchers on sockets, and `Core.Due`, `pool.due` and `pool.expire` went through all that is open at each event.

Change: internal/emulator plays clients, network, searchers and discovery in virtual time round the unchanged core and module; a run is the same to the byte for the same seed and audits its rules. `experiment run` plays scenarios in XML over seeds and swept values side by side and goes on after a kill, `experiment report` makes one page of plots. internal/due holds timers in a heap; core and searchers' pool use it. The module's plan goes through holders of pending parts only. The guard passes over the seconds after an undo, whose queries still end badly, and so finds the next fall sooner.

--- a/aggregator.go
+++ b/aggregator.go
@@ -725,11 +725,17 @@
 			s.pending = append(s.pending, p)
 		}
 	}
+	holders := make([]*server, 0, len(pending)) // of any of them: at a large fleet most hold none
+	for _, s := range a.servers {
+		if s.listed && len(s.pending) > 0 {
+			holders = append(holders, s)
+		}
+	}
 	for {
 		var best *server
 		var cover []*part
-		for _, s := range a.servers {
-			if s.called || !s.listed {
+		for _, s := range holders {
+			if s.called {
 				continue
 			}
 			c := a.cover(s)
--- /dev/null
+++ b/cmd/eiderwinch/experiment.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/schollz/progressbar/v3"
+
+	"eiderwinch/internal/admin"
+	"eiderwinch/internal/emulator"
+	"eiderwinch/internal/experiment"
+)
+
+// experimentCommands play deployments in virtual time.
+type experimentCommands struct {
+	Run    experimentRun    `cmd:"" help:"Play the scenarios of a file on the emulator, over seeds and swept values, and print how each class fared."`
+	Report experimentReport `cmd:"" help:"Make one page of plots out of an experiment's results."`
+}
+
+type experimentRun struct {
+	asJSON
+	File    string `arg:"" help:"An experiment after deploy/scenario.xsd."`
+	Out     string `placeholder:"FILE" help:"Where results are written, one run a line; what is there already is not played again. FILE.csv gets a table. Default: the experiment's name with .results."`
+	Workers int    `help:"Runs side by side; 0 is one for each core."`
+}
+
+func (c experimentRun) results() string {
+	if c.Out != "" {
+		return c.Out
+	}
+	return strings.TrimSuffix(c.File, filepath.Ext(c.File)) + ".results"
+}
+
+// readExperiment reads an experiment's file.
+func readExperiment(path string) (*emulator.Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &exitError{exitConfig, err}
+	}
+	x, err := emulator.ReadExperiment(path, bytes.NewReader(text))
+	if err != nil {
+		return nil, &exitError{exitConfig, err}
+	}
+	return x, nil
+}
+
+// Run plays what is not played yet. A signal ends it; it goes on where it is called
+// again.
+func (c experimentRun) Run(e environment) error {
+	x, err := readExperiment(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Workers <= 0 {
+		c.Workers = runtime.GOMAXPROCS(0)
+	}
+	ctx, stop := e.untilSignal()
+	defer stop()
+	bar := progressbar.NewOptions(len(x.Points()), progressbar.OptionSetWriter(e.stderr), progressbar.OptionSetDescription("runs"),
+		progressbar.OptionShowCount(), progressbar.OptionClearOnFinish())
+	runs, err := experiment.Play(ctx, x, c.results(), c.Workers, func(over, _ int) { _ = bar.Set(over) })
+	if err != nil && !errors.Is(err, experiment.ErrBreach) {
+		return err
+	}
+	var table bytes.Buffer
+	if csvErr := experiment.WriteCSV(&table, runs); csvErr != nil {
+		return csvErr
+	}
+	if keepErr := admin.Keep(c.results()+".csv", table.Bytes()); keepErr != nil {
+		return keepErr
+	}
+	groups := experiment.Groups(runs)
+	if c.JSON {
+		return errors.Join(c.print(e.stdout, groups), err)
+	}
+	t := tabwriter.NewWriter(e.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "scenario\t%s\tclass\truns\tin time\trefused\tfailed\tp99 ms\n", x.Of)
+	for _, g := range groups {
+		fmt.Fprintf(t, "%s\t%g\t%s\t%d\t%.2f%% (%.2f to %.2f)\t%.2f%%\t%.2f%%\t%.0f\n", g.Scenario, g.Value, g.Class, g.Runs,
+			100*g.InTime.Mean, 100*g.InTime.Low, 100*g.InTime.High, 100*g.Refused.Mean, 100*g.Failed.Mean, g.P99.Mean)
+	}
+	return errors.Join(t.Flush(), err)
+}
+
+type experimentReport struct {
+	File string `arg:"" help:"The experiment's file."`
+	Out  string `placeholder:"FILE" help:"Where its results are; as for run."`
+	HTML string `placeholder:"FILE" help:"Where the page is written. Default: the experiment's name with .html."`
+}
+
+// Run makes the page.
+func (c experimentReport) Run(e environment) error {
+	x, err := readExperiment(c.File)
+	if err != nil {
+		return err
+	}
+	runs, err := experiment.Load(experimentRun{File: c.File, Out: c.Out}.results())
+	if err != nil {
+		return err
+	}
+	if len(runs) == 0 {
+		return fmt.Errorf("there are no results of %s yet: eiderwinch experiment run", c.File)
+	}
+	name := strings.TrimSuffix(c.File, filepath.Ext(c.File))
+	if c.HTML == "" {
+		c.HTML = name + ".html"
+	}
+	var b bytes.Buffer
+	if err := experiment.Report(&b, filepath.Base(name), x.Of, runs); err != nil {
+		return err
+	}
+	if err := admin.Keep(c.HTML, b.Bytes()); err != nil {
+		return err
+	}
+	fmt.Fprintf(e.stdout, "%s: %d runs, %d KiB\n", c.HTML, len(runs), b.Len()>>10)
+	return nil
+}
--- a/cmd/eiderwinch/main.go
+++ b/cmd/eiderwinch/main.go
@@ -32,13 +32,14 @@
 
 // commands is the command line.
 type commands struct {
-	Serve      serveCommand      `cmd:"" default:"1" help:"Serve as the environment and the file that LB_CONFIG names say."`
-	Demo       demoCommand       `cmd:"" help:"Start a whole deployment on loopback, ask it queries of all classes and print the answers."`
-	Check      checkCommand      `cmd:"" help:"Check a configuration file and say what is wrong with it."`
-	Layout     layoutCommands    `cmd:"" help:"Look into layouts and change them: which segments there are and who holds them."`
-	Coordinate coordinateCommand `cmd:"" help:"Run the coordinator of layouts that the operators' file names."`
-	Config     configCommands    `cmd:"" help:"Look into the operators' file, and change the configuration of a running gatherer."`
-	Version    versionCommand    `cmd:"" help:"Print the version, and what the program was built from."`
+	Serve      serveCommand       `cmd:"" default:"1" help:"Serve as the environment and the file that LB_CONFIG names say."`
+	Demo       demoCommand        `cmd:"" help:"Start a whole deployment on loopback, ask it queries of all classes and print the answers."`
+	Check      checkCommand       `cmd:"" help:"Check a configuration file and say what is wrong with it."`
+	Layout     layoutCommands     `cmd:"" help:"Look into layouts and change them: which segments there are and who holds them."`
+	Coordinate coordinateCommand  `cmd:"" help:"Run the coordinator of layouts that the operators' file names."`
+	Config     configCommands     `cmd:"" help:"Look into the operators' file, and change the configuration of a running gatherer."`
+	Experiment experimentCommands `cmd:"" help:"Play deployments in virtual time, at sizes that sockets do not reach."`
+	Version    versionCommand     `cmd:"" help:"Print the version, and what the program was built from."`
 }
 
 // environment is what a command may use of the world.
--- a/cmd/eiderwinch/ops.go
+++ b/cmd/eiderwinch/ops.go
@@ -9,6 +9,7 @@
 
 	"eiderwinch/internal/admin"
 	"eiderwinch/internal/config"
+	"eiderwinch/internal/emulator"
 	"eiderwinch/internal/layoutfile"
 	"eiderwinch/internal/settings"
 	"eiderwinch/internal/signature"
@@ -122,6 +123,8 @@
 	switch name {
 	case "layout":
 		return layoutfile.Form()
+	case "scenario":
+		return emulator.Form()
 	case "keys":
 		return signature.Form()
 	}
@@ -129,7 +132,7 @@
 }
 
 type explainCommand struct {
-	Form string `enum:"operators,layout,keys" default:"operators" help:"Of which file: operators, layout or keys."`
+	Form string `enum:"operators,layout,keys,scenario" default:"operators" help:"Of which file: operators, layout, keys or scenario."`
 	What string `arg:"" optional:"" help:"An element, or an attribute as element/attribute. Without it all elements are listed."`
 }
 
@@ -142,7 +145,7 @@
 }
 
 type schemaCommand struct {
-	Form string `arg:"" enum:"operators,layout,keys" help:"Of which file: operators, layout or keys."`
+	Form string `arg:"" enum:"operators,layout,keys,scenario" help:"Of which file: operators, layout, keys or scenario."`
 }
 
 // Run prints the schema.
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,126 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"eiderwinch/internal/emulator"
+)
+
+const text = `<experiment xmlns="urn:eiderwinch:scenario:1" seeds="2">
+  <scenario name="a" duration="2s"/><scenario name="b" duration="2s" gatherers="1"><fault kind="crash" at="1s" for="1s" many="2"/></scenario>
+  <sweep of="load"><value is="0.5"/><value is="1"/></sweep></experiment>`
+
+func read(t *testing.T, text string) *emulator.Experiment {
+	t.Helper()
+	x, err := emulator.ReadExperiment("x.xml", strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// An experiment that was killed plays only what is missing, and ends as one that was
+// not.
+func TestAnExperimentGoesOnWhereItWasCutShort(t *testing.T) {
+	x := read(t, text)
+	path := filepath.Join(t.TempDir(), "x.results")
+	whole, err := Play(context.Background(), x, path, 4, func(int, int) {})
+	if err != nil || len(whole) != 8 {
+		t.Fatalf("%d runs, %v", len(whole), err)
+	}
+	lines, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cut := bytes.Join(bytes.SplitAfter(lines, []byte("\n"))[:3], nil)
+	if err := os.WriteFile(path, append(cut, `{"scenario":"a","val`...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	first := -1
+	again, err := Play(context.Background(), x, path, 2, func(over, _ int) {
+		if first < 0 {
+			first = over
+		}
+	})
+	if err != nil || first != 3 || !reflect.DeepEqual(whole, again) {
+		t.Errorf("it began with %d runs and ended with %d, %v", first, len(again), err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if _, err := Play(ctx, x, filepath.Join(t.TempDir(), "y"), 2, func(int, int) {}); !errors.Is(err, context.Canceled) {
+		t.Errorf("one that is called off: %v", err)
+	}
+	if err := os.WriteFile(path, append([]byte("{\n"), lines...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path); err == nil || !strings.Contains(err.Error(), "x.results:1:") {
+		t.Errorf("a line in the middle that can't be read: %v", err)
+	}
+
+	var table, page bytes.Buffer
+	if err := WriteCSV(&table, whole); err != nil || strings.Count(table.String(), "\n") != 1+8*3 {
+		t.Errorf("%v, %s", err, table.String())
+	}
+	if err := Report(&page, "x <y>", x.Of, whole); err != nil {
+		t.Fatal(err)
+	}
+	html := page.String()
+	if strings.Count(html, "<svg") != 2+4+4 || strings.Contains(html, "x <y>") || strings.Contains(html, "src=") || strings.Contains(html, "<link") {
+		t.Errorf("%d plots in %d bytes", strings.Count(html, "<svg"), len(html))
+	}
+}
+
+func TestIntervals(t *testing.T) {
+	i := interval([]float64{1, 2, 3, 4})
+	// Student's t with 3 degrees of freedom: 3.1824 at 97.5%.
+	if half := 3.1824 * math.Sqrt(5./3) / 2; i.Mean != 2.5 || math.Abs(i.High-2.5-half) > 1e-3 || math.Abs(2.5-i.Low-half) > 1e-3 {
+		t.Errorf("have %+v", i)
+	}
+	if i := interval([]float64{7}); i != (Interval{7, 7, 7}) {
+		t.Errorf("of one: %+v", i)
+	}
+}
+
+func TestFaultsOfFilesAndTheSchema(t *testing.T) {
+	for bad, want := range map[string]string{
+		`name="b"`:      `x.xml:2: <scenario>: found a second scenario a`,
+		`many="2"`:      `found 13 from 0 on, want some of 12`,
+		`kind="crash"`:  `found kind="boom", want crash, pause`,
+		`duration="2s"`: `found duration="2", want a time with its unit`,
+	} {
+		to := map[string]string{`name="b"`: `name="a"`, `many="2"`: `many="13"`, `kind="crash"`: `kind="boom"`, `duration="2s"`: `duration="2"`}[bad]
+		if _, err := emulator.ReadExperiment("x.xml", strings.NewReader(strings.Replace(text, bad, to, 1))); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: have %v, want %s", to, err, want)
+		}
+	}
+	schema, err := os.ReadFile("../../deploy/scenario.xsd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	if err := errors.Join(emulator.Form().Check(), emulator.Form().Schema(&b)); err != nil || b.String() != string(schema) {
+		t.Errorf("deploy/scenario.xsd is not what the form says: %v", err)
+	}
+	files, _ := filepath.Glob("../../experiments/*.xml")
+	for _, path := range files {
+		f, err := os.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := emulator.ReadExperiment(path, f); err != nil {
+			t.Error(err)
+		}
+		f.Close()
+	}
+	if len(files) == 0 {
+		t.Error("there are no experiments")
+	}
+}
--- a/internal/gatherer/book.go
+++ b/internal/gatherer/book.go
@@ -1,10 +1,10 @@
 package gatherer
 
 import (
-	"slices"
 	"time"
 
 	"eiderwinch"
+	"eiderwinch/internal/due"
 	"eiderwinch/internal/layout"
 )
 
@@ -17,6 +17,7 @@
 	client   Client
 	live     *Live // the settings that it was taken under
 	taken    time.Time
+	timer    due.Timer[*query] // of its backstop
 	deadline time.Time
 	layout   *layout.Layout // the epoch that it is bound to; nil if there is no layout
 	parts    []*part        // of the present step
@@ -71,6 +72,8 @@
 		id: c.newID(), trace: a.Trace, class: class, text: a.Text, client: client, live: c.live, layout: c.layout,
 		taken: now, deadline: now.Add(a.Expires),
 	}
+	q.timer.Value = q
+	c.overdue.Set(&q.timer, q.backstop(c.set.Tick))
 	c.bound[q.epoch()]++
 	c.openOf[class]++
 	if c.set.Module.Classes[class].Effect == eiderwinch.Keyed {
@@ -114,6 +117,7 @@
 
 func (c *Core) close(q *query) {
 	c.unbind(q)
+	c.overdue.Stop(&q.timer)
 	c.openOf[q.class]--
 	c.dropParts(q)
 	c.open--
@@ -123,12 +127,13 @@
 
 // sweep forgets the attempts that have ended, and the parts that waited for them.
 func (c *Core) sweep() {
-	c.attempts = slices.DeleteFunc(c.attempts, func(a *Attempt) bool {
-		if a.over && a.part.over && a.part.out == nil {
+	for i, a := range c.ended {
+		if a.part.over && a.part.out == nil {
 			delete(c.parts, a.part.id)
 		}
-		return a.over
-	})
+		c.ended[i] = nil
+	}
+	c.ended = c.ended[:0]
 }
 
 // member is what is known of a searcher's state.
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"eiderwinch"
+	"eiderwinch/internal/due"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/service"
 	"eiderwinch/internal/stats"
@@ -108,9 +109,11 @@
 	lastID   uint64
 	queries  map[uint64]*query
 	traces   map[string]*query
-	parts    map[uint64]*part // of open queries or with an attempt out
-	attempts []*Attempt       // in the order they were sent
-	open     int              // open queries and parts
+	parts    map[uint64]*part    // of open queries or with an attempt out
+	attempts due.Queue[*Attempt] // that are out, by their deadlines
+	ended    []*Attempt          // that ended in this run
+	overdue  due.Queue[*query]   // open queries by their backstops
+	open     int                 // open queries and parts
 	members  map[string]member
 	live     *Live
 	openOf   []int // open queries by class
@@ -149,30 +152,27 @@
 
 // Due is when Run is wanted next, on the grid of ticks; zero if nothing is due.
 func (c *Core) Due() time.Time {
-	due := c.wakeAt
+	next := c.wakeAt
 	sooner := func(t time.Time) {
-		if due.IsZero() || t.Before(due) {
-			due = t
+		if next.IsZero() || t.Before(next) {
+			next = t
 		}
 	}
 	if len(c.events) > 0 {
 		sooner(c.since)
 	}
-	for _, a := range c.attempts {
-		if !a.over {
-			sooner(a.Deadline)
+	for _, t := range [...]time.Time{c.attempts.Next(), c.overdue.Next()} {
+		if !t.IsZero() {
+			sooner(t)
 		}
 	}
-	for _, q := range c.queries {
-		sooner(q.backstop(c.set.Tick))
+	if next.IsZero() {
+		return next
 	}
-	if due.IsZero() {
-		return due
-	}
-	if due.Before(c.next) {
+	if next.Before(c.next) {
 		return c.next
 	}
-	ticks := (due.Sub(c.start) + c.set.Tick - 1) / c.set.Tick
+	ticks := (next.Sub(c.start) + c.set.Tick - 1) / c.set.Tick
 	return c.start.Add(ticks * c.set.Tick)
 }
 
--- a/internal/gatherer/live_test.go
+++ b/internal/gatherer/live_test.go
@@ -181,3 +181,47 @@
 		}
 	}
 }
+
+// BenchmarkDue asks when the core is wanted next with 10,000 queries and as many
+// attempts open, by its queues and by a search through everything, as it was.
+func BenchmarkDue(b *testing.B) {
+	r := newRig(&testing.T{})
+	r.live = &Live{}
+	for i := range 10_000 {
+		ask := Ask{Trace: strconv.Itoa(i), Class: "search", Text: "text", Parts: []AskPart{{0, 1}}}
+		id, err := r.Take(r.at, ask, r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.begin(eiderwinch.Send{Part: r.queries[id].parts[0].id, Replica: "a"})
+	}
+	var attempts []*Attempt
+	for _, p := range r.parts {
+		attempts = append(attempts, p.out)
+	}
+	b.Run("queues", func(b *testing.B) {
+		for range b.N {
+			if r.Due().IsZero() {
+				b.Fatal("nothing is due")
+			}
+		}
+	})
+	b.Run("search", func(b *testing.B) {
+		for range b.N {
+			var next time.Time
+			for _, a := range attempts {
+				if next.IsZero() || a.Deadline.Before(next) {
+					next = a.Deadline
+				}
+			}
+			for _, q := range r.queries {
+				if t := q.backstop(r.set.Tick); t.Before(next) {
+					next = t
+				}
+			}
+			if next.IsZero() {
+				b.Fatal("nothing is due")
+			}
+		}
+	})
+}
--- a/internal/gatherer/relay.go
+++ b/internal/gatherer/relay.go
@@ -95,13 +95,12 @@
 // endOverdue ends what the aggregator has not ended in time: no query goes
 // without a final answer, whatever goes wrong with the decisions.
 func (c *Core) endOverdue() {
-	for _, q := range c.queries {
-		if !c.now.Before(q.backstop(c.set.Tick)) {
-			c.log.Error("query not ended by its deadline", "trace", q.trace)
-			c.stats.Overdue++
-			c.tell(c.now, eiderwinch.Gone{Query: q.id})
-			c.conclude(q, Reply{Verdict: Failed, Overdue: true})
-		}
+	for t := c.overdue.Pop(c.now); t != nil; t = c.overdue.Pop(c.now) {
+		q := t.Value
+		c.log.Error("query not ended by its deadline", "trace", q.trace)
+		c.stats.Overdue++
+		c.tell(c.now, eiderwinch.Gone{Query: q.id})
+		c.conclude(q, Reply{Verdict: Failed, Overdue: true})
 	}
 }
 
--- a/internal/gatherer/send.go
+++ b/internal/gatherer/send.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"eiderwinch"
+	"eiderwinch/internal/due"
 )
 
 // Attempt is one attempt of a part at a searcher.
@@ -23,6 +24,7 @@
 	number int
 	sent   time.Time
 	over   bool
+	timer  due.Timer[*Attempt] // of Deadline
 }
 
 // begin starts one attempt. It lets out none that would break a rule,
@@ -63,7 +65,8 @@
 	}
 	p.tries++
 	p.out = a
-	c.attempts = append(c.attempts, a)
+	a.timer.Value = a
+	c.attempts.Set(&a.timer, a.Deadline)
 	return a
 }
 
@@ -78,11 +81,9 @@
 
 // expire ends the attempts whose time is up.
 func (c *Core) expire() {
-	for _, a := range c.attempts {
-		if !a.over && !c.now.Before(a.Deadline) {
-			c.end(c.now, a, eiderwinch.TimedOut)
-			c.searchers.Abandon(a)
-		}
+	for t := c.attempts.Pop(c.now); t != nil; t = c.attempts.Pop(c.now) {
+		c.end(c.now, t.Value, eiderwinch.TimedOut)
+		c.searchers.Abandon(t.Value)
 	}
 }
 
@@ -98,6 +99,8 @@
 		return false
 	}
 	a.over = true
+	c.attempts.Stop(&a.timer)
+	c.ended = append(c.ended, a)
 	if a.part.out == a {
 		a.part.out = nil
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -129,6 +129,7 @@
 	classes []*class
 	begun   bool
 	at      int64 // the second of the change
+	spoilt  int64 // seconds up to it are of no change, but not usual either
 }
 
 // New returns a guard that has seen nothing.
@@ -159,9 +160,16 @@
 	}
 }
 
-// End tells that the change is confirmed or undone. What came while it was on
-// probation counts as before only where it is confirmed.
-func (g *Guard) End(kept bool) {
+// lingers is for how many seconds after an undo queries of the bad generation still
+// end: what they come to must not pass for usual, or the next fall is seen late.
+const lingers = 4
+
+// End tells that the change is confirmed or undone, and in which second. What came
+// while it was on probation counts as before only where it is confirmed.
+func (g *Guard) End(kept bool, at int64) {
+	if !kept {
+		g.spoilt = at + lingers
+	}
 	for _, c := range g.classes {
 		if kept {
 			c.before = last(append(c.before, c.after...), g.limits.Before)
@@ -194,6 +202,9 @@
 				continue
 			}
 			s := count(w.Second, k, c.Aim)
+			if w.Second <= g.spoilt && (!g.begun || w.Second < g.at) {
+				continue
+			}
 			if !g.begun || w.Second < g.at {
 				c.before = last(append(c.before, s), g.limits.Before)
 			} else if w.Second > g.at {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -190,7 +190,7 @@
 	case change.Ended:
 		k.opts.Logger.Info("configuration change over", "transaction", uint64(e.Tx), "state", e.State.String(), "reason", e.Reason)
 		if e.State != change.Discarded {
-			k.guard.End(e.State == change.Confirmed)
+			k.guard.End(e.State == change.Confirmed, k.seen+1)
 		}
 	}
 }
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -10,6 +10,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"eiderwinch"
+	"eiderwinch/internal/due"
 	"eiderwinch/internal/frame"
 	"eiderwinch/internal/gatherer"
 )
@@ -25,8 +26,12 @@
 	peers   map[string]*peer
 	flights map[*gatherer.Attempt]*link // where attempts were written
 	links   int                         // all connections, those being dialed included
+	timers  due.Queue[func(now time.Time)]
 }
 
+// timer is one of the pool's; it does what is due.
+type timer = due.Timer[func(now time.Time)]
+
 func newPool(n *Node) *pool {
 	return &pool{n: n, peers: make(map[string]*peer), flights: make(map[*gatherer.Attempt]*link)}
 }
@@ -35,13 +40,13 @@
 type peer struct {
 	id, addr string
 	links    []*link
-	queue    []waiting // calls that wait for a connection
+	queue    []*waiting // calls that wait for a connection
 }
 
 // waiting is a call that waits for a connection.
 type waiting struct {
 	attempts []*gatherer.Attempt
-	until    time.Time
+	timer    timer // when it is given up
 }
 
 // link is one connection to a searcher.
@@ -50,7 +55,7 @@
 	peer   *peer
 	addr   string
 	conn   gnet.Conn // nil while it is being dialed
-	until  time.Time // being dialed: when that is given up
+	dialed timer     // being dialed: when that is given up
 	shut   bool      // not to be used any more
 	spoilt bool      // it carried what can't be used, and is being closed
 	parser frame.Parser
@@ -59,7 +64,7 @@
 	given  uint64          // bytes given to gnet
 	idle   time.Time       // when nothing was out here last
 	heard  time.Time       // when anything came last
-	begun  time.Time       // when the frame that is coming began; zero if none is
+	frame  timer           // set while a frame is coming: when it must have ended
 	last   string          // the id that was answered last
 	mute   bool            // it may be cut off: see Abandon
 }
@@ -106,7 +111,10 @@
 		}
 		return
 	}
-	at.queue = append(at.queue, waiting{attempts, now.Add(p.n.cfg.ConnectTimeout)})
+	w := &waiting{attempts: attempts}
+	w.timer.Value = func(now time.Time) { at.giveUp(p, now, w) }
+	p.timers.Set(&w.timer, now.Add(p.n.cfg.ConnectTimeout))
+	at.queue = append(at.queue, w)
 	p.pump(now, at)
 }
 
@@ -115,26 +123,26 @@
 func (p *pool) pump(now time.Time, at *peer) {
 	for len(at.queue) > 0 {
 		w := at.queue[0]
-		var due []*gatherer.Attempt
+		var still []*gatherer.Attempt
 		for _, a := range w.attempts {
 			// A call may have waited past its searcher's drain grace, or its end.
 			if p.n.core.MaySend(now, a) {
-				due = append(due, a)
+				still = append(still, a)
 			} else {
 				p.n.core.Unsent(now, a)
 			}
 		}
-		at.queue[0].attempts = due
-		if len(due) > 0 {
-			l := at.pick(now, due, p.n.cfg.Multiplex, p.longestIdle())
+		w.attempts = still
+		if len(still) > 0 {
+			l := at.pick(now, still, p.n.cfg.Multiplex, p.longestIdle())
 			if l == nil {
 				break
 			}
-			at.queue = at.queue[1:]
-			l.send(now, due)
+			at.drop(p, w)
+			l.send(now, still)
 			continue
 		}
-		at.queue = at.queue[1:]
+		at.drop(p, w)
 	}
 	p.dial(now, at)
 }
@@ -146,7 +154,7 @@
 // crosses that is a reset, which may have run.
 func (at *peer) pick(now time.Time, attempts []*gatherer.Attempt, multiplex int, idle time.Duration) *link {
 	for _, l := range at.links {
-		if l.conn == nil || l.shut || l.mute || !l.begun.IsZero() || now.Sub(l.idle) >= idle && len(l.out) == 0 || len(l.out) > 0 && len(l.out)+len(attempts) > multiplex ||
+		if l.conn == nil || l.shut || l.mute || l.frame.Set() || now.Sub(l.idle) >= idle && len(l.out) == 0 || len(l.out) > 0 && len(l.out)+len(attempts) > multiplex ||
 			len(l.ghosts) >= maxGhosts || l.conn.OutboundBuffered() > 0 {
 			continue
 		}
@@ -177,8 +185,11 @@
 			return
 		}
 		l := &link{
-			pool: p, peer: at, addr: at.addr, until: now.Add(p.n.cfg.ConnectTimeout), ghosts: make(map[string]bool),
+			pool: p, peer: at, addr: at.addr, ghosts: make(map[string]bool),
 		}
+		l.dialed.Value = func(time.Time) { l.shut = true } // its dialer gives up by itself
+		l.frame.Value = func(time.Time) { l.spoil("frame that does not end", l.parser.Buffered()) }
+		p.timers.Set(&l.dialed, now.Add(p.n.cfg.ConnectTimeout))
 		at.links = append(at.links, l)
 		p.links++
 		p.n.dial(at.addr, p.n.cfg.ConnectTimeout, l, l.failed)
@@ -230,46 +241,26 @@
 }
 
 // due is when expire is wanted next; zero if nothing is due.
-func (p *pool) due() time.Time {
-	var due time.Time
-	sooner := func(t time.Time) {
-		if due.IsZero() || t.Before(due) {
-			due = t
-		}
-	}
-	for _, at := range p.peers {
-		for _, w := range at.queue {
-			sooner(w.until)
-		}
-		for _, l := range at.links {
-			if l.conn == nil && !l.shut {
-				sooner(l.until)
-			}
-			if !l.begun.IsZero() && !l.spoilt {
-				sooner(l.begun.Add(p.n.cfg.ConnectTimeout))
-			}
-		}
-	}
-	return due
-}
+func (p *pool) due() time.Time { return p.timers.Next() }
 
 // expire gives up what has waited too long.
 func (p *pool) expire(now time.Time) {
-	for _, at := range p.peers {
-		for _, l := range at.links {
-			if l.conn == nil && !now.Before(l.until) {
-				l.shut = true // its dialer gives up by itself
-			}
-			if !l.begun.IsZero() && !now.Before(l.begun.Add(p.n.cfg.ConnectTimeout)) {
-				l.spoil("frame that does not end", l.parser.Buffered())
-			}
-		}
-		for len(at.queue) > 0 && !now.Before(at.queue[0].until) {
-			for _, a := range at.queue[0].attempts {
-				p.n.core.Unsent(now, a)
-			}
-			at.queue = at.queue[1:]
-		}
+	for t := p.timers.Pop(now); t != nil; t = p.timers.Pop(now) {
+		t.Value(now)
+	}
+}
+
+// drop takes a call out of the queue.
+func (at *peer) drop(p *pool, w *waiting) {
+	p.timers.Stop(&w.timer)
+	at.queue = slices.DeleteFunc(at.queue, func(x *waiting) bool { return x == w })
+}
+
+// giveUp ends a call that waited in vain: it surely has not run.
+func (at *peer) giveUp(p *pool, now time.Time, w *waiting) {
+	at.drop(p, w)
+	for _, a := range w.attempts {
+		p.n.core.Unsent(now, a)
 	}
 }
 
@@ -298,6 +289,7 @@
 func (l *link) opened(c gnet.Conn) {
 	now := time.Now()
 	l.conn, l.idle = c, now
+	l.pool.timers.Stop(&l.dialed)
 	l.pool.n.stats.Dialed++
 	if l.shut {
 		l.close()
@@ -316,16 +308,15 @@
 			return // the calls can still go there
 		}
 	}
-	for _, w := range l.peer.queue {
-		for _, a := range w.attempts {
-			p.n.core.Unsent(now, a)
-		}
+	for len(l.peer.queue) > 0 {
+		l.peer.giveUp(p, now, l.peer.queue[0])
 	}
-	l.peer.queue = nil
 }
 
 func (l *link) forget() {
 	l.shut = true
+	l.pool.timers.Stop(&l.dialed)
+	l.pool.timers.Stop(&l.frame)
 	l.pool.links--
 	l.peer.links = slices.DeleteFunc(l.peer.links, func(x *link) bool { return x == l })
 }
@@ -383,7 +374,7 @@
 	for {
 		f, ok, err := l.parser.Next()
 		if err == nil && ok {
-			l.begun = time.Time{}
+			l.pool.timers.Stop(&l.frame)
 			err = l.take(now, f)
 		}
 		if err != nil {
@@ -394,8 +385,8 @@
 			break
 		}
 	}
-	if l.parser.Buffered() > 0 && l.begun.IsZero() {
-		l.begun = now
+	if l.parser.Buffered() > 0 && !l.frame.Set() {
+		l.pool.timers.Set(&l.frame, now.Add(l.pool.n.cfg.ConnectTimeout))
 	}
 	l.pool.pump(now, l.peer)
 }
@@ -411,6 +402,7 @@
 	l.pool.n.stats.Spoilt++
 	l.pool.n.log.Warn(what, "searcher", l.peer.id, "parts", len(l.out), "detail", detail)
 	l.spoilt = true
+	l.pool.timers.Stop(&l.frame)
 	l.close()
 }
 
