--- a/aggregator.go
+++ b/aggregator.go
@@ -440,10 +440,11 @@
 
 // judge marks the servers that hold a part for too long; they get nothing new until its outcome is in.
 func (a *Aggregator) judge() {
-	for _, s := range a.servers {
+	for _, s := range a.working {
 		s.overdue = slices.ContainsFunc(s.out, a.tooLong)
 		a.freeDead(s)
 	}
+	a.rest()
 }
 
 // freeDead takes back the safe work on a server that answers nothing while calls are usually far faster, if
@@ -480,7 +481,7 @@
 		a.askAt = a.now + a.askWait
 		return
 	}
-	a.askWait = 0
+	a.askWait, a.left = 0, true
 	a.forgetHolders()
 	if e.Kind != Changes {
 		for _, s := range a.servers {
@@ -717,25 +718,12 @@
 // plan gives the pending parts to the fewest servers: again and again it takes the server that covers most of
 // them and sends it one call.
 func (a *Aggregator) plan(pending []*part) {
-	for _, s := range a.servers {
-		s.pending, s.called = s.pending[:0], false
-	}
-	for _, p := range pending {
-		for _, s := range a.holding(p) {
-			s.pending = append(s.pending, p)
-		}
-	}
-	holders := make([]*server, 0, len(pending)) // of any of them: at a large fleet most hold none
-	for _, s := range a.servers {
-		if s.listed && len(s.pending) > 0 {
-			holders = append(holders, s)
-		}
-	}
+	a.note(pending)
 	for {
 		var best *server
 		var cover []*part
-		for _, s := range holders {
-			if s.called {
+		for _, s := range a.noted {
+			if s.called || !s.listed {
 				continue
 			}
 			c := a.cover(s)
@@ -949,6 +937,7 @@
 	if len(s.out) == 0 || s.out[len(s.out)-1].sent != a.now {
 		work += a.set.CallCost
 	}
+	a.starts(s)
 	s.out = append(s.out, t)
 	if s.Started > 0 && a.now-s.Started < a.set.ColdFor {
 		s.cold = append(s.cold, spent{a.now, work})
--- a/cmd/eiderwinch/demo.go
+++ b/cmd/eiderwinch/demo.go
@@ -17,10 +17,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"eiderwinch/internal/config"
-	"eiderwinch/internal/daemon"
 	"eiderwinch/internal/standin"
-	"eiderwinch/internal/stats"
 )
 
 // demoCommand starts stand-ins and a gatherer on loopback and asks queries.
@@ -49,39 +46,21 @@
 func (d demoCommand) Run(e environment) (err error) {
 	ctx, stop := e.untilSignal()
 	defer stop()
-	world, err := standin.NewDeployment(standin.DeploymentOptions{Seed: d.Seed})
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.Join(err, world.Close()) }()
-	text, err := world.Config("demo", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	cfg, err := config.Parse(text)
-	if err != nil {
-		return err
-	}
 	log := slog.New(slog.DiscardHandler)
 	if d.Verbose {
 		log = slog.New(slog.NewTextHandler(e.stderr, nil))
 	}
-	node := daemon.New(cfg, daemon.Options{}, stats.New(), log)
-	ended := make(chan error, 1)
-	go func() { ended <- node.Run() }()
-	select {
-	case <-node.Started():
-	case err := <-ended:
+	l, err := startLoopback(d.Seed, log)
+	if err != nil {
 		return err
-	case <-time.After(demoStart):
-		return errors.New("the gatherer did not come up")
 	}
+	world, node := l.world, l.node
+	defer func() { err = errors.Join(err, world.Close()) }()
 	fmt.Fprintf(e.stdout, "A gatherer on %s, discovery on %s, %d searchers in 3 zones that hold %d segments.\n\n",
 		node.Addr(), world.Discovery.Addr(), len(world.Searchers), world.Segments())
 	asker := newAsker(d, node.Addr(), world.Segments(), e.stdout)
 	asker.run(ctx)
-	node.Drain()
-	if err := <-ended; err != nil {
+	if err := l.drain(); err != nil {
 		return err
 	}
 	return asker.report(ctx, world)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -4,6 +4,9 @@
 package service
 
 import (
+	"maps"
+	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -64,7 +67,7 @@
 	now     int64
 	taken   []int
 	counts  [][outcomes]int
-	times   []*hdrhistogram.Histogram
+	times   []map[int64]int64 // by bucket: a second sees few of the buckets that a histogram has
 	any     bool
 	windows []Window // closed ones that saw anything, the oldest first
 }
@@ -73,7 +76,7 @@
 func New(classes []string) *Recorder {
 	r := &Recorder{names: classes, taken: make([]int, len(classes)), counts: make([][outcomes]int, len(classes))}
 	for range classes {
-		r.times = append(r.times, hdrhistogram.New(leastTime, mostTime, digits))
+		r.times = append(r.times, make(map[int64]int64))
 	}
 	return r
 }
@@ -91,10 +94,17 @@
 	r.any = true
 	r.counts[class][o]++
 	if o == Whole || o == Partial {
-		_ = r.times[class].RecordValue(min(max(took.Microseconds(), leastTime), mostTime)) // within its bounds
+		r.times[class][bucket(min(max(took.Microseconds(), leastTime), mostTime))]++
 	}
 }
 
+// bucket is the most that a time is taken for: within 1 part in 128 of it, as a
+// histogram of two digits would have it.
+func bucket(us int64) int64 {
+	shift := max(bits.Len64(uint64(us))-8, 0)
+	return (us>>shift+1)<<shift - 1
+}
+
 // turn closes the second that is over.
 func (r *Recorder) turn(now time.Time) {
 	if r.start.IsZero() {
@@ -109,14 +119,12 @@
 		w := Window{Second: r.now}
 		for i, n := range r.counts {
 			c := Class{Name: r.names[i], Taken: r.taken[i], Whole: n[Whole], Partial: n[Partial], Refused: n[Refused], Failed: n[Failed], Gone: n[Gone]}
-			for _, bar := range r.times[i].Distribution() {
-				if bar.Count > 0 {
-					c.Times = append(c.Times, Count{bar.To, bar.Count})
-				}
+			for _, us := range slices.Sorted(maps.Keys(r.times[i])) {
+				c.Times = append(c.Times, Count{us, r.times[i][us]})
 			}
 			w.Classes = append(w.Classes, c)
 			r.taken[i], r.counts[i] = 0, [outcomes]int{}
-			r.times[i].Reset()
+			clear(r.times[i])
 		}
 		if len(r.windows) == Kept {
 			copy(r.windows, r.windows[1:])
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -53,3 +53,11 @@
 		t.Error("a reset leaves something")
 	}
 }
+
+func TestBucketsAreWithinTheirBound(t *testing.T) {
+	for us := int64(1); us < 60_000_000; us += 1 + us/97 {
+		if b := bucket(us); b < us || float64(b-us) > float64(us)/128 || bucket(b) != b {
+			t.Fatalf("%d is taken for %d", us, b)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -20,6 +20,9 @@
 	byID    map[string]*server
 	holders [][]*server // by shard, after the cells; nil until asked for after a change
 	changes int         // changes of servers so far; see part.holders
+	working []*server   // those with parts out, by id, and some that had until the last turn
+	noted   []*server   // those with pending parts in the last plan, by id
+	left    bool        // some servers are not listed
 	queries []*query    // in the order they came
 	open    map[uint64]*query
 	parts   map[uint64]*part         // of open queries or with attempts out
@@ -54,12 +57,47 @@
 // enter makes the record of a server that was not known.
 func (a *Aggregator) enter(id string) *server {
 	s := new(server)
-	a.byID[id] = s
+	a.byID[id], a.left = s, true
 	at := sort.Search(len(a.servers), func(i int) bool { return a.servers[i].ID >= id })
 	a.servers = slices.Insert(a.servers, at, s)
 	return s
 }
 
+// starts books that a server gets something.
+func (a *Aggregator) starts(s *server) {
+	if !s.working {
+		s.working = true
+		at := sort.Search(len(a.working), func(i int) bool { return a.working[i].ID >= s.ID })
+		a.working = slices.Insert(a.working, at, s)
+	}
+}
+
+// rest forgets which servers had something out and have not any more.
+func (a *Aggregator) rest() {
+	a.working = slices.DeleteFunc(a.working, func(s *server) bool {
+		s.working = len(s.out) > 0
+		return !s.working
+	})
+}
+
+// note enters pending parts at the servers that hold them. At a large fleet most
+// servers hold none: a turn must not go through all.
+func (a *Aggregator) note(pending []*part) {
+	for _, s := range a.noted {
+		s.pending, s.called = s.pending[:0], false
+	}
+	a.noted = a.noted[:0]
+	for _, p := range pending {
+		for _, s := range a.holding(p) {
+			if len(s.pending) == 0 {
+				a.noted = append(a.noted, s)
+			}
+			s.pending = append(s.pending, p)
+		}
+	}
+	slices.SortFunc(a.noted, func(s, t *server) int { return cmp.Compare(s.ID, t.ID) })
+}
+
 // book enters a query and its parts.
 func (a *Aggregator) book(q *query) {
 	a.open[q.ID] = q
@@ -142,6 +180,7 @@
 
 	cold []spent // work sent while it is cold
 
+	working bool    // it is among Aggregator.working
 	pending []*part // this turn's parts that it holds
 	called  bool    // has a call this turn
 }
@@ -330,19 +369,28 @@
 	}
 	clear(a.queries[len(kept):])
 	a.queries = kept
+	if a.left {
+		a.sweepServers()
+	}
+	a.budget(0)
+}
+
+// sweepServers forgets the servers that are gone for good.
+func (a *Aggregator) sweepServers() {
+	a.left = false
 	before := len(a.servers)
 	left := a.servers[:0]
 	for _, s := range a.servers {
-		if !forgettable(s) {
-			left = append(left, s)
-		} else {
+		if forgettable(s) {
 			delete(a.byID, s.ID)
+			continue
 		}
+		left = append(left, s)
+		a.left = a.left || !s.listed
 	}
 	clear(a.servers[len(left):])
 	a.servers = left
 	if len(left) < before {
 		a.forgetHolders()
 	}
-	a.budget(0)
 }
