Ask, find sockets, print soaks and wait for the loop through one piece of code each

Change, behaviour as before: internal/ask asks one query for the demo, the soaks and the load tool, which had a copy each. Commands find an admin socket through `socket.open`, both soaks print through `runSoak`, requests on admin sockets are read by `admin.Read`, tests wait through `await` and `search`. `netio.wait` runs something on the loop for Searchers, State and Apply; the generations of open queries, for which all of them are gone through, are asked for by `config status` alone, no longer in each of the nine states a second. The coordinator keeps no copy of the ledger's rate. Random tests set their seed in internal/steady. Four functions that nothing called are gone.

--- a/cmd/eiderwinch/config.go
+++ b/cmd/eiderwinch/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -10,39 +9,21 @@
 	"text/tabwriter"
 	"time"
 
-	"eiderwinch/internal/admin"
 	"eiderwinch/internal/bundle"
 	"eiderwinch/internal/change"
 	"eiderwinch/internal/keeper"
+	"eiderwinch/internal/settings"
 )
 
 // toGatherer is how commands find a running gatherer.
 type toGatherer struct {
-	At      string        `placeholder:"ENDPOINT" help:"Its admin socket: unix:PATH, or a loopback address and a port."`
-	File    string        `placeholder:"FILE" help:"The operators' file that names it."`
+	socket
 	Timeout time.Duration `default:"15s" help:"An answer is waited for so long."`
 }
 
-func (c toGatherer) client() (*admin.Client, error) {
-	switch {
-	case (c.At == "") == (c.File == ""):
-		return nil, &exitError{exitConfig, errors.New("want one of --at and --file")}
-	case c.File != "":
-		ops, err := readOps(c.File)
-		if err != nil {
-			return nil, err
-		}
-		if ops.Admin == "" {
-			return nil, &exitError{exitConfig, fmt.Errorf("%s: found no admin, want that element", c.File)}
-		}
-		c.At = ops.Admin
-	}
-	return admin.NewClient(c.At, c.Timeout, nil), nil
-}
-
 // do asks a gatherer.
 func (c toGatherer) do(method, path string, in, out any) error {
-	client, err := c.client()
+	client, err := c.open(c.Timeout, "admin", func(f *settings.File) string { return f.Admin })
 	if err != nil {
 		return err
 	}
--- a/cmd/eiderwinch/config_test.go
+++ b/cmd/eiderwinch/config_test.go
@@ -1,15 +1,12 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	"eiderwinch/internal/bundle"
 	"eiderwinch/internal/keeper"
@@ -60,32 +57,13 @@
 // until waits for a state of the keeper.
 func (k *kept) until(t *testing.T, what string, is func(keeper.Status) bool) keeper.Status {
 	t.Helper()
-	var s keeper.Status
-	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
-		code, out, _ := call(t, nil, "config", "status", "--json", "--file", k.ops)
-		if s = (keeper.Status{}); code == exitOK && json.Unmarshal([]byte(out), &s) == nil && is(s) {
-			return s
-		}
-	}
-	t.Fatalf("%s did not come about: %+v", what, s)
-	return s
+	return await(t, what, is, "config", "status", "--json", "--file", k.ops)
 }
 
 // generation asks a query, and returns the generation that it was answered under.
 func generation(t *testing.T, addr, trace string) string {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/search", strings.NewReader(`{"tablets":[{"tablet":0,"fraction":1}],"statement":"find x"}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("X-Trace-Id", trace)
-	req.Header.Set("X-Qos", "search")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp.Body.Close()
-	return resp.Header.Get("X-Config-Generation")
+	return search(t, addr, trace, "find x").Header.Get("X-Config-Generation")
 }
 
 func state(n int, want string) func(keeper.Status) bool {
--- a/cmd/eiderwinch/configsoak.go
+++ b/cmd/eiderwinch/configsoak.go
@@ -1,9 +1,9 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"os"
-	"text/tabwriter"
+	"io"
 	"time"
 
 	"eiderwinch/internal/soak"
@@ -30,34 +30,15 @@
 
 // Run runs it to its end, or until a signal.
 func (c configSoak) Run(e environment) error {
-	ctx, stop := e.untilSignal()
-	defer stop()
-	dir, err := os.MkdirTemp("", "eiderwinch-soak-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	progress := e.stdout
-	if c.JSON {
-		progress = e.stderr
-	}
-	r, err := soak.RunConfig(ctx, soak.ConfigOptions{
-		Warm: c.Warm, Changes: c.Changes, Every: c.Every, Rate: c.Rate, Row: c.Row, Seed: c.Seed, Dir: dir, Out: progress,
-	})
-	if err != nil {
-		return err
-	}
-	if c.JSON {
-		if err := c.print(e.stdout, r); err != nil {
-			return err
-		}
-		return r.Err()
-	}
-	table := tabwriter.NewWriter(e.stdout, 0, 0, 2, ' ', 0)
-	for _, row := range []struct {
-		what  string
-		value any
-	}{
+	return runSoak(e, c.asJSON, func(ctx context.Context, dir string, progress io.Writer) (soak.ConfigReport, error) {
+		return soak.RunConfig(ctx, soak.ConfigOptions{
+			Warm: c.Warm, Changes: c.Changes, Every: c.Every, Rate: c.Rate, Row: c.Row, Seed: c.Seed, Dir: dir, Out: progress,
+		})
+	}, configRows)
+}
+
+func configRows(r soak.ConfigReport) []row {
+	rows := []row{
 		{"queries asked, held back since too many were open", fmt.Sprint(r.Asked, r.Held)},
 		{"answered whole, partly, refused, failed", fmt.Sprint(r.Whole, r.Partial, r.Refused, r.Failed)},
 		{"taken, ended by the gatherer's books", fmt.Sprint(r.Taken, r.Ended)},
@@ -68,14 +49,9 @@
 		{"seconds from a bad change until the old was in force: median, worst", fmt.Sprintf("%.2f %.2f", r.Median(), r.Worst())},
 		{"changes in a row; heap in KiB, descriptors, goroutines after three tenths of them, and after all",
 			fmt.Sprint(r.Row.Changes, ";", r.Row.HeapBefore>>10, r.Row.FilesBefore, r.Row.RoutinesBefore, ",", r.Row.HeapAfter>>10, r.Row.FilesAfter, r.Row.RoutinesAfter)},
-	} {
-		fmt.Fprintf(table, "%s\t%v\n", row.what, row.value)
 	}
 	for _, reason := range r.Reasons {
-		fmt.Fprintf(table, "undone\t%s\n", reason)
-	}
-	if err := table.Flush(); err != nil {
-		return err
+		rows = append(rows, row{"undone", reason})
 	}
-	return r.Err()
+	return rows
 }
--- a/cmd/eiderwinch/coordinate.go
+++ b/cmd/eiderwinch/coordinate.go
@@ -67,27 +67,18 @@
 
 // toCoordinator is how commands find a running coordinator.
 type toCoordinator struct {
-	At      string        `placeholder:"ENDPOINT" help:"Its admin socket: unix:PATH, or a loopback address and a port."`
-	File    string        `placeholder:"FILE" help:"The operators' file that names it."`
+	socket
 	Timeout time.Duration `default:"5s" help:"An answer is waited for so long."`
 }
 
 // client returns a client of the coordinator.
 func (c toCoordinator) client() (*admin.Client, error) {
-	switch {
-	case (c.At == "") == (c.File == ""):
-		return nil, &exitError{exitConfig, errors.New("want one of --at and --file")}
-	case c.File != "":
-		ops, err := readOps(c.File)
-		if err != nil {
-			return nil, err
-		}
-		if ops.Coordinator == nil {
-			return nil, &exitError{exitConfig, fmt.Errorf("%s: found no coordinator, want that element", c.File)}
+	return c.open(c.Timeout, "coordinator", func(f *settings.File) string {
+		if f.Coordinator == nil {
+			return ""
 		}
-		c.At = ops.Coordinator.Listen
-	}
-	return admin.NewClient(c.At, c.Timeout, nil), nil
+		return f.Coordinator.Listen
+	})
 }
 
 type layoutStatus struct {
--- a/cmd/eiderwinch/coordinate_test.go
+++ b/cmd/eiderwinch/coordinate_test.go
@@ -95,10 +95,17 @@
 // until waits for a state of the coordinator.
 func (m *moving) until(t *testing.T, what string, is func(admin.Status) bool) admin.Status {
 	t.Helper()
-	var s admin.Status
+	return await(t, what, is, "layout", "status", "--json", "--file", m.ops)
+}
+
+// await calls a command until the JSON that it prints is as wanted.
+func await[S any](t *testing.T, what string, is func(S) bool, args ...string) S {
+	t.Helper()
+	var s S
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
-		code, out, _ := call(t, nil, "layout", "status", "--json", "--file", m.ops)
-		if s = (admin.Status{}); code == exitOK && json.Unmarshal([]byte(out), &s) == nil && is(s) {
+		code, out, _ := call(t, nil, args...)
+		s = *new(S)
+		if code == exitOK && json.Unmarshal([]byte(out), &s) == nil && is(s) {
 			return s
 		}
 	}
@@ -106,10 +113,10 @@
 	return s
 }
 
-// epoch asks a query and returns the epoch that it was answered in.
-func epoch(t *testing.T, addr, trace string) string {
+// search asks a gatherer about segment 0, and returns the answer without its body.
+func search(t *testing.T, addr, trace, statement string) *http.Response {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/search", strings.NewReader(`{"tablets":[{"tablet":0,"fraction":1}],"statement":"scan a z"}`))
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/search", strings.NewReader(`{"tablets":[{"tablet":0,"fraction":1}],"statement":"`+statement+`"}`))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,6 +127,13 @@
 		t.Fatal(err)
 	}
 	resp.Body.Close()
+	return resp
+}
+
+// epoch asks a query and returns the epoch that it was answered in.
+func epoch(t *testing.T, addr, trace string) string {
+	t.Helper()
+	resp := search(t, addr, trace, "scan a z")
 	if resp.StatusCode != http.StatusOK {
 		t.Errorf("%s: %s", trace, resp.Status)
 	}
--- a/cmd/eiderwinch/demo.go
+++ b/cmd/eiderwinch/demo.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -17,6 +15,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"eiderwinch/internal/ask"
 	"eiderwinch/internal/standin"
 )
 
@@ -81,7 +80,7 @@
 // asker asks queries and keeps the books.
 type asker struct {
 	demoCommand
-	url    string
+	addr   string
 	client *http.Client
 	out    io.Writer
 	list   []*asked
@@ -93,7 +92,7 @@
 var demoClasses = []string{"report", "search", "reserve"}
 
 func newAsker(d demoCommand, addr string, segments int, out io.Writer) *asker {
-	a := &asker{demoCommand: d, url: "http://" + addr + "/", out: out, client: &http.Client{
+	a := &asker{demoCommand: d, addr: addr, out: out, client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: d.Clients, MaxConnsPerHost: d.Clients},
 	}}
 	rng := rand.New(rand.NewPCG(d.Seed, 2))
@@ -171,58 +170,17 @@
 
 // post asks one query and reads its answer.
 func (a *asker) post(ctx context.Context, q *asked) error {
-	type tablet struct {
-		Tablet   int     `json:"tablet"`
-		Fraction float64 `json:"fraction"`
-	}
-	var body struct {
-		Tablets   []tablet `json:"tablets"`
-		Statement string   `json:"statement"`
-	}
-	body.Statement = q.statement
-	for _, s := range q.segments {
-		body.Tablets = append(body.Tablets, tablet{s, 1 / float64(len(q.segments))})
-	}
-	text, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, a.url+q.class, bytes.NewReader(text))
-	if err != nil {
-		return err
-	}
-	r.Header.Set("X-Trace-Id", q.trace)
-	r.Header.Set("X-Qos", q.class)
-	r.Header.Set("X-Expires-In-Ms", "4000")
-	if q.key != "" {
-		r.Header.Set("Idempotency-Key", q.key)
-	}
-	began := time.Now()
-	resp, err := a.client.Do(r)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
-	q.took, q.status = time.Since(began), resp.StatusCode
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return err
-	}
-	var got struct {
-		Full   bool `json:"full"`
-		Pieces []struct {
-			Tablet int    `json:"tablet"`
-			Cell   string `json:"cell"`
-		} `json:"pieces"`
-	}
-	if err := json.Unmarshal(answer, &got); err != nil {
-		return fmt.Errorf("the answer can't be read: %w", err)
+	got, err := ask.Do(ctx, a.client, a.addr, ask.Query{
+		Class: q.class, Trace: q.trace, Key: q.key, Expires: 4 * time.Second, Segments: q.segments, Statement: q.statement,
+	})
+	if got.Status != 0 {
+		q.took, q.status = got.Done.Sub(got.Sent), got.Status
 	}
 	q.full = got.Full
 	for _, p := range got.Pieces {
 		q.values = append(q.values, p.Cell)
 	}
-	return nil
+	return err
 }
 
 // mostMS is the longest time that the histograms hold: no class waits for longer.
--- a/cmd/eiderwinch/soak.go
+++ b/cmd/eiderwinch/soak.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -30,6 +32,21 @@
 
 // Run runs it to its end, or until a signal.
 func (c layoutSoak) Run(e environment) error {
+	return runSoak(e, c.asJSON, func(ctx context.Context, dir string, progress io.Writer) (soak.Report, error) {
+		return soak.Run(ctx, soak.Options{
+			Rounds: c.Rounds, Quiet: c.Quiet, Changes: c.Changes, Every: c.Every, Rate: c.Rate, Seed: c.Seed, Dir: dir, Out: progress,
+		})
+	}, layoutRows)
+}
+
+// row is one line of a report for people.
+type row struct {
+	what  string
+	value any
+}
+
+// runSoak runs a soak to its end, or until a signal, and prints its report.
+func runSoak[R interface{ Err() error }](e environment, as asJSON, run func(ctx context.Context, dir string, progress io.Writer) (R, error), rows func(R) []row) error {
 	ctx, stop := e.untilSignal()
 	defer stop()
 	dir, err := os.MkdirTemp("", "eiderwinch-soak-")
@@ -38,26 +55,31 @@
 	}
 	defer os.RemoveAll(dir)
 	progress := e.stdout
-	if c.JSON {
+	if as.JSON {
 		progress = e.stderr
 	}
-	r, err := soak.Run(ctx, soak.Options{
-		Rounds: c.Rounds, Quiet: c.Quiet, Changes: c.Changes, Every: c.Every, Rate: c.Rate, Seed: c.Seed, Dir: dir, Out: progress,
-	})
+	r, err := run(ctx, dir, progress)
 	if err != nil {
 		return err
 	}
-	if c.JSON {
-		if err := c.print(e.stdout, r); err != nil {
+	if as.JSON {
+		if err := as.print(e.stdout, r); err != nil {
 			return err
 		}
 		return r.Err()
 	}
 	table := tabwriter.NewWriter(e.stdout, 0, 0, 2, ' ', 0)
-	for _, row := range []struct {
-		what  string
-		value any
-	}{
+	for _, row := range rows(r) {
+		fmt.Fprintf(table, "%s\t%v\n", row.what, row.value)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return r.Err()
+}
+
+func layoutRows(r soak.Report) []row {
+	return []row{
 		{"queries asked", r.Asked},
 		{"answered whole, partly, refused, failed", fmt.Sprint(r.Whole, r.Partial, r.Refused, r.Failed)},
 		{"taken, ended by the gatherers' books", fmt.Sprint(r.Taken, r.Ended)},
@@ -71,11 +93,5 @@
 		{"times copies were slowed down", r.Slowed},
 		{"epochs, queries translated", fmt.Sprint(r.Epochs, r.Translated)},
 		{"p99 of searches with changes over without", fmt.Sprintf("%.2f (rounds %.2f)", r.MedianRatio(), r.Ratio)},
-	} {
-		fmt.Fprintf(table, "%s\t%v\n", row.what, row.value)
 	}
-	if err := table.Flush(); err != nil {
-		return err
-	}
-	return r.Err()
 }
--- a/internal/admin/listen.go
+++ b/internal/admin/listen.go
@@ -211,3 +211,15 @@
 func Refuse(w http.ResponseWriter, status int, err error) {
 	Answer(w, status, &Error{Text: err.Error()})
 }
+
+// Read reads a request's JSON. Where it can't, it refuses the request and returns
+// false.
+func Read(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		Refuse(w, http.StatusBadRequest, err)
+		return false
+	}
+	return true
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -65,7 +65,6 @@
 	layout    *layout.Layout
 	text      []byte // of layout, as gatherers are told it
 	ledger    *custody.Ledger
-	rows      float64
 	meter     *reshard.Meter
 	gatherers map[string]layout.Epoch // those that answered last time, with their epochs
 	seen      map[string]int64        // the last second of each whose service was taken in
@@ -300,8 +299,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.term = term
-	c.rows = c.opts.Limits.RateMost
-	c.ledger = custody.New(log, term, slices.Sorted(maps.Keys(c.opts.Fleet.Zones)), c.rows, custody.Limits{})
+	c.ledger = custody.New(log, term, slices.Sorted(maps.Keys(c.opts.Fleet.Zones)), c.opts.Limits.RateMost, custody.Limits{})
 }
 
 // Publish implements migrate.Peers.
@@ -327,39 +325,36 @@
 
 // Fill implements migrate.Peers.
 func (c *Coordinator) Fill(f reshard.Fill) {
+	c.want(func(l *custody.Ledger) {
+		l.Rate(f.Rate)
+		l.Fill(f)
+		c.mark()
+	})
+}
+
+// want changes what is wanted of searchers, and lets those be asked at once that it
+// is news for.
+func (c *Coordinator) want(change func(*custody.Ledger)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rows = f.Rate
-	c.ledger.Rate(f.Rate)
-	c.ledger.Fill(f)
-	c.mark()
+	change(c.ledger)
 	c.kickFresh()
 }
 
 // Stop implements migrate.Peers.
 func (c *Coordinator) Stop(job reshard.JobID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ledger.Stop(job)
-	c.kickFresh()
+	c.want(func(l *custody.Ledger) { l.Stop(job) })
 }
 
 // Rate implements migrate.Peers.
 func (c *Coordinator) Rate(rows float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.rows = rows
-	c.ledger.Rate(rows)
-	c.kickFresh()
+	c.want(func(l *custody.Ledger) { l.Rate(rows) })
 }
 
 // Drop implements migrate.Peers. That a searcher is to forget what the layout in
 // force does not assign to it, the ledger knows by itself.
 func (c *Coordinator) Drop(t reshard.Target) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ledger.Drop(t)
-	c.kickFresh()
+	c.want(func(l *custody.Ledger) { l.Drop(t) })
 }
 
 func (c *Coordinator) ended(e reshard.Ended) {
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -67,7 +66,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.Term, s.Rows, s.Custody = c.term, c.rows, c.ledger.Counts()
+	s.Term, s.Rows, s.Custody = c.term, c.ledger.Rows(), c.ledger.Counts()
 	s.BaseMS = float64(c.meter.Base()) / float64(time.Millisecond)
 	for _, p := range c.opts.Gatherers {
 		epoch, up := c.gatherers[p.Name]
@@ -87,7 +86,7 @@
 
 func (c *Coordinator) submit(w http.ResponseWriter, r *http.Request) {
 	var in admin.Submission
-	if !read(w, r, &in) {
+	if !admin.Read(w, r, &in) {
 		return
 	}
 	var list []layout.Change
@@ -133,7 +132,7 @@
 		return
 	}
 	var in admin.Abortion
-	if !read(w, r, &in) {
+	if !admin.Read(w, r, &in) {
 		return
 	}
 	switch err := c.Abort(reshard.JobID(id), in.Reason); {
@@ -147,14 +146,3 @@
 		admin.Refuse(w, http.StatusServiceUnavailable, err)
 	}
 }
-
-// read reads a request's JSON.
-func read(w http.ResponseWriter, r *http.Request, v any) bool {
-	d := json.NewDecoder(r.Body)
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
-		admin.Refuse(w, http.StatusBadRequest, err)
-		return false
-	}
-	return true
-}
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -125,6 +125,9 @@
 // coordinator was started since, or this one's log is not the one. It must end.
 func (l *Ledger) Fenced() bool { return l.counts.Fenced > 0 }
 
+// Rows is the speed of fills in rows a second.
+func (l *Ledger) Rows() float64 { return l.rows }
+
 // Down are the searchers that do not answer, in order.
 func (l *Ledger) Down() (out []string) {
 	for id, s := range l.searchers {
--- a/internal/custody/custody_test.go
+++ b/internal/custody/custody_test.go
@@ -1,10 +1,8 @@
 package custody
 
 import (
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 
@@ -12,14 +10,10 @@
 
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/reshard"
+	"eiderwinch/internal/steady"
 )
 
-// TestMain makes random tests give the same verdict every time. Long runs with
-// other seeds: go test -rapid.seed=0 -rapid.checks=10000.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1") // the command line wins: Run parses it later
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { steady.Main(m) }
 
 // model is a searcher that obeys orders.
 type model struct {
--- a/internal/emulator/file.go
+++ b/internal/emulator/file.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"slices"
-	"time"
 
 	"eiderwinch/internal/xmlform"
 )
@@ -164,9 +163,3 @@
 	}
 	return Run(s, p.Seed)
 }
-
-// Window is the length of a scenario's run.
-func (x *Experiment) Window(scenario string) time.Duration {
-	i := slices.IndexFunc(x.Scenarios, func(s Scenario) bool { return s.Name == scenario })
-	return x.Scenarios[i].Duration
-}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -25,6 +25,7 @@
 	State(ctx context.Context, after int64) (netio.State, bool)
 	Apply(ctx context.Context, l netio.Live) error
 	Searchers(ctx context.Context) ([]netio.Searcher, bool)
+	Generations(ctx context.Context) ([]uint64, bool)
 }
 
 // History is where transactions are written down; history.History is one.
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -57,6 +57,8 @@
 
 func (n *fakeNode) Searchers(context.Context) ([]netio.Searcher, bool) { return n.list, true }
 
+func (n *fakeNode) Generations(context.Context) ([]uint64, bool) { return []uint64{n.last()}, true }
+
 func (n *fakeNode) last() uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/keeper/requests.go
+++ b/internal/keeper/requests.go
@@ -148,10 +148,7 @@
 
 // Status returns how things stand.
 func (k *Keeper) Status(ctx context.Context) (s Status, err error) {
-	node, ok := k.opts.Node.State(ctx, 1<<62)
-	if ok {
-		s.Open = node.Generations
-	}
+	s.Open, _ = k.opts.Node.Generations(ctx)
 	err = k.do(ctx, func() {
 		s.Confirmed, _ = k.m.Confirmed()
 		s.InForce, s.Hash = k.gen, fmt.Sprintf("%x", k.inForce.Hash)
--- a/internal/keeper/serve.go
+++ b/internal/keeper/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -46,7 +45,7 @@
 func (k *Keeper) Handle(m *http.ServeMux) {
 	m.HandleFunc("POST /v1/config", func(w http.ResponseWriter, r *http.Request) {
 		var p Proposal
-		if !read(w, r, &p) {
+		if !admin.Read(w, r, &p) {
 			return
 		}
 		s, err := k.Stage(r.Context(), p.Bundle, p.Against, p.Note, p.Signature)
@@ -76,7 +75,7 @@
 				return
 			}
 			ok := true
-			err = do(r.Context(), change.Tx(n), r, func(v any) bool { ok = read(w, r, v); return ok })
+			err = do(r.Context(), change.Tx(n), r, func(v any) bool { ok = admin.Read(w, r, v); return ok })
 			if ok {
 				answer(w, struct{}{}, err)
 			}
@@ -117,14 +116,3 @@
 		admin.Refuse(w, http.StatusUnprocessableEntity, err)
 	}
 }
-
-// read reads a request's JSON.
-func read(w http.ResponseWriter, r *http.Request, v any) bool {
-	d := json.NewDecoder(r.Body)
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
-		admin.Refuse(w, http.StatusBadRequest, err)
-		return false
-	}
-	return true
-}
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -41,11 +41,6 @@
 // Empty tells that no key lies in the range.
 func (r Range) Empty() bool { return r.To != "" && r.From >= r.To }
 
-// within tells that each key of r lies in o.
-func (r Range) within(o Range) bool {
-	return r.From >= o.From && (o.To == "" || r.To != "" && r.To <= o.To)
-}
-
 func (r Range) String() string { return fmt.Sprintf("[%q, %q)", string(r.From), string(r.To)) }
 
 // State is what a segment is for.
@@ -224,14 +219,6 @@
 	return &Edit{from: l, next: l.next, puts: make(map[SegmentID]*Segment), line: make(map[SegmentID]*Line)}
 }
 
-// segment returns a segment as the edit has it.
-func (e *Edit) segment(id SegmentID) *Segment {
-	if s, ok := e.puts[id]; ok {
-		return s
-	}
-	return e.from.Segment(id)
-}
-
 func (e *Edit) put(s *Segment) {
 	for _, list := range []*[]string{&s.Holders, &s.Next, &s.Prev} {
 		if !slices.IsSorted(*list) {
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -2,24 +2,19 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"runtime"
 	"slices"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"eiderwinch/internal/steady"
 )
 
-// TestMain makes random tests give the same verdict every time. Long runs with
-// other seeds: go test -rapid.seed=0 -rapid.checks=10000.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1") // the command line wins: Run parses it later
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { steady.Main(m) }
 
 // even returns n segments of equal width on a fleet of so many searchers in three zones.
 func even(t testing.TB, n, searchers int) (*Layout, Fleet) {
--- a/internal/layoutfile/layoutfile_test.go
+++ b/internal/layoutfile/layoutfile_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"flag"
 	"os"
 	"reflect"
 	"slices"
@@ -13,15 +12,11 @@
 	"pgregory.net/rapid"
 
 	"eiderwinch/internal/layout"
+	"eiderwinch/internal/steady"
 	"eiderwinch/internal/xmlform"
 )
 
-// TestMain makes random tests give the same verdict every time. Long runs with
-// other seeds: go test -rapid.seed=0 -rapid.checks=10000.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1") // the command line wins: Run parses it later
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { steady.Main(m) }
 
 const good = `<?xml version="1.0"?>
 <layout xmlns="urn:eiderwinch:layout:1" epoch="7" next="6" replicas="2">
--- a/internal/limit/table_test.go
+++ b/internal/limit/table_test.go
@@ -1,22 +1,17 @@
 package limit
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"eiderwinch/internal/steady"
 )
 
-// TestMain makes random tests give the same verdict every time. Long runs with
-// other seeds: go test -rapid.seed=0 -rapid.checks=10000.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1") // the command line wins: Run parses it later
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { steady.Main(m) }
 
 var start = time.Unix(1_000_000, 0)
 
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -5,11 +5,8 @@
 package load
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -17,6 +14,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"eiderwinch/internal/ask"
 )
 
 // Class is one class of queries.
@@ -138,33 +137,30 @@
 
 // ask asks one query.
 func (r *Report) ask(client *http.Client, o Options, c Class, id uint64, first int, planned time.Time) {
-	type tablet struct {
-		Tablet   int     `json:"tablet"`
-		Fraction float64 `json:"fraction"`
-	}
-	body := struct {
-		Tablets   []tablet `json:"tablets"`
-		Statement string   `json:"statement"`
-	}{Statement: c.Ask}
+	name := strconv.FormatUint(id, 36)
+	q := ask.Query{Class: c.Name, Trace: "l" + name, Statement: c.Ask}
 	if c.Keyed {
-		body.Statement = fmt.Sprintf(c.Ask, id%1000)
+		q.Key, q.Statement = "k"+name, fmt.Sprintf(c.Ask, id%1000)
 	}
 	for i := range c.Parts {
-		body.Tablets = append(body.Tablets, tablet{(first + i) % o.Segments, 1 / float64(c.Parts)})
+		q.Segments = append(q.Segments, (first+i)%o.Segments)
 	}
 	behind := time.Since(planned)
-	status, full := post(client, o.Addr, c, id, body)
+	a, err := ask.Do(context.Background(), client, o.Addr, q)
 	took := time.Since(planned)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Asked++
 	r.Behind = max(r.Behind, behind)
 	switch {
-	case status == http.StatusOK && full:
+	case err != nil:
+		r.Failed++
+		return
+	case a.Status == http.StatusOK && a.Full:
 		r.Whole++
-	case status == http.StatusOK:
+	case a.Status == http.StatusOK:
 		r.Partial++
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+	case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests:
 		r.Refused++
 		return
 	default:
@@ -173,37 +169,3 @@
 	}
 	_ = r.times.RecordValue(min(max(took.Microseconds(), 1), most)) // within its bounds
 }
-
-// post sends a query and reads its answer; status 0 means that there was none.
-func post(client *http.Client, addr string, c Class, id uint64, body any) (status int, full bool) {
-	text, err := json.Marshal(body)
-	if err != nil { // can't be: it is numbers and text
-		return 0, false
-	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+c.Name, bytes.NewReader(text))
-	if err != nil {
-		return 0, false
-	}
-	name := strconv.FormatUint(id, 36)
-	req.Header.Set("X-Trace-Id", "l"+name)
-	req.Header.Set("X-Qos", c.Name)
-	if c.Keyed {
-		req.Header.Set("Idempotency-Key", "k"+name)
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, false
-	}
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, false
-	}
-	var got struct {
-		Full bool `json:"full"`
-	}
-	if resp.StatusCode == http.StatusOK && json.Unmarshal(answer, &got) != nil {
-		return 0, false
-	}
-	return resp.StatusCode, got.Full
-}
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -175,11 +175,10 @@
 
 // State is what a node tells of itself.
 type State struct {
-	Epoch       layout.Epoch     // that new queries are bound to
-	Oldest      layout.Epoch     // that an open query is bound to
-	Service     []service.Window // seconds that are over, where they are recorded
-	Draining    bool
-	Generations []uint64 // of settings that open queries were taken under, and that in force
+	Epoch    layout.Epoch     // that new queries are bound to
+	Oldest   layout.Epoch     // that an open query is bound to
+	Service  []service.Window // seconds that are over, where they are recorded
+	Draining bool
 }
 
 // Searcher is one as the node knows it.
@@ -192,56 +191,54 @@
 // has not started or has ended. It may be called from any goroutine and waits for
 // the loop.
 func (n *Node) Searchers(ctx context.Context) (list []Searcher, ok bool) {
-	select {
-	case <-n.started:
-	default:
-		return nil, false
-	}
-	got := make(chan []Searcher, 1)
-	n.exec(func() error {
-		var list []Searcher
+	return wait(ctx, n, func() (list []Searcher) {
 		for id, p := range n.pool.peers {
 			if n.core.Listed(id) {
 				list = append(list, Searcher{id, p.addr, n.core.Ready(id)})
 			}
 		}
-		got <- list
-		return nil
+		return list
 	})
-	select {
-	case list := <-got:
-		return list, true
-	case <-ctx.Done():
-	case <-n.ctx.Done():
-	}
-	return nil, false
 }
 
 // State returns what the node tells of itself, with the seconds after one; ok is
-// false where it has not started or has ended. It may be called from any goroutine and waits for
-// the loop.
+// as for Searchers.
 func (n *Node) State(ctx context.Context, after int64) (s State, ok bool) {
+	return wait(ctx, n, func() State {
+		s := State{Epoch: n.core.Epoch(), Oldest: n.core.OldestEpoch(), Draining: n.draining}
+		if r := n.cfg.Gatherer.Service; r != nil {
+			s.Service = r.Since(time.Now(), after)
+		}
+		return s
+	})
+}
+
+// Generations returns those of the settings that open queries were taken under, and
+// that in force; ok is as for Searchers. It goes through all open queries.
+func (n *Node) Generations(ctx context.Context) (list []uint64, ok bool) {
+	return wait(ctx, n, n.core.Generations)
+}
+
+// wait runs f on the event loop and waits for what it returns; ok is false where the
+// node has not started or has ended, or ctx ends first.
+func wait[T any](ctx context.Context, n *Node, f func() T) (v T, ok bool) {
 	select {
 	case <-n.started:
 	default:
-		return State{}, false
+		return v, false
 	}
-	got := make(chan State, 1)
+	got := make(chan T, 1)
 	n.exec(func() error {
-		s := State{Epoch: n.core.Epoch(), Oldest: n.core.OldestEpoch(), Draining: n.draining, Generations: n.core.Generations()}
-		if r := n.cfg.Gatherer.Service; r != nil {
-			s.Service = r.Since(time.Now(), after)
-		}
-		got <- s
+		got <- f()
 		return nil
 	})
 	select {
-	case s := <-got:
-		return s, true
+	case v = <-got:
+		return v, true
 	case <-ctx.Done():
 	case <-n.ctx.Done():
 	}
-	return State{}, false
+	return v, false
 }
 
 // Live is what of a Config can change while the node runs.
@@ -261,13 +258,7 @@
 // before it sees the old ones, what comes after it the new ones. It waits for the
 // loop. It may be called from any goroutine.
 func (n *Node) Apply(ctx context.Context, l Live) error {
-	select {
-	case <-n.started:
-	default:
-		return ErrNotServing
-	}
-	done := make(chan struct{})
-	n.exec(func() error {
+	_, ok := wait(ctx, n, func() struct{} {
 		n.core.Apply(l.Core)
 		n.cfg.Multiplex, n.cfg.ConnectTimeout, n.cfg.ConnIdle = l.Multiplex, l.ConnectTimeout, l.ConnIdle
 		n.muteAfter = l.ConnectTimeout
@@ -275,17 +266,15 @@
 			n.core.Adopt(l.Layout)
 		}
 		n.follow(l.Discovery)
-		close(done)
-		return nil
+		return struct{}{}
 	})
-	select {
-	case <-done:
+	switch {
+	case ok:
 		return nil
-	case <-ctx.Done():
+	case ctx.Err() != nil:
 		return ctx.Err()
-	case <-n.ctx.Done():
-		return ErrNotServing
 	}
+	return ErrNotServing
 }
 
 // Reload follows discovery at the address that a new configuration names. What
--- a/internal/reshard/reshard_test.go
+++ b/internal/reshard/reshard_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"reflect"
 	"slices"
 	"strings"
@@ -15,14 +13,10 @@
 	"pgregory.net/rapid"
 
 	"eiderwinch/internal/layout"
+	"eiderwinch/internal/steady"
 )
 
-// TestMain makes random tests give the same verdict every time. Long runs with
-// other seeds: go test -rapid.seed=0 -rapid.checks=10000.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1") // the command line wins: Run parses it later
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { steady.Main(m) }
 
 // world is a coordinator with its log, and the gatherers and searchers round it.
 type world struct {
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -10,6 +10,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"eiderwinch/internal/ask"
 	"eiderwinch/internal/layout"
 )
 
@@ -40,12 +41,6 @@
 	a.epochs[l.Epoch()] = l
 }
 
-// piece is one part of an answer.
-type piece struct {
-	Tablet int    `json:"tablet"`
-	Cell   string `json:"cell"`
-}
-
 // query is one that was asked, and what came back.
 type query struct {
 	class    string
@@ -60,7 +55,7 @@
 	full       bool
 	epoch      layout.Epoch
 	generation uint64 // of the settings; 0 where they can't change
-	pieces     []piece
+	pieces     []ask.Piece
 	err        error
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,9 +4,7 @@
 package soak
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -25,6 +23,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"eiderwinch/internal/admin"
+	"eiderwinch/internal/ask"
 	"eiderwinch/internal/config"
 	"eiderwinch/internal/coordinator"
 	"eiderwinch/internal/daemon"
@@ -586,56 +585,19 @@
 
 // post asks one query and reads its answer.
 func (r *run) post(q *query, statement string) {
-	type tablet struct {
-		Tablet   int     `json:"tablet"`
-		Fraction float64 `json:"fraction"`
-	}
-	body := struct {
-		Tablets   []tablet `json:"tablets"`
-		Statement string   `json:"statement"`
-	}{Statement: statement}
+	var segments []int
 	for _, s := range q.segments {
-		body.Tablets = append(body.Tablets, tablet{int(s), 1 / float64(len(q.segments))})
-	}
-	text, err := json.Marshal(body)
-	if err != nil {
-		q.err = err
-		return
+		segments = append(segments, int(s))
 	}
 	node := r.nodes[r.rng.intn(len(r.nodes))]
-	req, err := http.NewRequest(http.MethodPost, "http://"+node.Addr()+"/"+q.class, bytes.NewReader(text))
-	if err != nil {
-		q.err = err
-		return
-	}
-	req.Header.Set("X-Trace-Id", q.trace)
-	req.Header.Set("X-Qos", q.class)
-	req.Header.Set("X-Expires-In-Ms", strconv.FormatInt(queryTime.Milliseconds(), 10))
-	req.Header.Set("X-Layout-Epoch", strconv.FormatUint(uint64(q.known), 10))
-	if q.id != "" {
-		req.Header.Set("Idempotency-Key", q.id)
-	}
-	q.sent = time.Now()
-	resp, err := r.client.Do(req)
-	if err != nil {
-		q.err = err
-		return
-	}
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
-	q.done, q.status, q.err = time.Now(), resp.StatusCode, err
-	q.generation, _ = strconv.ParseUint(resp.Header.Get("X-Config-Generation"), 10, 64)
-	if err != nil || q.status != http.StatusOK {
-		return
+	a, err := ask.Do(context.Background(), r.client, node.Addr(), ask.Query{
+		Class: q.class, Trace: q.trace, Key: q.id, Expires: queryTime, Epoch: uint64(q.known), Segments: segments, Statement: statement,
+	})
+	q.sent, q.done, q.status, q.err = a.Sent, a.Done, a.Status, err
+	q.full, q.pieces, q.generation = a.Full, a.Pieces, a.Generation
+	if a.Status == http.StatusOK {
+		q.epoch = layout.Epoch(a.Epoch)
 	}
-	epoch, _ := strconv.ParseUint(resp.Header.Get("X-Layout-Epoch"), 10, 64)
-	q.epoch = layout.Epoch(epoch)
-	got := struct {
-		Full   bool    `json:"full"`
-		Pieces []piece `json:"pieces"`
-	}{}
-	q.err = json.Unmarshal(answer, &got)
-	q.full, q.pieces = got.Full, got.Pieces
 }
 
 // close ends all parties.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"eiderwinch/internal/ask"
 	"eiderwinch/internal/layout"
 )
 
@@ -56,15 +57,15 @@
 	}
 	for name, c := range map[string]struct {
 		epoch  layout.Epoch
-		pieces []piece
+		pieces []ask.Piece
 		count  func(*Report) int
 	}{
-		"in order":            {1, []piece{{0, "k1"}, {1, "k2 k3"}}, func(r *Report) int { return r.Whole - r.Mixed - r.NotWhole }},
-		"a key is missing":    {1, []piece{{0, "k1"}, {1, "k2"}}, func(r *Report) int { return r.NotWhole }},
-		"a segment twice":     {1, []piece{{0, "k1"}, {0, "k1"}, {1, "k2 k3"}}, func(r *Report) int { return r.Mixed }},
-		"a key from another":  {1, []piece{{0, "k1 k2"}, {1, "k3"}}, func(r *Report) int { return r.Mixed }},
-		"a segment of before": {1, []piece{{0, "k1"}, {7, "k2 k3"}}, func(r *Report) int { return r.Mixed }},
-		"an unknown epoch":    {2, []piece{{0, "k1"}, {1, "k2 k3"}}, func(r *Report) int { return r.Mixed }},
+		"in order":            {1, []ask.Piece{{Tablet: 0, Cell: "k1"}, {Tablet: 1, Cell: "k2 k3"}}, func(r *Report) int { return r.Whole - r.Mixed - r.NotWhole }},
+		"a key is missing":    {1, []ask.Piece{{Tablet: 0, Cell: "k1"}, {Tablet: 1, Cell: "k2"}}, func(r *Report) int { return r.NotWhole }},
+		"a segment twice":     {1, []ask.Piece{{Tablet: 0, Cell: "k1"}, {Tablet: 0, Cell: "k1"}, {Tablet: 1, Cell: "k2 k3"}}, func(r *Report) int { return r.Mixed }},
+		"a key from another":  {1, []ask.Piece{{Tablet: 0, Cell: "k1 k2"}, {Tablet: 1, Cell: "k3"}}, func(r *Report) int { return r.Mixed }},
+		"a segment of before": {1, []ask.Piece{{Tablet: 0, Cell: "k1"}, {Tablet: 7, Cell: "k2 k3"}}, func(r *Report) int { return r.Mixed }},
+		"an unknown epoch":    {2, []ask.Piece{{Tablet: 0, Cell: "k1"}, {Tablet: 1, Cell: "k2 k3"}}, func(r *Report) int { return r.Mixed }},
 	} {
 		r := new(Report)
 		a := &audit{epochs: map[layout.Epoch]*layout.Layout{1: l}, keys: []layout.Key{"k1", "k2", "k3"}, report: r}
--- a/internal/xmlform/xmlform_test.go
+++ b/internal/xmlform/xmlform_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/xml"
-	"flag"
 	"fmt"
-	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -13,14 +11,11 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"eiderwinch/internal/steady"
 )
 
-// TestMain makes random tests give the same verdict every time. Long runs with
-// other seeds: go test -rapid.seed=0 -rapid.checks=10000.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1") // the command line wins: Run parses it later
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { steady.Main(m) }
 
 // all is a form with an attribute of each kind.
 func all() *Form {
