Keep the layout that is in force itself, not the highest epoch, when settings change

Cause: the keeper booked the highest epoch that it had put in force, but made a new epoch out of the candidate in force, whose own number an undo had left behind. After an apply of epoch 2 and its undo (epoch 3), a file with epoch 2 came as epoch 2 again; the node passed over it in silence, and its generation was in force without its layout. And after a swap that failed late, a revert compared with the wrong text and would have left the layout as it was.

Change: the keeper holds the layout and text that it gave the node last, which says both what is newer and what is the same; the counter is gone. A layout that is new where there was none waits for the next start, as staging it has said.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -17,6 +17,7 @@
 	"eiderwinch/internal/bundle"
 	"eiderwinch/internal/change"
 	"eiderwinch/internal/guard"
+	"eiderwinch/internal/layout"
 	"eiderwinch/internal/netio"
 )
 
@@ -63,16 +64,17 @@
 
 // Keeper runs. Start it with Start.
 type Keeper struct {
-	opts     Options
-	m        *change.Machine
-	guard    *guard.Guard
-	texts    map[change.Hash]*bundle.Candidate
-	recent   []change.Hash // of texts, the oldest first
-	inForce  *bundle.Candidate
-	gen      change.Generation // in force
-	layoutAt uint64            // the highest epoch that was put in force
-	seen     int64             // the last second that the guard was told of
-	falls    []string          // what the guard saw, the last first
+	opts    Options
+	m       *change.Machine
+	guard   *guard.Guard
+	texts   map[change.Hash]*bundle.Candidate
+	recent  []change.Hash // of texts, the oldest first
+	inForce *bundle.Candidate
+	gen     change.Generation // in force
+	layout  *layout.Layout    // the last that the node was given; its epoch may be newer than its text
+	text    []byte            // of layout
+	seen    int64             // the last second that the guard was told of
+	falls   []string          // what the guard saw, the last first
 
 	requests chan func()
 	swaps    chan change.Effect
@@ -94,9 +96,7 @@
 		classes = append(classes, guard.Class{Name: c.Name, Aim: c.Aim})
 	}
 	k.guard = guard.New(classes, o.Boot.File.Guard.Limits)
-	if o.Boot.Layout != nil {
-		k.layoutAt = uint64(o.Boot.Layout.Epoch())
-	}
+	k.layout, k.text = o.Boot.Layout, o.Boot.Bundle.Layout
 	ctx, stop := context.WithCancel(ctx)
 	go k.swapper(ctx)
 	go func() {
@@ -237,19 +237,17 @@
 // again comes as a newer epoch: epochs only go forward.
 func (k *Keeper) live(to *bundle.Candidate, gen change.Generation) netio.Live {
 	live := k.opts.Live(to, gen)
-	if to.Layout == nil || to.File.Follow {
-		live.Layout = nil // epochs come from the coordinator
-		return live
-	}
-	if string(to.Bundle.Layout) == string(k.inForce.Bundle.Layout) {
-		live.Layout = nil
-		return live
+	live.Layout = nil
+	if k.layout == nil || to.Layout == nil || to.File.Follow {
+		return live // without one at the start it waits for the next; a coordinator brings its own
 	}
-	live.Layout = to.Layout
-	if uint64(to.Layout.Epoch()) <= k.layoutAt {
-		live.Layout = to.Layout.Reissue(k.inForce.Layout)
+	if text := to.Bundle.Layout; string(text) != string(k.text) {
+		live.Layout = to.Layout
+		if live.Layout.Epoch() <= k.layout.Epoch() {
+			live.Layout = to.Layout.Reissue(k.layout)
+		}
+		k.layout, k.text = live.Layout, text
 	}
-	k.layoutAt = max(k.layoutAt+1, uint64(live.Layout.Epoch()))
 	return live
 }
 
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -296,3 +296,41 @@
 		}
 	})
 }
+
+// Whatever epoch a file names, each layout that the node is given is newer than the
+// one before, also after an undo: the node would pass over an older one in silence.
+func TestEachLayoutThatIsPutInForceIsNewer(t *testing.T) {
+	text := func(epoch int, holder string) []byte {
+		return fmt.Appendf(nil, `<layout xmlns="urn:eiderwinch:layout:1" epoch="%d" next="1" replicas="1"><searcher id="a" zone="x"/><searcher id="b" zone="x"/><segment id="0"><holder searcher=%q/></segment></layout>`, epoch, holder)
+	}
+	candidate := func(epoch int, holder string) *bundle.Candidate {
+		c, err := bundle.Check(bundle.Bundle{Platform: fmt.Appendf(nil, platform, "127.0.0.1:1"), Operators: operators(""), Layout: text(epoch, holder)}, bundle.Names{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	first := candidate(1, "a")
+	k := &Keeper{opts: Options{Live: daemon.Live}, layout: first.Layout, text: first.Bundle.Layout}
+	for i, c := range []struct {
+		to     *bundle.Candidate
+		epoch  uint64
+		holder string
+	}{
+		{candidate(2, "b"), 2, "b"}, {first, 3, "a"}, // applied and undone
+		{candidate(2, "b"), 4, "b"}, {first, 5, "a"}, // the same file again
+		{candidate(9, "b"), 9, "b"},
+	} {
+		l := k.live(c.to, 2).Layout
+		if l == nil || uint64(l.Epoch()) != c.epoch || l.Segment(0).Holders[0] != c.holder {
+			t.Fatalf("change %d: have %v, want epoch %d at %s", i+1, l, c.epoch, c.holder)
+		}
+	}
+	if l := k.live(candidate(9, "b"), 3).Layout; l != nil {
+		t.Errorf("the layout that is in force is given again, as epoch %d", l.Epoch())
+	}
+	k = &Keeper{opts: Options{Live: daemon.Live}}
+	if l := k.live(first, 2).Layout; l != nil {
+		t.Error("one that is to wait for the next start is put in force")
+	}
+}
