Shed and take back work by set of searchers, and close only mute connections

Parts used up their four attempts. One share to start for all queries fell for one cell's trouble: 60 to 145 a second were shed though 19 of 20 cells were idle.

Ruled out: closing by searchers (counted: 0 before the release), idle closing, small windows.

Change: the share to start is kept by spot, the servers that hold the same shards; work is taken back only where another can take it, its spot is not shedding, and later from servers known to be slow; netio closes idle connections on demand only where they are mute.

--- a/aggregator.go
+++ b/aggregator.go
@@ -39,13 +39,14 @@
 	overdueFar   = 8   // after so many usual times it is, however long the aim: few calls take half as long
 	trialTimes   = 4   // after so many a server set aside gets its first trial: most calls have ended then
 
-	deadTimes = 4 // after so many usual times without any answer a connection is taken to be dead
+	deadSlow  = 1.5 // so many times that from a server known to be slow: its calls do end
+	deadTimes = 4   // after so many usual times without any answer a connection is taken to be dead
 
 	deadSure    = 2    // calls lost on idle connections, less those answered, that make it sure that they die
 	targetShare = 4    // a window shrinks on calls longer than this fraction (1/4) of the aim
 	paceApart   = 0.3  // servers whose calls differ by so much of the usual time are not alike
 	easeUp      = 0.2  // an answer early by all its aim lets so much more start
-	easeDown    = 0.4  // one late in an eighth of its parts lets so much less start
+	easeDown    = 0.2  // each late part lets so much less start
 	shareLeast  = 0.15 // some must start: only they tell when the trouble is over
 	pulse       = 20   // ticks between turns at most: a longer gap is this aggregator's own standing still
 	look        = 4    // the same while a query is open
@@ -69,7 +70,7 @@
 		open:  make(map[uint64]*query),
 		parts: make(map[uint64]*part),
 
-		share:   1,
+		spots:   make(map[int]*spot),
 		mix:     make([]float64, len(s.Tenants)),
 		crashes: make(map[string]time.Duration),
 	}
@@ -149,12 +150,13 @@
 func (a *Aggregator) trim(q *query) int {
 	c := q.class
 	q.want = q.need
-	if a.share >= 1 || q.floor >= q.need {
+	share := a.shareOf(q)
+	if share >= 1 || q.floor >= q.need {
 		return len(q.Parts)
 	}
 	w := 0.0
 	for i, p := range q.Parts {
-		if w >= q.floor && c.Worth*c.Partial*p.Weight/c.Need < (1-a.share)*a.worth {
+		if w >= q.floor && c.Worth*c.Partial*p.Weight/c.Need < (1-share)*a.worth {
 			q.want = min(w, q.need)
 			return i
 		}
@@ -177,12 +179,13 @@
 	a.bookParts(q)
 }
 
-// admit tells that a query may start by the share of parts that are to start; ease sets that share by how a
-// query that was started ended: it grows with an early answer, by the square of how early, since barely early
-// ones tell of full servers, and shrinks with a late end, by how many parts are late. It is a share of the
-// usual rate, not of what is asked, so bursts and clients' repeats start no more. They guard against all
-// aggregators together starting more than the servers can end when each server looks idle to each; against
-// the jam after a burst or outage too. Slow servers could mislead them: hence the parts.
+// admit tells that a query may start by the share of parts that are to start at each of its spots; ease sets
+// those shares by how a query that was started ended: they grow with an early answer, by the square of how
+// early, since barely early ones tell of full servers, and shrink with a late end, where its late parts were.
+// They are shares of the usual rate, not of what is asked, so bursts and clients' repeats start no more. They
+// guard against all aggregators together starting more than the servers can end when each server looks idle
+// to each; against the jam after a burst or outage too. They are kept by spot, since at a large fleet few
+// servers in trouble would else have the queries shed that do not need them.
 func (a *Aggregator) admit(q *query) bool {
 	parts := float64(max(len(q.Parts), 1))
 	asked := float64(max(a.trim(q), 1))
@@ -191,20 +194,26 @@
 		worth *= q.class.LateWorth // most likely late
 	}
 	worth *= a.inShare(q.Tenant - 1)
-	a.worth, a.width = blend(a.worth, worth, learn), blend(a.width, parts, learn)
-	cost := asked / max(worth*parts/asked/max(a.worth, slack), a.share)
-	since := 1.0 // in usual gaps between queries; each counts where those are not known yet
-	if a.gap > 0 {
-		since = float64(a.now-a.took) / a.gap
-	}
-	if a.share >= 1 && a.took > 0 {
-		a.gap = blend(a.gap, float64(a.now-a.took), learn)
+	a.worth = blend(a.worth, worth, learn)
+	worth *= parts / asked / max(a.worth, slack)
+	spots, start := a.spotsOf(q), true
+	for s, n := range spots {
+		since := 1.0 // in usual gaps between queries; each counts where those are not known yet
+		if s.gap > 0 {
+			since = float64(a.now-s.took) / s.gap
+		}
+		if s.share >= 1 && s.took > 0 {
+			s.gap = blend(s.gap, float64(a.now-s.took), learn)
+		}
+		s.took, s.width = a.now, blend(s.width, n, learn)
+		cost := n / max(worth, s.share)
+		s.credit = min(s.credit+s.share*s.width*since, 2*max(cost, s.width))
+		start = start && (s.share >= 1 || s.credit >= cost)
 	}
-	a.took = a.now
-	a.credit = min(a.credit+a.share*a.width*since, 2*max(cost, a.width))
-	start := a.share >= 1 || a.credit >= cost
-	if start && a.share < 1 {
-		a.credit -= cost
+	for s, n := range spots {
+		if start && s.share < 1 {
+			s.credit -= n / max(worth, s.share)
+		}
 	}
 	return start
 }
@@ -228,19 +237,19 @@
 		return
 	}
 	if early := 1 - float64(a.now-q.came)/float64(q.class.Aim); early > 0 && q.in >= q.want-slack {
-		a.share = min(a.share+easeUp*early*early, 1)
+		for s := range a.spotsOf(q) {
+			s.share = min(s.share+easeUp*early*early, 1)
+		}
 		return
 	}
 	if q.class.easy() {
 		return // not load: other calls are quick
 	}
-	late := 0.0
 	for _, p := range q.parts {
 		if !p.in && len(p.attempts) > 0 {
-			late++
+			a.spot(p.Part).ease(easeDown)
 		}
 	}
-	a.share = max(a.share*(1-easeDown*min(late/max(float64(len(q.parts))/8, 2), 1)), shareLeast)
 }
 
 // easy tells that calls for a class take well under its aim: what is late then is not for load.
@@ -348,7 +357,7 @@
 		a.blame(s, t, 1)
 	case TimedOut, Full, Cancelled:
 		if e.Status == Full {
-			a.share = max(a.share*(1-easeDown/max(a.width, 1)), shareLeast)
+			a.spot(t.part.Part).ease(easeDown / 4)
 		}
 		a.lost(t, e)
 		s.pace = max(s.pace, pace) // it would have taken longer
@@ -448,22 +457,20 @@
 }
 
 // freeDead takes back the safe work on a server that answers nothing while calls are usually far faster, if
-// some were lost on idle connections or there is no overload and another server: from dead connections, hung
-// servers, lost answers. It harms work that would end and feeds jams: hence late, while calls are quick.
+// another server can take it, its spot is not overloaded, and some calls were lost on idle connections or
+// calls are quick: from dead connections, hung servers, lost answers. It harms work that would end and feeds
+// jams, and of a large fleet all aggregators do it at once: hence late, and only where there is room.
 func (a *Aggregator) freeDead(s *server) {
 	if !s.overdue || !a.set.MayCancel || s.lastOK >= s.out[0].sent {
 		return
 	}
 	other := func(o *server) bool { return o != s && a.sound(o) }
-	patience := float64(deadTimes)
-	if a.set.SecondCopies {
-		patience *= max(s.pace, 1) // a copy may run beside the work of a slow one
-	}
+	patience := deadTimes * min(max(s.pace, 1), deadSlow) // a slow one takes its time for each
 	for _, t := range s.out {
 		if c := t.part.query.class; c.Effect == Safe && !t.over && !t.recalled &&
 			c.usual > 0 && float64(a.now-t.sent) >= patience*c.usual &&
-			(a.dead >= 1 || !a.set.SecondCopies && a.share >= 1 && c.easy() &&
-				slices.ContainsFunc(a.holding(t.part), other)) {
+			(a.dead >= 1 || !a.set.SecondCopies && c.easy()) &&
+			a.spot(t.part.Part).share >= 1 && slices.ContainsFunc(a.holding(t.part), other) {
 			t.recalled = true
 			a.do(Cancel{t.part.ID, t.number})
 		}
@@ -799,7 +806,7 @@
 			continue
 		}
 		if len(p.attempts) > 0 {
-			loaded := len(s.out) > 1 || a.share < 1 && !p.query.class.easy()
+			loaded := len(s.out) > 1 || a.spot(p.Part).share < 1 && !p.query.class.easy()
 			barred := p.open > 0 && (loaded || a.copies < float64(extra+1))
 			if barred || !a.budget(extra+1) {
 				continue
--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"eiderwinch/internal/admin"
 	"eiderwinch/internal/config"
@@ -18,8 +19,9 @@
 // serveCommand is one real gatherer. The environment tells it where its
 // configuration is, see package config.
 type serveCommand struct {
-	File   string `placeholder:"FILE" help:"An operators' file after deploy/eiderwinch.xsd: an admin socket, own limits, changes as transactions. Without one all that is off."`
-	Layout string `placeholder:"FILE" help:"A layout after deploy/layout.xsd: queries are bound to its epochs. SIGHUP reads it again. Without one the platform's cells say who holds what."`
+	File   string        `placeholder:"FILE" help:"An operators' file after deploy/eiderwinch.xsd: an admin socket, own limits, changes as transactions. Without one all that is off."`
+	Layout string        `placeholder:"FILE" help:"A layout after deploy/layout.xsd: queries are bound to its epochs. SIGHUP reads it again. Without one the platform's cells say who holds what."`
+	Report time.Duration `placeholder:"SPAN" help:"Log the counters so often, as 1s; to a quarter of a second. Without it they are logged on SIGUSR1 and at the end."`
 }
 
 // Run serves until a signal ends it.
@@ -35,7 +37,7 @@
 	if c.File != "" {
 		return c.kept(e, cfg, level, log)
 	}
-	var options daemon.Options
+	options := daemon.Options{Report: c.Report}
 	if c.Layout != "" {
 		if options.Layout, _, err = soundLayout(c.Layout); err != nil {
 			return err
@@ -92,7 +94,7 @@
 	}
 	level.Set(logLevel(b.candidate))
 	counters := stats.New()
-	node := daemon.New(b.candidate.Config, daemon.Options{Layout: b.candidate.Layout, Live: b.live(), Record: true}, counters, log)
+	node := daemon.New(b.candidate.Config, daemon.Options{Layout: b.candidate.Layout, Live: b.live(), Record: true, Report: c.Report}, counters, log)
 	ctx, stop := context.WithCancel(context.Background())
 	k := b.keep(ctx, f, node, level, log)
 	defer func() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"time"
 
 	"eiderwinch"
 	"eiderwinch/internal/bundle"
@@ -22,6 +23,7 @@
 	Layout *layout.Layout // nil: the platform's cells say who holds what
 	Live   *netio.Live    // the settings that can change; nil: as the configuration says
 	Record bool           // how queries fare is recorded, for its admin socket
+	Report time.Duration  // the counters are logged so often; 0 means on request only
 }
 
 // New returns a gatherer that is to be started with its Run.
@@ -41,7 +43,7 @@
 	}
 	return netio.New(netio.Config{
 		Listen: cfg.Listen, Discovery: cfg.Discovery, Known: cfg.Known, Sockets: cfg.Sockets,
-		Multiplex: live.Multiplex, ConnectTimeout: live.ConnectTimeout, ConnIdle: live.ConnIdle,
+		ReportEvery: o.Report, Multiplex: live.Multiplex, ConnectTimeout: live.ConnectTimeout, ConnIdle: live.ConnIdle,
 		Gatherer: gatherer.Settings{
 			Module: cfg.Settings.Module, Tick: limits.Tick, MaxOpen: limits.MaxOpen, DrainGrace: limits.DrainGrace,
 			Layout: o.Layout, Live: live.Core, Service: recorder,
--- a/internal/gatherer/book.go
+++ b/internal/gatherer/book.go
@@ -22,6 +22,7 @@
 	layout   *layout.Layout // the epoch that it is bound to; nil if there is no layout
 	parts    []*part        // of the present step
 
+	sent       bool // a part of it was sent
 	second     bool // the second step has begun
 	from       []int
 	firstWhole bool
@@ -140,11 +141,12 @@
 type member struct {
 	state   eiderwinch.State
 	leaving time.Time // when it was told that it drains or is gone
+	started time.Time // its last start; zero means long ago
 }
 
 // told books a searcher's state. The first news of its leaving counts.
-func (c *Core) told(now time.Time, id string, s eiderwinch.State) {
-	m := member{state: s}
+func (c *Core) told(now time.Time, id string, s eiderwinch.State, started time.Time) {
+	m := member{state: s, started: started}
 	if s != eiderwinch.Ready {
 		m.leaving = now
 		if old, ok := c.members[id]; ok && old.state != eiderwinch.Ready {
--- a/internal/gatherer/relay.go
+++ b/internal/gatherer/relay.go
@@ -116,7 +116,13 @@
 	default:
 		c.stats.Partial++
 	}
-	c.record(c.now, q.class, r, c.now.Sub(q.taken))
+	took := c.now.Sub(q.taken)
+	if r.Verdict != Answered && !q.sent {
+		c.stats.Unsent++
+	} else if r.Verdict == Answered && took > c.set.Module.Classes[q.class].Aim {
+		c.stats.Late++
+	}
+	c.record(c.now, q.class, r, took)
 	c.close(q)
 	r.Epoch, r.Generation = q.epoch(), q.live.Generation
 	q.client.Reply(r)
--- a/internal/gatherer/send.go
+++ b/internal/gatherer/send.go
@@ -63,6 +63,12 @@
 	if p.second {
 		a.From, a.Whole = p.query.from, p.query.firstWhole
 	}
+	if p.query.sent = true; p.tries > 0 {
+		c.stats.Further++
+	}
+	if started := c.members[x.Replica].started; !started.IsZero() && c.now.Sub(started) < c.set.Module.ColdFor {
+		c.stats.Cold++
+	}
 	p.tries++
 	p.out = a
 	a.timer.Value = a
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -366,6 +366,37 @@
 	}
 }
 
+// The aggregator has connections closed by what it saw of other searchers. Of a large fleet that costs
+// a handshake for every call, so one that answers stays open, and one that is mute does not.
+func TestOnlyMuteConnectionsAreClosedOnDemand(t *testing.T) {
+	r := start(t, func(r *rig) {
+		r.muteAfter = 0
+		r.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+			if e, ok := e.(eiderwinch.Query); ok {
+				return []eiderwinch.Action{
+					eiderwinch.Disconnect{Replica: "s"},
+					eiderwinch.Send{Part: e.Parts[0].ID, Replica: "s", TimeOut: 300 * time.Millisecond},
+				}
+			}
+			return nil
+		}
+	})
+	r.ask("search", "t1", time.Minute, 1)
+	first := r.part()
+	first.Answer("served", 1, "v")
+	r.outcome()
+	r.ask("search", "t2", time.Minute, 1)
+	second := r.part()
+	if second.Conn != first.Conn {
+		t.Error("a connection that answers was closed")
+	}
+	testpeer.Get(t, r.s.Cancels, "a cancel")
+	r.ask("search", "t3", time.Minute, 1)
+	if r.part().Conn == second.Conn {
+		t.Error("the mute connection is used")
+	}
+}
+
 // Rule 3: a call that waits for a connection past its searcher's grace is not sent when that comes up.
 func TestNothingIsSentPastADrainsGrace(t *testing.T) {
 	dialed, up := make(chan bool, 1), make(chan bool)
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -34,6 +34,7 @@
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration // searchers close connections idle for so long
 	Clients        limit.Bounds  // of client connections; zero means limit.Defaults for Sockets
+	ReportEvery    time.Duration // the counters are logged so often, to housekeeping's grain; 0 means on request only
 	Gatherer       gatherer.Settings
 }
 
@@ -85,6 +86,7 @@
 	timer  *time.Timer
 	armed  time.Time
 	kept   time.Time // last housekeeping
+	told   time.Time // when the counters were last logged unasked
 	table  *limit.Table[*client]
 
 	flushing map[*client]time.Time // ending ones whose answer has not left, and until when it may
@@ -349,7 +351,11 @@
 	n.timer = time.AfterFunc(time.Hour, func() { n.exec(n.wake) })
 	close(n.started)
 	n.watch.open()
-	n.log.Info("serving", "addr", n.bound, "searchers", len(n.cfg.Known.Members))
+	m := n.cfg.Gatherer.Module
+	n.log.Info("serving", "addr", n.bound, "searchers", len(n.cfg.Known.Members), "gatherers", m.Brokers,
+		"sockets", n.cfg.Sockets, "multiplex", n.cfg.Multiplex, "connect_timeout", n.cfg.ConnectTimeout,
+		"conn_idle", n.cfg.ConnIdle, "max_open", n.cfg.Gatherer.MaxOpen, "cells", m.Cells, "shards", m.Shards,
+		"batch", m.Batch, "call_cost", m.CallCost)
 }
 
 // handler is what serves a connection.
@@ -407,6 +413,10 @@
 			n.next.check(now)
 		}
 		n.checkClients(now)
+		if every := n.cfg.ReportEvery; every > 0 && now.Sub(n.told) >= every {
+			n.told = now
+			n.log.Info("counters", "counters", n.stats)
+		}
 	}
 	if n.drained(now) {
 		n.closing = true
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -190,6 +190,9 @@
 		l.dialed.Value = func(time.Time) { l.shut = true } // its dialer gives up by itself
 		l.frame.Value = func(time.Time) { l.spoil("frame that does not end", l.parser.Buffered()) }
 		p.timers.Set(&l.dialed, now.Add(p.n.cfg.ConnectTimeout))
+		if slices.ContainsFunc(at.links, func(l *link) bool { return l.conn != nil && !l.shut }) {
+			p.n.stats.Beside++
+		}
 		at.links = append(at.links, l)
 		p.links++
 		p.n.dial(at.addr, p.n.cfg.ConnectTimeout, l, l.failed)
@@ -224,16 +227,23 @@
 	}
 	id := partID(a)
 	sent := l.land(a)
-	l.mute = l.mute || l.heard.Before(sent) && time.Since(sent) >= p.n.muteAfter
+	if !l.mute && l.heard.Before(sent) && time.Since(sent) >= p.n.muteAfter {
+		l.mute = true
+		p.n.stats.Muted++
+	}
 	l.ghosts[id] = true
 	l.write(frame.AppendCancel(nil, id))
 }
 
-// CloseIdle implements gatherer.Searchers.
+// CloseIdle implements gatherer.Searchers. It closes those that may be cut off, see
+// Abandon. The aggregator judges connections by calls that took too long at any
+// searcher; what is known here is each connection's own. Where calls are few, nearly
+// all come on an idle one: to open that again before each costs a large fleet's
+// searchers a handshake for every call.
 func (p *pool) CloseIdle(searcher string) {
 	if at := p.peers[searcher]; at != nil {
 		for _, l := range at.links {
-			if l.conn != nil && len(l.out) == 0 {
+			if l.conn != nil && len(l.out) == 0 && l.mute {
 				l.close()
 			}
 		}
@@ -462,6 +472,12 @@
 		shut(l.conn.Fd())
 	}
 	out := l.out
+	if !l.shut {
+		l.pool.n.stats.Left++
+		if len(out) > 0 {
+			l.pool.n.stats.LeftOut++
+		}
+	}
 	l.out = nil
 	l.forget()
 	for _, f := range out {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -17,6 +17,8 @@
 	Refused int // refusals, those at the limit included
 	Full    int // refusals since as many were open as may be
 	Failed  int // failures, overdue ones included
+	Late    int // answers after their class's aim
+	Unsent  int // refusals and failures of queries of which no part was ever sent, those for want of room aside
 	Overdue int // queries that the core had to end at their deadline
 	Gone    int // queries whose client left
 
@@ -24,6 +26,8 @@
 	Calls       int // calls given to the searcher connections
 	Sent        int // parts in them
 	SecondSteps int
+	Further     int // of Sent: attempts of a part after its first
+	Cold        int // of Sent: parts to searchers that had started less than the settings' cold time before
 	NotSent     int // sends that the core did not let out
 	OK          int // outcomes, by kind
 	Errors      int
@@ -46,6 +50,10 @@
 	Dialed     int // connections opened to searchers
 	DialFails  int
 	IdleClosed int // connections to searchers closed as idle
+	Left       int // those that their searchers ended
+	LeftOut    int // of Left: with parts out
+	Beside     int // of Dialed and DialFails: dialed while another to the same searcher was open
+	Muted      int // those set aside since nothing came on them while a part was out
 	Spoilt     int // those closed for what they carried
 	Watches    int // watches opened
 	Updates    int // lists and changes received
@@ -78,10 +86,11 @@
 			"silent", c.Silent, "spared", c.Spared, "crossed", c.Crossed, "unread", c.Unread),
 		group("evicted", evicted...),
 		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.Full,
-			"failed", c.Failed, "overdue", c.Overdue, "gone", c.Gone),
-		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "second_steps", c.SecondSteps,
+			"late", c.Late, "unsent", c.Unsent, "failed", c.Failed, "overdue", c.Overdue, "gone", c.Gone),
+		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "further", c.Further, "cold", c.Cold, "second_steps", c.SecondSteps,
 			"not_sent", c.NotSent, "dialed", c.Dialed, "dial_fails", c.DialFails,
-			"idle_closed", c.IdleClosed, "spoilt", c.Spoilt),
+			"idle_closed", c.IdleClosed, "left", c.Left, "left_out", c.LeftOut,
+			"beside", c.Beside, "muted", c.Muted, "spoilt", c.Spoilt),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled),
 		group("discovery", "watches", c.Watches, "updates", c.Updates),
--- a/state.go
+++ b/state.go
@@ -35,15 +35,11 @@
 	dead    float64                  // how sure that is, see deadSure
 	closeAt time.Duration            // when connections may be closed again
 	copies  float64                  // second copies that may go now
-	share   float64                  // share of queries that are started
+	spots   map[int]*spot            // by what a.spot says, one for each set of servers or shard
 	missed  time.Duration            // how long this aggregator stood still before this turn
 	stalled time.Duration            // when it last woke from that
 	worth   float64                  // usual worth of a query for each of its parts
-	width   float64                  // usual number of its parts
-	credit  float64                  // parts that may start
 	mix     []float64                // each tenant's part of the queries
-	took    time.Duration            // when a query was last taken
-	gap     float64                  // usual time between queries in ns, while all may start
 	crashes map[string]time.Duration // when queries last crashed servers, by kin
 	asked   bool                     // a subscription stands or was asked for
 	askAt   time.Duration
@@ -185,6 +181,48 @@
 	called  bool    // has a call this turn
 }
 
+// spot is the servers that hold the same shards, or a shard where holders come with the parts.
+type spot struct {
+	share  float64       // share of the parts that are to start there
+	credit float64       // parts that may start
+	width  float64       // usual number of a query's parts
+	took   time.Duration // when a query with parts there was last taken
+	gap    float64       // usual time between those in ns, while all may start
+}
+
+// ease lets so much less start.
+func (s *spot) ease(by float64) { s.share = max(s.share*(1-by), shareLeast) }
+
+// spot returns the spot of a part.
+func (a *Aggregator) spot(p Part) *spot {
+	at := p.Shard
+	if p.Holders == nil {
+		at %= a.set.Cells
+	}
+	if a.spots[at] == nil {
+		a.spots[at] = &spot{share: 1}
+	}
+	return a.spots[at]
+}
+
+// spotsOf counts a query's parts of its present step by spot.
+func (a *Aggregator) spotsOf(q *query) map[*spot]float64 {
+	spots := make(map[*spot]float64)
+	for _, p := range q.Parts {
+		spots[a.spot(p)]++
+	}
+	return spots
+}
+
+// shareOf is the least share among a query's spots.
+func (a *Aggregator) shareOf(q *query) float64 {
+	share := 1.0
+	for _, p := range q.Parts {
+		share = min(share, a.spot(p).share)
+	}
+	return share
+}
+
 type spent struct {
 	at   time.Duration
 	work time.Duration
