Give quick cold searchers more, and ask discovery again at random times

After the release nearly no restarted gatherer had a new list for 10 s (10 of 56).

Change: a cold searcher that answered within the overload time, as quickly as others, may get twice as much; waits before discovery is asked again are drawn at random from a window that grows with failures and with the number of gatherers (internal/backoff); watch_fails counts them.

--- a/aggregator.go
+++ b/aggregator.go
@@ -51,6 +51,7 @@
 	pulse       = 20   // ticks between turns at most: a longer gap is this aggregator's own standing still
 	look        = 4    // the same while a query is open
 	turnsUsed   = 2    // a turn at a cold server mostly passes unused: so many shares are given out
+	turnsQuick  = 2    // times as many at one whose last calls were as quick as others': it has cores to spare
 	shrink      = 0.8  // by so much a call: a window halves in three
 	copyShare   = 0.03 // second copies for each first try: more would feed an overload
 	copyEasy    = 0.1  // the same while calls are well within their aim: then there is room for them
@@ -909,6 +910,9 @@
 	}
 	share := a.set.ColdShare + (1-a.set.ColdShare)*max(float64(age), 0)/float64(a.set.ColdFor)
 	able := share * a.set.ColdMultiple * float64(a.set.ColdOverloads) * turnsUsed
+	if s.lastOK > s.Started && a.now-s.lastOK < a.set.ColdOverloads && s.pace < 1+paceApart {
+		able *= turnsQuick
+	}
 	call := float64(a.set.CallCost + a.workOf(nil))
 	at := min(max(int(able/call), 1), a.set.Brokers) // aggregators whose turn it is
 	turn := a.set.Number + int(hash("", s.ID)%uint64(a.set.Brokers))
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -120,7 +120,7 @@
 	n.serveFor = max(cfg.killAfter()-killReserve, drainAccept)
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.pool = newPool(n)
-	n.watch = &watch{n: n, addr: cfg.Discovery, revision: cfg.Known.Revision, silence: watchSilent}
+	n.watch = newWatch(n, cfg.Discovery, cfg.Known.Revision, watchSilent)
 	n.core = gatherer.New(cfg.Gatherer, d, n.pool, counters, log, time.Now())
 	return n
 }
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -9,6 +9,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"eiderwinch"
+	"eiderwinch/internal/backoff"
 	"eiderwinch/internal/catalog"
 	"eiderwinch/internal/http1"
 )
@@ -19,9 +20,8 @@
 	watchDial = time.Second
 	// An empty line comes every 2 s, and news counts as told 6 s late at the latest,
 	// whether it came or not: a watch that hangs must be opened again twice by then.
-	watchSilent   = 2500 * time.Millisecond
-	watchBackoff  = 100 * time.Millisecond
-	watchBackoffs = 2 * time.Second
+	watchSilent  = 2500 * time.Millisecond
+	watchBackoff = 100 * time.Millisecond // to a new address, while the old one is about to end
 )
 
 var (
@@ -44,7 +44,13 @@
 	lines    catalog.Lines
 	heard    time.Time
 	again    time.Time // when to open it next
-	backoff  time.Duration
+	backoff  *backoff.Backoff
+}
+
+// newWatch returns a watch of the list after a revision.
+func newWatch(n *Node, addr string, revision int64, silence time.Duration) *watch {
+	m := n.cfg.Gatherer.Module
+	return &watch{n: n, addr: addr, revision: revision, silence: silence, backoff: backoff.New(m.Seed, m.Brokers)}
 }
 
 // open opens the watch from the last revision on.
@@ -60,12 +66,13 @@
 	if w.retired {
 		return
 	}
-	w.backoff = min(max(2*w.backoff, watchBackoff), watchBackoffs)
+	wait := w.backoff.Next()
 	if w.fresh {
-		w.backoff = watchBackoff // the old address is about to end: there is no time for more
+		wait = watchBackoff // the old address is about to end: there is no time for more
 	}
-	w.again = time.Now().Add(w.backoff)
-	w.n.log.Warn("watch lost", "err", err, "revision", w.revision, "again_in", w.backoff)
+	w.again = time.Now().Add(wait)
+	w.n.stats.WatchFails++
+	w.n.log.Warn("watch lost", "err", err, "revision", w.revision, "again_in", wait)
 }
 
 // check opens the watch again when it is time, and closes a silent one.
@@ -125,7 +132,8 @@
 	if err != nil {
 		return err
 	}
-	w.fresh, w.backoff, w.revision = false, 0, u.Revision
+	w.fresh, w.revision = false, u.Revision
+	w.backoff.Succeeded()
 	w.n.succeed(w)
 	w.n.apply(time.Now(), eiderwinch.Whole, u.Members)
 	w.ask()
@@ -150,7 +158,8 @@
 		if u.Complete {
 			kind = eiderwinch.Whole
 		}
-		w.revision, w.backoff = u.Revision, 0
+		w.revision = u.Revision
+		w.backoff.Succeeded()
 		w.n.apply(time.Now(), kind, u.Members)
 		return nil
 	})
@@ -180,7 +189,8 @@
 		n.next.retire()
 	}
 	n.log.Info("discovery moves", "from", wanted.addr, "to", addr)
-	n.next = &watch{n: n, addr: addr, fresh: true, silence: n.watch.silence}
+	n.next = newWatch(n, addr, 0, n.watch.silence)
+	n.next.fresh = true
 	n.next.open()
 }
 
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -56,6 +56,7 @@
 	Muted      int // those set aside since nothing came on them while a part was out
 	Spoilt     int // those closed for what they carried
 	Watches    int // watches opened
+	WatchFails int // those of them that failed or ended
 	Updates    int // lists and changes received
 
 	Epochs      int // epochs of the layout taken up
@@ -93,7 +94,7 @@
 			"beside", c.Beside, "muted", c.Muted, "spoilt", c.Spoilt),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled),
-		group("discovery", "watches", c.Watches, "updates", c.Updates),
+		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates),
 		group("layout", "epochs", c.Epochs, "epochs_old", c.EpochsOld, "epochs_ahead", c.EpochsAhead,
 			"translated", c.Translated),
 		group("config", "reloads", c.Reloads, "reload_fails", c.ReloadFails, "generations", c.Generations,
--- a/script_test.go
+++ b/script_test.go
@@ -839,6 +839,26 @@
 	}), 0)
 }
 
+// A cold server whose answers are quick has cores to spare; one whose answers are slow, or old, may not.
+func TestAQuickColdServerGetsMore(t *testing.T) {
+	room := func(pace float64, answered time.Duration) (work time.Duration) {
+		c := start(t, testSettings())
+		s := c.a.byID["a"]
+		s.Started, s.pace = c.now-1000*ms, pace
+		if answered > 0 {
+			s.lastOK = c.now - answered
+		}
+		for work = 0; c.a.coldRoom(s, work+ms); work += ms {
+		}
+		return work
+	}
+	plain := room(0, 0)
+	c := &script{t: t}
+	c.want("with a quick answer", room(1, 500*ms) >= 2*plain-2*ms, true)
+	c.want("with a slow answer", room(3, 500*ms), plain)
+	c.want("with an old answer", room(1, 2500*ms), plain)
+}
+
 // setShare sets the shares to start of all spots, and their credits unless credit is below 0.
 func setShare(a *Aggregator, share, credit float64) {
 	for shard := range a.set.Shards {
