--- a/aggregator.go
+++ b/aggregator.go
@@ -51,7 +51,7 @@
 	pulse       = 20   // ticks between turns at most: a longer gap is this aggregator's own standing still
 	look        = 4    // the same while a query is open
 	turnsUsed   = 2    // a turn at a cold server mostly passes unused: so many shares are given out
-	turnsQuick  = 2    // times as many at one whose last calls were as quick as others': it has cores to spare
+	turnsQuick  = 2    // times as many at one that answers as quickly as others: it has cores to spare
 	shrink      = 0.8  // by so much a call: a window halves in three
 	copyShare   = 0.03 // second copies for each first try: more would feed an overload
 	copyEasy    = 0.1  // the same while calls are well within their aim: then there is room for them
