--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -396,3 +396,18 @@
 	r.want("age", r.clocks[len(r.clocks)-1]-list[0].Started, 2*time.Second+5*ms)
 	r.want("long ago", list[1].Started, time.Duration(0))
 }
+
+// Discovery that has lost its memory must not stop all gatherers at once; one that leaves a searcher out has told that it is gone.
+func TestAListWithoutSearchersLeavesTheLastGoodOneInUse(t *testing.T) {
+	r := newRig(t)
+	r.List(r.at, eiderwinch.Whole, nil)
+	r.after(time.Second)
+	r.want("ready after an empty list", r.Ready("a") && r.Ready("b"), true)
+	r.want("empty lists", r.stats.EmptyLists, 1)
+	r.List(r.at, eiderwinch.Changes, nil)
+	r.want("empty lists after no changes", r.stats.EmptyLists, 1)
+	r.List(r.at, eiderwinch.Whole, []Member{{ID: "b", State: eiderwinch.Ready}})
+	r.after(time.Second)
+	r.want("ready after one without a", r.Ready("a"), false)
+	r.want("still ready", r.Ready("b"), true)
+}
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -153,9 +153,17 @@
 	Started time.Time // zero means long ago
 }
 
-// List takes in a list of searchers, or changes to it, told at now.
+// List takes in a list of searchers, or changes to it, told at now. A whole list
+// without a single searcher is passed over where some are known: discovery that has
+// lost its memory says so to all gatherers at once, and none could serve. Shorter
+// lists count: a searcher that is left out of one is told to be gone.
 func (c *Core) List(now time.Time, kind eiderwinch.ListKind, list []Member) {
 	c.stats.Updates++
+	if len(list) == 0 && len(c.members) > 0 && (kind == eiderwinch.Whole || kind == eiderwinch.Stale) {
+		c.stats.EmptyLists++
+		c.log.Warn("a list without searchers is passed over", "known", len(c.members))
+		return
+	}
 	event := eiderwinch.ListChange{Kind: kind}
 	listed := make(map[string]bool)
 	for _, m := range list {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -58,6 +58,7 @@
 	Watches    int // watches opened
 	WatchFails int // those of them that failed or ended
 	Updates    int // lists and changes received
+	EmptyLists int // of Updates: whole lists without a single searcher, passed over
 
 	Epochs      int // epochs of the layout taken up
 	EpochsOld   int // those that were not newer than the one at hand
@@ -94,7 +95,7 @@
 			"beside", c.Beside, "muted", c.Muted, "spoilt", c.Spoilt),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled),
-		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates),
+		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists),
 		group("layout", "epochs", c.Epochs, "epochs_old", c.EpochsOld, "epochs_ahead", c.EpochsAhead,
 			"translated", c.Translated),
 		group("config", "reloads", c.Reloads, "reload_fails", c.ReloadFails, "generations", c.Generations,
