Take work back to quick searchers only, and wait less for connections

In second 9 all gatherers took back 962 of 3,000 calls, most from searchers of the two zones left, which were only crowded; and 160 to 245 calls a second waited 250 ms for a connection into the silent zone, of an aim of 150 ms, for six seconds.

Change: freeDead wants another sound server whose calls take under 1.5 usual times; a call waits for a connection for a third of the shortest aim at most, while its dial goes on for connect_timeout.

--- a/aggregator.go
+++ b/aggregator.go
@@ -458,14 +458,14 @@
 }
 
 // freeDead takes back the safe work on a server that answers nothing while calls are usually far faster, if
-// another server can take it, its spot is not overloaded, and some calls were lost on idle connections or
+// another quick one can take it, its spot is not overloaded, and some calls were lost on idle connections or
 // calls are quick: from dead connections, hung servers, lost answers. It harms work that would end and feeds
 // jams, and of a large fleet all aggregators do it at once: hence late, and only where there is room.
 func (a *Aggregator) freeDead(s *server) {
 	if !s.overdue || !a.set.MayCancel || s.lastOK >= s.out[0].sent {
 		return
 	}
-	other := func(o *server) bool { return o != s && a.sound(o) }
+	other := func(o *server) bool { return o != s && a.sound(o) && o.pace < deadSlow }
 	patience := deadTimes * min(max(s.pace, 1), deadSlow) // a slow one takes its time for each
 	for _, t := range s.out {
 		if c := t.part.query.class; c.Effect == Safe && !t.over && !t.recalled &&
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -366,6 +366,20 @@
 	}
 }
 
+// A zone that is cut off says nothing: a call must not wait there for longer than its aim bears.
+func TestACallWaitsForAConnectionNoLongerThanItsAimBears(t *testing.T) {
+	r := start(t, func(r *rig) {
+		sendAll(r)
+		hang(r)
+		classes := r.cfg.Gatherer.Module.Classes
+		classes[0].Aim = 150 * time.Millisecond
+	})
+	r.ask("search", "t", time.Minute, 1)
+	if o := r.outcome(); o.Status != eiderwinch.NoConnection || o.Took < 50*time.Millisecond || o.Took > r.cfg.ConnectTimeout/2 {
+		t.Errorf("have %v after %v, of a limit of %v", o.Status, o.Took, r.cfg.ConnectTimeout)
+	}
+}
+
 // The aggregator has connections closed by what it saw of other searchers. Of a large fleet that costs
 // a handshake for every call, so one that answers stays open, and one that is mute does not.
 func TestOnlyMuteConnectionsAreClosedOnDemand(t *testing.T) {
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -64,6 +64,21 @@
 	return min(longest, killMost) + killMore
 }
 
+// waitShare is the part of the shortest aim (1/3) that a call may wait for a connection: a
+// handshake takes far less, and a call that has waited in vain surely has not run, so that it
+// can still be answered in time elsewhere. A zone that is cut off says nothing: without this,
+// each gatherer would find out at each of its searchers by a query that is late.
+const waitShare = 3
+
+// connectWait is how long a call waits for a connection. Its dial goes on for ConnectTimeout.
+func (n *Node) connectWait() time.Duration {
+	wait := n.cfg.ConnectTimeout
+	for _, c := range n.cfg.Gatherer.Module.Classes {
+		wait = min(wait, c.Aim/waitShare)
+	}
+	return wait
+}
+
 // spare is how many descriptors are left to the runtime, the poller, the
 // listener and the standard streams.
 const spare = 32
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -113,7 +113,7 @@
 	}
 	w := &waiting{attempts: attempts}
 	w.timer.Value = func(now time.Time) { at.giveUp(p, now, w) }
-	p.timers.Set(&w.timer, now.Add(p.n.cfg.ConnectTimeout))
+	p.timers.Set(&w.timer, now.Add(p.n.connectWait()))
 	at.queue = append(at.queue, w)
 	p.pump(now, at)
 }
--- a/script_test.go
+++ b/script_test.go
@@ -825,6 +825,7 @@
 		}
 		return n
 	}
+	first := only[Send](start(t, testSettings()).turn(ask(1, 0, 0)))[0].Replica
 	c := &script{t: t}
 	c.want("from a silent one", cancels(func(*Aggregator) {}), 1)
 	c.want("from a slow one", cancels(func(a *Aggregator) { a.byID["a"].pace, a.byID["b"].pace = 5, 5 }), 0)
@@ -833,6 +834,13 @@
 			s.listed = s.ID == "a"
 		}
 	}), 0)
+	c.want("where the only other is crowded", cancels(func(a *Aggregator) {
+		for _, s := range a.servers {
+			if s.ID != first {
+				s.pace = 3
+			}
+		}
+	}), 0)
 	c.want("where calls were lost but the spot is full", cancels(func(a *Aggregator) {
 		a.dead = 2
 		setShare(a, 0.9, 10)
