Name parts, read forms and report counters by one piece of code each

Need: a second reading of the work on the large fleet and on the emulator found things written twice or in a roundabout way.

Change: a part's id is gatherer.Attempt.PartID, in place of one function in netio and the same in the emulator; readForm serves operators' files and experiments; the counters are logged by one method; a query's cost at a spot is worked out in one place; a watch of a new address draws no wait that it throws away; the fleet test takes its classes from Usual, and the backoff test its queue from internal/due and its one seed from internal/steady, which it lacked: its random test could have given another verdict from run to run.

--- a/aggregator.go
+++ b/aggregator.go
@@ -198,6 +198,7 @@
 	a.worth = blend(a.worth, worth, learn)
 	worth *= parts / asked / max(a.worth, slack)
 	spots, start := a.spotsOf(q), true
+	cost := func(s *spot) float64 { return spots[s] / max(worth, s.share) }
 	for s, n := range spots {
 		since := 1.0 // in usual gaps between queries; each counts where those are not known yet
 		if s.gap > 0 {
@@ -207,13 +208,12 @@
 			s.gap = blend(s.gap, float64(a.now-s.took), learn)
 		}
 		s.took, s.width = a.now, blend(s.width, n, learn)
-		cost := n / max(worth, s.share)
-		s.credit = min(s.credit+s.share*s.width*since, 2*max(cost, s.width))
-		start = start && (s.share >= 1 || s.credit >= cost)
+		s.credit = min(s.credit+s.share*s.width*since, 2*max(cost(s), s.width))
+		start = start && (s.share >= 1 || s.credit >= cost(s))
 	}
-	for s, n := range spots {
+	for s := range spots {
 		if start && s.share < 1 {
-			s.credit -= n / max(worth, s.share)
+			s.credit -= cost(s)
 		}
 	}
 	return start
--- a/cmd/eiderwinch/experiment.go
+++ b/cmd/eiderwinch/experiment.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"os"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -37,23 +36,10 @@
 	return strings.TrimSuffix(c.File, filepath.Ext(c.File)) + ".results"
 }
 
-// readExperiment reads an experiment's file.
-func readExperiment(path string) (*emulator.Experiment, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, &exitError{exitConfig, err}
-	}
-	x, err := emulator.ReadExperiment(path, bytes.NewReader(text))
-	if err != nil {
-		return nil, &exitError{exitConfig, err}
-	}
-	return x, nil
-}
-
 // Run plays what is not played yet. A signal ends it; it goes on where it is called
 // again.
 func (c experimentRun) Run(e environment) error {
-	x, err := readExperiment(c.File)
+	x, err := readForm(c.File, emulator.ReadExperiment)
 	if err != nil {
 		return err
 	}
@@ -96,7 +82,7 @@
 
 // Run makes the page.
 func (c experimentReport) Run(e environment) error {
-	x, err := readExperiment(c.File)
+	x, err := readForm(c.File, emulator.ReadExperiment)
 	if err != nil {
 		return err
 	}
--- a/cmd/eiderwinch/ops.go
+++ b/cmd/eiderwinch/ops.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -16,17 +17,26 @@
 	"eiderwinch/internal/xmlform"
 )
 
-// readOps reads an operators' file. The files that it names lie beside it where
-// they are not absolute.
-func readOps(path string) (*settings.File, error) {
+// readForm reads a file of one of the forms; what is wrong with it is the caller's fault.
+func readForm[T any](path string, read func(file string, r io.Reader) (*T, error)) (*T, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, &exitError{exitConfig, err}
 	}
-	f, err := settings.Read(path, bytes.NewReader(text))
+	v, err := read(path, bytes.NewReader(text))
 	if err != nil {
 		return nil, &exitError{exitConfig, err}
 	}
+	return v, nil
+}
+
+// readOps reads an operators' file. The files that it names lie beside it where
+// they are not absolute.
+func readOps(path string) (*settings.File, error) {
+	f, err := readForm(path, settings.Read)
+	if err != nil {
+		return nil, err
+	}
 	names := []*string{&f.Layout, &f.History}
 	if f.Coordinator != nil {
 		names = append(names, &f.Coordinator.Layout, &f.Coordinator.Log)
--- a/internal/backoff/backoff_test.go
+++ b/internal/backoff/backoff_test.go
@@ -6,8 +6,13 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"eiderwinch/internal/due"
+	"eiderwinch/internal/steady"
 )
 
+func TestMain(m *testing.M) { steady.Main(m) }
+
 func TestWaitsAreBoundedAndReplay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed, clients := rapid.Uint64().Draw(t, "seed"), rapid.IntRange(-1, 5000).Draw(t, "clients")
@@ -54,35 +59,26 @@
 
 // serve plays a service and its clients until all are served or a minute and a half is over.
 func serve(clients int, each, patience time.Duration, waits func(int) func() time.Duration) (served []time.Duration, calls int) {
-	type call struct {
-		at     time.Duration
-		client int
-	}
-	var coming []call
+	var coming due.Queue[int] // clients
+	began := time.Unix(0, 0)
 	next := make([]func() time.Duration, clients)
 	for i := range clients {
 		next[i] = waits(i)
-		coming = append(coming, call{0, i})
+		coming.Set(&due.Timer[int]{Value: i}, began)
 	}
 	free := time.Duration(0) // when the service has worked through its queue
-	for len(coming) > 0 {
-		i := 0
-		for j, c := range coming {
-			if c.at < coming[i].at {
-				i = j
-			}
-		}
-		c := coming[i]
-		coming = slices.Delete(coming, i, i+1)
+	for coming.Len() > 0 {
+		c := coming.Pop(coming.Next())
+		at := c.At().Sub(began)
 		calls++
-		begin := max(free, c.at)
-		if begin-c.at <= patience {
+		begin := max(free, at)
+		if begin-at <= patience {
 			free = begin + each
 			served = append(served, free)
-		} else if c.at < 90*time.Second {
-			coming = append(coming, call{c.at + patience + next[c.client](), c.client})
+		} else if at < 90*time.Second {
+			coming.Set(c, c.At().Add(patience+next[c.Value]()))
 		} else {
-			served = append(served, c.at)
+			served = append(served, at)
 		}
 	}
 	return served, calls
--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -3,30 +3,25 @@
 import (
 	"testing"
 	"time"
-
-	"eiderwinch"
 )
 
 // fleet is 80 gatherers before 60 searchers, with work, aims and deadlines a tenth of the
 // usual ones, at so many times a load that leaves two thirds idle. No gatherer sends any
 // searcher more than a call in two seconds, and what is harmless in one adds up.
 func fleet(load float64, faults ...Fault) Scenario {
-	class := func(name string, effect eiderwinch.Effect, aim, deadline time.Duration, worth float64) eiderwinch.Class {
-		return eiderwinch.Class{
-			Name: name, Effect: effect, Aim: aim, Deadline: deadline, Worth: worth, LateWorth: 0.1,
-			RepeatWindow: 250 * time.Millisecond, Need: 1, Floor: 1,
-		}
+	classes := Usual()
+	for i, k := range []struct {
+		rate  float64
+		parts int
+		work  time.Duration
+	}{{34, 12, 11 * time.Millisecond}, {175, 9, 8 * time.Millisecond}, {70, 1, 8 * time.Millisecond}} {
+		c := &classes[i]
+		c.Rate, c.Parts, c.Work = k.rate*load, k.parts, k.work
+		c.Aim, c.Deadline, c.RepeatWindow = c.Aim/10, c.Deadline/10, c.RepeatWindow/10
 	}
-	report := class("report", eiderwinch.Safe, 400*time.Millisecond, 1200*time.Millisecond, 3)
-	report.Fetch = 3
 	return Scenario{
 		Name: "fleet", Duration: 14 * time.Second, Gatherers: 80, Searchers: 60, Cells: 20, Slots: 2, Queue: 30,
-		CallCost: 7 * time.Millisecond, Lag: time.Second, MaxOpen: 180, Faults: faults,
-		Classes: []Class{
-			{report, 34 * load, 12, 11 * time.Millisecond},
-			{class("search", eiderwinch.Safe, 150*time.Millisecond, 400*time.Millisecond, 1), 175 * load, 9, 8 * time.Millisecond},
-			{class("reserve", eiderwinch.Keyed, 150*time.Millisecond, 500*time.Millisecond, 2), 70 * load, 1, 8 * time.Millisecond},
-		},
+		CallCost: 7 * time.Millisecond, Lag: time.Second, MaxOpen: 180, Faults: faults, Classes: classes,
 	}
 }
 
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"eiderwinch"
@@ -130,7 +129,7 @@
 		l.dial()
 	}
 	for i, a := range attempts {
-		f := &flight{attempt: a, link: l, id: partID(a), class: n.w.result.classOf(a.Trace), key: a.Key, first: i == 0}
+		f := &flight{attempt: a, link: l, id: a.PartID(), class: n.w.result.classOf(a.Trace), key: a.Key, first: i == 0}
 		n.flights[a] = f
 		if n.out[f.id]++; n.out[f.id] > 1 {
 			n.w.result.breach("part %s has two attempts out", f.id)
@@ -143,14 +142,6 @@
 	}
 }
 
-func partID(a *gatherer.Attempt) string {
-	id := a.Trace + "." + strconv.Itoa(a.Shard)
-	if a.Second {
-		id += ".b"
-	}
-	return id
-}
-
 // land takes an attempt off the books.
 func (n *node) land(f *flight) bool {
 	if f.over {
--- a/internal/gatherer/send.go
+++ b/internal/gatherer/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"eiderwinch"
@@ -27,6 +28,16 @@
 	timer  due.Timer[*Attempt] // of Deadline
 }
 
+// PartID names its part to the searchers: by the query's trace, the shard, and ".b" in a
+// second step. All attempts of a part bear the same.
+func (a *Attempt) PartID() string {
+	id := a.Trace + "." + strconv.Itoa(a.Shard)
+	if a.Second {
+		id += ".b"
+	}
+	return id
+}
+
 // begin starts one attempt. It lets out none that would break a rule,
 // whatever the aggregator thinks: for a part that is over, beside another
 // attempt of the part, beyond the limit on attempts, or at a searcher that does
@@ -63,7 +74,8 @@
 	if p.second {
 		a.From, a.Whole = p.query.from, p.query.firstWhole
 	}
-	if p.query.sent = true; p.tries > 0 {
+	p.query.sent = true
+	if p.tries > 0 {
 		c.stats.Further++
 	}
 	if started := c.members[x.Replica].started; !started.IsZero() && c.now.Sub(started) < c.set.Module.ColdFor {
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -315,11 +315,13 @@
 // Report logs the counters. It may be called from any goroutine.
 func (n *Node) Report() {
 	n.exec(func() error {
-		n.log.Info("counters", "counters", n.stats)
+		n.report()
 		return nil
 	})
 }
 
+func (n *Node) report() { n.log.Info("counters", "counters", n.stats) }
+
 // exec runs f on the event loop.
 func (n *Node) exec(f func() error) {
 	select {
@@ -430,7 +432,7 @@
 		n.checkClients(now)
 		if every := n.cfg.ReportEvery; every > 0 && now.Sub(n.told) >= every {
 			n.told = now
-			n.log.Info("counters", "counters", n.stats)
+			n.report()
 		}
 	}
 	if n.drained(now) {
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -77,15 +76,6 @@
 	end     uint64 // it has left once so many bytes have
 }
 
-// partID is a part's id in frames.
-func partID(a *gatherer.Attempt) string {
-	id := a.Trace + "." + strconv.Itoa(a.Shard)
-	if a.Second {
-		id += ".b"
-	}
-	return id
-}
-
 // locate books a searcher's address. Connections to another one are not used
 // for new calls.
 func (p *pool) locate(id, addr string) {
@@ -158,7 +148,7 @@
 			len(l.ghosts) >= maxGhosts || l.conn.OutboundBuffered() > 0 {
 			continue
 		}
-		haunted := func(a *gatherer.Attempt) bool { return l.ghosts[partID(a)] }
+		haunted := func(a *gatherer.Attempt) bool { return l.ghosts[a.PartID()] }
 		if !slices.ContainsFunc(attempts, haunted) {
 			return l
 		}
@@ -225,7 +215,7 @@
 	if l == nil {
 		return // it waits for a connection, and is dropped there
 	}
-	id := partID(a)
+	id := a.PartID()
 	sent := l.land(a)
 	if !l.mute && l.heard.Before(sent) && time.Since(sent) >= p.n.muteAfter {
 		l.mute = true
@@ -335,7 +325,7 @@
 func (l *link) send(now time.Time, attempts []*gatherer.Attempt) {
 	parts := make([]frame.Part, len(attempts))
 	for i, a := range attempts {
-		parts[i] = frame.Part{ID: partID(a), Shard: a.Shard, Text: a.Text, List: frame.List{
+		parts[i] = frame.Part{ID: a.PartID(), Shard: a.Shard, Text: a.Text, List: frame.List{
 			Wait: a.Deadline.Sub(now), Key: a.Key, From: a.From, Whole: a.Whole,
 		}}
 	}
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -66,9 +66,9 @@
 	if w.retired {
 		return
 	}
-	wait := w.backoff.Next()
-	if w.fresh {
-		wait = watchBackoff // the old address is about to end: there is no time for more
+	wait := watchBackoff // the old address is about to end: there is no time for more
+	if !w.fresh {
+		wait = w.backoff.Next()
 	}
 	w.again = time.Now().Add(wait)
 	w.n.stats.WatchFails++
