Let second copies leave on sockets where the settings allow them

At fault: gatherer's begin refused any send of a part with an attempt out, whatever the settings say; a part kept one attempt only. It now keeps those that are out, two at most, none of an unsafe class, none at a searcher that has the part already (both bear one id). New counter sent.copies.

Where second copies are forbidden nothing changes.

--- a/internal/gatherer/book.go
+++ b/internal/gatherer/book.go
@@ -49,9 +49,9 @@
 	shard  int
 	weight float64
 	second bool
-	tries  int      // attempts so far
-	out    *Attempt // the one that is out
-	over   bool     // nothing comes of it any more
+	tries  int        // attempts so far
+	out    []*Attempt // those that are out: one, or two where second copies are allowed
+	over   bool       // nothing comes of it any more
 
 	in    bool
 	score int64
@@ -108,7 +108,7 @@
 func (c *Core) dropParts(q *query) {
 	for _, p := range q.parts {
 		p.over = true
-		if p.out == nil {
+		if len(p.out) == 0 {
 			delete(c.parts, p.id)
 		}
 	}
@@ -129,7 +129,7 @@
 // sweep forgets the attempts that have ended, and the parts that waited for them.
 func (c *Core) sweep() {
 	for i, a := range c.ended {
-		if a.part.over && a.part.out == nil {
+		if a.part.over && len(a.part.out) == 0 {
 			delete(c.parts, a.part.id)
 		}
 		c.ended[i] = nil
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -241,6 +241,45 @@
 	r.want("calls", len(r.calls), 1)
 }
 
+// Where the settings allow second copies the module counts on them. Before, the core
+// held each one back as a rule broken, and the part had lost one of its few attempts.
+func TestASecondCopyRunsBesideTheFirstWhereItIsAllowed(t *testing.T) {
+	for _, first := range []int{0, 1} {
+		r := newRig(t)
+		r.set.Module.SecondCopies, r.set.Module.MaxAttempts = true, 4
+		r.take("search", "t", 0)
+		again := eiderwinch.Wake{After: 5 * ms}
+		r.after(5*ms, send(2, "a"), again)
+		r.after(5*ms, send(2, "a"), send(2, "b"), again) // one at the same searcher could not be told from the first
+		r.want("calls", len(r.calls), 2)
+		r.after(5*ms, send(2, "b")) // two are out
+		r.want("calls", len(r.calls), 2)
+		r.want("copies", r.stats.Copies, 1)
+		winner, loser := r.calls[first][0], r.calls[1-first][0]
+		r.Result(r.at, winner, eiderwinch.OK, 1, "won")
+		r.after(5*ms, eiderwinch.Answer{Query: 1, Whole: true}, eiderwinch.Cancel{Part: 2, Attempt: loser.number})
+		r.want("replies", r.replies, []Reply{{Verdict: Answered, Whole: true, Pieces: []Piece{{0, "won"}}}})
+		r.Result(r.at, loser, eiderwinch.OK, 1, "lost")
+		r.after(300 * ms)
+		r.want("outcomes", r.outcomes(), []eiderwinch.Status{
+			eiderwinch.NotSent, eiderwinch.NotSent, eiderwinch.OK, eiderwinch.Cancelled,
+		})
+		r.want("abandoned", r.abandoned, []*Attempt{loser})
+		r.want("replies", len(r.replies), 1)
+		r.want("parts kept", len(r.parts), 0)
+	}
+}
+
+// A part that must not run twice has no second copy, whatever the module sends.
+func TestNoSecondCopyOfAnUnsafePart(t *testing.T) {
+	r := newRig(t)
+	r.set.Module.SecondCopies = true
+	r.set.Module.Classes[0].Effect = eiderwinch.Unsafe
+	r.take("search", "t", 0)
+	r.after(5*ms, send(2, "a"), send(2, "b"))
+	r.want("calls", len(r.calls), 1)
+}
+
 func TestOldAttemptsDoNotCountForNewOnes(t *testing.T) {
 	r := newRig(t)
 	r.take("search", "t", 0)
--- a/internal/gatherer/live_test.go
+++ b/internal/gatherer/live_test.go
@@ -197,7 +197,7 @@
 	}
 	var attempts []*Attempt
 	for _, p := range r.parts {
-		attempts = append(attempts, p.out)
+		attempts = append(attempts, p.out...)
 	}
 	b.Run("queues", func(b *testing.B) {
 		for range b.N {
--- a/internal/gatherer/send.go
+++ b/internal/gatherer/send.go
@@ -40,8 +40,8 @@
 
 // begin starts one attempt. It lets out none that would break a rule,
 // whatever the aggregator thinks: for a part that is over, beside another
-// attempt of the part, beyond the limit on attempts, or at a searcher that does
-// not hold the part's segment in the query's epoch.
+// attempt of the part where mayCopy says no, beyond the limit on attempts, or at a
+// searcher that does not hold the part's segment in the query's epoch.
 func (c *Core) begin(x eiderwinch.Send) *Attempt {
 	p := c.parts[x.Part]
 	if p == nil {
@@ -54,7 +54,7 @@
 	}
 	holders := p.query.holders(p.shard)
 	stranger := holders != nil && !slices.Contains(holders, x.Replica)
-	if p.over || p.out != nil || most > 0 && p.tries >= most || stranger || c.barred(x.Replica, c.now) {
+	if p.over || len(p.out) > 0 && !c.mayCopy(p, x.Replica) || most > 0 && p.tries >= most || stranger || c.barred(x.Replica, c.now) {
 		c.log.Warn("send not let out", "trace", p.query.trace, "shard", p.shard, "searcher", x.Replica)
 		c.stats.NotSent++
 		c.tell(c.now, eiderwinch.Outcome{
@@ -82,16 +82,34 @@
 		c.stats.Cold++
 	}
 	p.tries++
-	p.out = a
+	if len(p.out) > 0 {
+		c.stats.Copies++
+	}
+	p.out = append(p.out, a)
 	a.timer.Value = a
 	c.attempts.Set(&a.timer, a.Deadline)
 	return a
 }
 
+// mostOut is how many attempts of a part may be out where second copies are allowed.
+const mostOut = 2
+
+// mayCopy tells that a second attempt of a part may go to a searcher while the first is
+// out: only where the settings allow second copies and the class repeats, and never to the
+// searcher that has the first: both bear the part's id, so its answers could not be told apart.
+func (c *Core) mayCopy(p *part, searcher string) bool {
+	return c.set.Module.SecondCopies && c.set.Module.Classes[p.query.class].Effect != eiderwinch.Unsafe &&
+		len(p.out) < mostOut && !slices.ContainsFunc(p.out, func(a *Attempt) bool { return a.Searcher == searcher })
+}
+
 // cancel calls an attempt off.
 func (c *Core) cancel(x eiderwinch.Cancel) {
-	if p := c.parts[x.Part]; p != nil && p.out != nil && p.out.number == x.Attempt {
-		a := p.out
+	p := c.parts[x.Part]
+	if p == nil {
+		return
+	}
+	if i := slices.IndexFunc(p.out, func(a *Attempt) bool { return a.number == x.Attempt }); i >= 0 {
+		a := p.out[i]
 		c.end(c.now, a, eiderwinch.Cancelled)
 		c.searchers.Abandon(a)
 	}
@@ -119,9 +137,7 @@
 	a.over = true
 	c.attempts.Stop(&a.timer)
 	c.ended = append(c.ended, a)
-	if a.part.out == a {
-		a.part.out = nil
-	}
+	a.part.out = slices.DeleteFunc(a.part.out, func(x *Attempt) bool { return x == a })
 	c.count(s)
 	c.tell(now, eiderwinch.Outcome{
 		Part: a.part.id, Attempt: a.number, Replica: a.Searcher, Status: s, Took: now.Sub(a.sent),
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -27,6 +27,7 @@
 	Sent        int // parts in them
 	SecondSteps int
 	Further     int // of Sent: attempts of a part after its first
+	Copies      int // of Further: those sent while another attempt of the part was out
 	Cold        int // of Sent: parts to searchers that had started less than the settings' cold time before
 	NotSent     int // sends that the core did not let out
 	OK          int // outcomes, by kind
@@ -89,7 +90,7 @@
 		group("evicted", evicted...),
 		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.Full,
 			"late", c.Late, "unsent", c.Unsent, "failed", c.Failed, "overdue", c.Overdue, "gone", c.Gone),
-		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "further", c.Further, "cold", c.Cold, "second_steps", c.SecondSteps,
+		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "further", c.Further, "copies", c.Copies, "cold", c.Cold, "second_steps", c.SecondSteps,
 			"not_sent", c.NotSent, "dialed", c.Dialed, "dial_fails", c.DialFails,
 			"idle_closed", c.IdleClosed, "left", c.Left, "left_out", c.LeftOut,
 			"beside", c.Beside, "muted", c.Muted, "spoilt", c.Spoilt),
