Count worth by work where the settings say so, in shedding and in the order of parts

At fault: admit, trim and gather took a class's worth by the query, divided by its parts; the setting value_by, which is 'work' on both deployments, was read nowhere.

Now: worth of a part by value_by; parts go by that over their class's aim, since what is wanted later can wait.

--- a/aggregator.go
+++ b/aggregator.go
@@ -155,9 +155,9 @@
 	if share >= 1 || q.floor >= q.need {
 		return len(q.Parts)
 	}
-	w := 0.0
+	w, earns := 0.0, a.worthOf(q)*float64(len(q.Parts))*c.Partial/c.Need
 	for i, p := range q.Parts {
-		if w >= q.floor && c.Worth*c.Partial*p.Weight/c.Need < (1-share)*a.worth {
+		if w >= q.floor && earns*p.Weight < (1-share)*a.worth {
 			q.want = min(w, q.need)
 			return i
 		}
@@ -190,7 +190,7 @@
 func (a *Aggregator) admit(q *query) bool {
 	parts := float64(max(len(q.Parts), 1))
 	asked := float64(max(a.trim(q), 1))
-	worth := q.class.Worth / parts
+	worth := a.worthOf(q)
 	if q.goal-a.now < time.Duration(q.class.whole) {
 		worth *= q.class.LateWorth // most likely late
 	}
@@ -219,6 +219,15 @@
 	return start
 }
 
+// worthOf is what a part of a query earns for its work, all answered in time. Where worth counts by work
+// that is its class's: by the query one of wide queries would seem worth least, though it earns most.
+func (a *Aggregator) worthOf(q *query) float64 {
+	if a.set.WorthByWork {
+		return q.class.Worth
+	}
+	return q.class.Worth / float64(max(len(q.Parts), 1))
+}
+
 // inShare is what a tenant's query is worth if the others send here what they usually do, and it the rest.
 func (a *Aggregator) inShare(tenant int) float64 {
 	if tenant < 0 || tenant >= len(a.mix) {
@@ -673,7 +682,8 @@
 	return true
 }
 
-// gather returns the parts to be sent, those worth most for their work first.
+// gather returns the parts to be sent, those first that are worth most for their work and the time they have:
+// what is wanted later can wait.
 func (a *Aggregator) gather() []*part {
 	var pending []*part
 	for _, q := range a.queries {
@@ -682,21 +692,18 @@
 		}
 		q.going = q.going || a.startable(q)
 		scout, free := a.scouting(q)
-		unsent, w := 0, a.promised(q)
+		w := a.promised(q)
 		for _, p := range q.parts {
 			if q.want < q.need && w >= q.want-slack {
 				break // trimmed
 			}
-			if !p.in && p.open == 0 {
-				unsent++
-			}
 			if (q.going || a.orphan(p)) && a.mayTry(p) && a.needsTry(p) && (!scout || free) {
 				pending = append(pending, p)
 				w += p.Weight
 				free = !scout
 			}
 		}
-		q.density = q.class.Worth / float64(max(unsent, 1))
+		q.density = a.worthOf(q) / q.class.Aim.Seconds()
 	}
 	dearer := func(x, y *part) int { return cmp.Compare(y.query.density, x.query.density) }
 	slices.SortStableFunc(pending, dearer)
--- a/api.go
+++ b/api.go
@@ -52,6 +52,7 @@
 	AskForList     bool          // the list comes only after Subscribe
 	Tenants        []Tenant      // who share the service; Query.Tenant counts from 1 here
 	OverShare      float64       // worth that is left of a query beyond its tenant's share
+	WorthByWork    bool          // a query's worth grows with its work; else it is the same for all of a class
 
 	MaxAttempts    int // of one part; 0 means no limit
 	MayCancel      bool
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -120,6 +120,7 @@
 		{`"settings"`, `"settinks"`, "settings is missing"},
 		{`"places":1`, `"places":0`, "domain.places"},
 		{`"pushed"`, `"smoke"`, "membership_mode"},
+		{`"tick":5000000`, `"tick":5000000,"value_by":"luck"`, "value_by"},
 		{`"tick":5000000`, `"tick":-5`, "tick"},
 		{`"tick":5000000`, `"tick":"5ms"`, "tick"},
 		{`"multiplex":8`, `"multiplex":-8`, "policy_limits.multiplex"},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -85,6 +85,7 @@
 		ConnectTimeout nanos `json:"connect_timeout"`
 		ConnIdle       nanos `json:"conn_idle"`
 	} `json:"policy_limits"`
+	ValueBy   string  `json:"value_by"`
 	OverShare float64 `json:"over_share_worth"`
 	Parties   []struct {
 		Name  string  `json:"name"`
@@ -110,6 +111,10 @@
 	} `json:"rules"`
 }
 
+// byWork is the value_by of a service where a query's worth grows with its work;
+// "request", the other one, is what an absent value means.
+const byWork = "work"
+
 var effects = map[string]eiderwinch.Effect{
 	"safe": eiderwinch.Safe, "keyed": eiderwinch.Keyed, "unsafe": eiderwinch.Unsafe,
 }
@@ -132,6 +137,8 @@
 		return errors.New("domain.shards, domain.places and domain.in_a_row must be above 0")
 	case e.ListMode != "on_request" && e.ListMode != "pushed":
 		return fmt.Errorf("unknown membership_mode %q", e.ListMode)
+	case e.ValueBy != "" && e.ValueBy != byWork && e.ValueBy != "request":
+		return fmt.Errorf("value_by: found %q, want work or request", e.ValueBy)
 	}
 	for _, at := range []struct {
 		key   string
@@ -171,7 +178,7 @@
 		Shards: e.Domain.Shards, Cells: e.Domain.Cells, Reach: e.Domain.Reach,
 		Batch: e.Domain.Batch, CallCost: time.Duration(e.Domain.CallCost),
 		WarmKeys: e.Domain.Warm, CrossZoneCosts: e.Prices.CrossZone > 0,
-		MarksRepeats: e.Callers.Marks, OverShare: e.OverShare,
+		MarksRepeats: e.Callers.Marks, OverShare: e.OverShare, WorthByWork: e.ValueBy == byWork,
 		AskForList:  e.ListMode == "on_request",
 		MaxAttempts: e.Limits.Attempts, MayCancel: e.Limits.Cancel, SecondCopies: e.Limits.SecondCopies,
 		RetryAdvice: e.Limits.RetryAfter, MaxRetryAdvice: time.Duration(e.Limits.MaxRetry),
--- a/state.go
+++ b/state.go
@@ -292,7 +292,7 @@
 	whole bool // its first step's answer was whole
 
 	started time.Duration // when its first part was sent; 0 if none was
-	density float64       // worth for each part still to be sent
+	density float64       // worth of each part and second of its aim
 	ended   bool
 	going   bool // all its parts may be sent
 	shed    bool // not to be started
