Use the queues that come with answers, and read keys and tenants that can be believed

A probe on sockets printed the first requests and answers: reports name rps and waiting, as settings.stats.fields do; a key comes in the cookie user and as a token of each part, of which only the first part's token was read.

Now: a report counts for two usual times of a call; of servers that tie the one with the clearly shorter queue gets the call, and half of a reported queue counts as parts out in the balance bound. A query of no known tenant has no share.

--- a/aggregator.go
+++ b/aggregator.go
@@ -39,6 +39,10 @@
 	overdueFar   = 8   // after so many usual times it is, however long the aim: few calls take half as long
 	trialTimes   = 4   // after so many a server set aside gets its first trial: most calls have ended then
 
+	queueApart = 2   // queues that differ by more parts are not alike: reports are noisy and late
+	queueShare = 0.5 // a part that waits there counts so much of one that is out: some are among those out
+	queueTimes = 2   // a report counts for so many usual times: by then other parts wait
+
 	deadSlow  = 1.5 // so many times that from a server known to be slow: its calls do end
 	deadTimes = 4   // after so many usual times without any answer a connection is taken to be dead
 
@@ -229,9 +233,12 @@
 }
 
 // inShare is what a tenant's query is worth if the others send here what they usually do, and it the rest.
+// Who is no known tenant has no share, or it would be served on that of others.
 func (a *Aggregator) inShare(tenant int) float64 {
-	if tenant < 0 || tenant >= len(a.mix) {
+	if len(a.mix) == 0 {
 		return 1
+	} else if tenant < 0 || tenant >= len(a.mix) {
+		return a.set.OverShare
 	}
 	for i := range a.mix {
 		a.mix[i] *= 1 - learn
@@ -320,6 +327,9 @@
 // learn draws on an outcome for the usual times, the server's window and its record.
 func (a *Aggregator) learn(t *attempt, e Outcome) {
 	s, c := t.server, t.part.query.class
+	if e.Load != nil {
+		s.queue, s.heard = e.Load.Waiting, a.now
+	}
 	took := float64(a.now - t.sent)
 	if e.Took > 0 {
 		took = min(took, float64(e.Took))
@@ -511,7 +521,7 @@
 			s = a.enter(r.ID)
 			s.window = float64(a.set.Batch)
 		} else if r.Started > s.Started { // a new process: nothing that was known of the old one holds
-			s.record, s.aside, s.down, s.window, s.pace = 0, false, false, 1, 0
+			s.record, s.aside, s.down, s.window, s.pace, s.heard = 0, false, false, 1, 0, 0
 		}
 		s.Replica = r
 		s.listed = r.State == Ready
@@ -761,13 +771,17 @@
 	}
 }
 
-// before breaks a tie in cover: fewest calls out, then the own zone where crossing costs, then the quicker
-// where they clearly differ (crowded and slow servers are left before they are late), then the server that
-// other aggregators would also choose for this key, where keys warm servers.
+// before breaks a tie in cover: fewest calls out, then the clearly shorter queue by a fresh report, the own
+// zone where crossing costs, then the quicker where they clearly differ (crowded and slow servers are left
+// before they are late), then the server that other aggregators would also choose for this key, where keys
+// warm servers.
 func (a *Aggregator) before(s, t *server, p *part) bool {
 	if s.calls != t.calls {
 		return s.calls < t.calls
 	}
+	if d := s.queue - t.queue; a.fresh(s) && a.fresh(t) && (d < -queueApart || d > queueApart) {
+		return d < 0
+	}
 	if a.set.CrossZoneCosts && (s.Zone == a.set.Zone) != (t.Zone == a.set.Zone) {
 		return s.Zone == a.set.Zone
 	}
@@ -852,8 +866,20 @@
 // sound tells that a server may be given a part by its state alone.
 func (a *Aggregator) sound(s *server) bool { return s.listed && !s.overdue && !s.aside }
 
-// load is a server's parts with one more, times what its calls take beyond the usual: twice it is chance.
-func (s *server) load() float64 { return float64(len(s.out)+1) * max(s.pace-1, 1) }
+// load is a server's parts with one more, or part of its queue if it has reported a long one of late, which
+// others have filled; times what its calls take beyond the usual: twice it is chance.
+func (a *Aggregator) load(s *server) float64 {
+	n := float64(len(s.out) + 1)
+	if a.fresh(s) {
+		n = max(n, queueShare*s.queue)
+	}
+	return n * max(s.pace-1, 1)
+}
+
+// fresh tells that a server's report still says something: what waited then has not all been served since.
+func (a *Aggregator) fresh(s *server) bool {
+	return s.heard > 0 && float64(a.now-s.heard) < queueTimes*a.usual
+}
 
 // eligible tells that a server may get a part: no attempt of it is out there, no sound server that has not
 // had it is left if this one has, and at most one more of our parts is out here than on the shard's least
@@ -865,7 +891,7 @@
 	if out {
 		return false
 	}
-	least, sound := s.load(), false
+	least, sound := a.load(s), false
 	for _, o := range a.holding(p) {
 		if !a.sound(o) || !a.coldRoom(o, a.set.CallCost) {
 			continue
@@ -873,10 +899,10 @@
 		if oOut, oHad := p.at(o); had && !oOut && !oHad {
 			return false
 		}
-		least, sound = min(least, o.load()), true
+		least, sound = min(least, a.load(o)), true
 	}
 	if a.sound(s) {
-		return s.load() <= least+1
+		return a.load(s) <= least+1
 	}
 	if !sound {
 		return !s.aside || len(s.out) == 0 && (!s.down || a.now >= s.trialAt)
--- a/api.go
+++ b/api.go
@@ -130,6 +130,12 @@
 	Replica string
 	Status  Status
 	Took    time.Duration
+	Load    *Load // as the replica reported it with its answer; nil if it did not
+}
+
+// Load is what a replica reports of itself: how it was up to seconds ago, and a little noisy.
+type Load struct {
+	Waiting float64 // parts that wait to be served, from all brokers; 0 or more
 }
 
 // Gone tells that a query's client has left; nothing is owed for it any more.
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -167,17 +167,51 @@
 
 // Result is a searcher's answer to one part.
 type Result struct {
-	ID    string
-	End   End
-	Score int64
-	Value string
+	ID     string
+	End    End
+	Score  int64
+	Value  string
+	Report Report
+}
+
+// Report is what of a load report is used.
+type Report struct {
+	Given   bool    // a usable one came
+	Spoilt  bool    // one came that can't be used
+	Waiting float64 // parts that wait at the searcher, of all gatherers: 0 to maxWaiting
+}
+
+// maxWaiting bounds what is believed of a queue, in parts.
+const maxWaiting = 1e6
+
+// waitingField names the queue's length in a report, as in settings.stats.fields.
+const waitingField = "waiting"
+
+// ParseReport reads a load report, NAME=VALUE pairs set apart by commas, or "-" for none.
+// Fields that are not known are passed over. A report without the queue is no report; one
+// whose queue is no number or can't be is spoilt. Neither spoils the answer it came with.
+func ParseReport(text string) Report {
+	for text != "" && text != "-" {
+		var pair string
+		pair, text, _ = strings.Cut(text, ",")
+		name, value, _ := strings.Cut(pair, "=")
+		if name != waitingField {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v >= 0 && v <= maxWaiting) {
+			return Report{Spoilt: true}
+		}
+		return Report{Given: true, Waiting: v}
+	}
+	return Report{}
 }
 
 var errResult = errors.New("malformed answer")
 
 // ParseAnswer reads the rest of an Answer frame. Only a served part must have
-// a score and a value of valid text. The load report is not used; it is the
-// rest of the line whatever it holds, so an unreadable one spoils nothing.
+// a score and a value of valid text. The load report is the rest of the line
+// whatever it holds: an unreadable one spoils nothing, see ParseReport.
 func ParseAnswer(rest []byte) (Result, error) {
 	line, value, ok := bytes.Cut(rest, []byte("\n"))
 	f := strings.SplitN(string(line), " ", 4)
@@ -188,7 +222,7 @@
 	if !ok {
 		return Result{}, fmt.Errorf("%w: unknown end %q", errResult, f[1])
 	}
-	r := Result{ID: f[0], End: end}
+	r := Result{ID: f[0], End: end, Report: ParseReport(f[3])}
 	if end != Served {
 		return r, nil
 	}
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -60,13 +60,15 @@
 
 func TestParseAnswer(t *testing.T) {
 	for text, want := range map[string]Result{
-		"t.3 served 184 inflight=7,util=0.61\nv": {"t.3", Served, 184, "v"},
-		"t.3.b served 0 -\n":                     {"t.3.b", Served, 0, ""},
-		"t.3 served -7 -\na\nb":                  {"t.3", Served, -7, "a\nb"},
-		"t.3 served 1 a  b =\xff\nv":             {"t.3", Served, 1, "v"}, // an unreadable report
-		"t.3 served 1 \nv":                       {"t.3", Served, 1, "v"},
-		"t.3 broke - -\n":                        {"t.3", Broke, 0, ""},
-		"t.3 skipped 0 -\nv":                     {"t.3", Skipped, 0, ""},
+		"t.3 served 184 inflight=7,util=0.61\nv": {"t.3", Served, 184, "v", Report{}},
+		"t.3.b served 0 -\n":                     {"t.3.b", Served, 0, "", Report{}},
+		"t.3 served -7 -\na\nb":                  {"t.3", Served, -7, "a\nb", Report{}},
+		"t.3 served 1 a  b =\xff\nv":             {"t.3", Served, 1, "v", Report{}}, // an unreadable report
+		"t.3 served 1 \nv":                       {"t.3", Served, 1, "v", Report{}},
+		"t.3 served 1 rps=31.5,waiting=7\nv":     {"t.3", Served, 1, "v", Report{Given: true, Waiting: 7}},
+		"t.3 skipped 0 waiting=0\n":              {"t.3", Skipped, 0, "", Report{Given: true}},
+		"t.3 broke - -\n":                        {"t.3", Broke, 0, "", Report{}},
+		"t.3 skipped 0 -\nv":                     {"t.3", Skipped, 0, "", Report{}},
 	} {
 		if got, err := ParseAnswer([]byte(text)); err != nil || got != want {
 			t.Errorf("%q: have %+v, %v", text, got, err)
@@ -82,6 +84,23 @@
 	}
 }
 
+// A report that is missing, new or no number spoils nothing and is not believed.
+func TestParseReport(t *testing.T) {
+	for text, want := range map[string]Report{
+		"": {}, "-": {}, "qps=31": {}, "load=3,waiting": {Spoilt: true}, "Waiting=3": {}, "waitings=3,new=x": {},
+		"waiting=3":               {Given: true, Waiting: 3},
+		"qps=31,waiting=2.5,x=y=": {Given: true, Waiting: 2.5},
+		"waiting=3,waiting=x":     {Given: true, Waiting: 3}, // the first counts
+		"waiting=x":               {Spoilt: true}, "waiting=": {Spoilt: true}, "waiting=-1": {Spoilt: true},
+		"waiting=NaN": {Spoilt: true}, "waiting=+Inf": {Spoilt: true}, "waiting=1e7": {Spoilt: true},
+		",,,": {}, "=": {}, "waiting=3=4": {Spoilt: true}, strings.Repeat("a=1,", 1000): {},
+	} {
+		if got := ParseReport(text); got != want {
+			t.Errorf("%.30q: have %+v, want %+v", text, got, want)
+		}
+	}
+}
+
 func FuzzParser(f *testing.F) {
 	f.Add("\x00\x00\x00\x10at.3 served 1 -\nv")
 	f.Fuzz(func(t *testing.T, text string) {
--- a/internal/gatherer/send.go
+++ b/internal/gatherer/send.go
@@ -21,6 +21,10 @@
 	Whole    bool  // Second: the first step was whole
 	Deadline time.Time
 
+	// Load is what the searcher reported of itself with its answer, set before
+	// Core.Result is called; nil if it did not.
+	Load *eiderwinch.Load
+
 	part   *part
 	number int
 	sent   time.Time
@@ -140,7 +144,7 @@
 	a.part.out = slices.DeleteFunc(a.part.out, func(x *Attempt) bool { return x == a })
 	c.count(s)
 	c.tell(now, eiderwinch.Outcome{
-		Part: a.part.id, Attempt: a.number, Replica: a.Searcher, Status: s, Took: now.Sub(a.sent),
+		Part: a.part.id, Attempt: a.number, Replica: a.Searcher, Status: s, Took: now.Sub(a.sent), Load: a.Load,
 	})
 	return true
 }
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -45,6 +45,22 @@
 	return ""
 }
 
+// Sole returns the value of the field of that name (in lower case), or nothing where it
+// comes more than once with different values: no reader can tell which is meant.
+func (h Header) Sole(name string) string {
+	value, seen := "", false
+	for _, f := range h {
+		if f.Name != name {
+			continue
+		}
+		if seen && f.Value != value {
+			return ""
+		}
+		value, seen = f.Value, true
+	}
+	return value
+}
+
 // has tells whether a field that holds a list names an item.
 func (h Header) has(name, item string) bool {
 	for _, f := range h {
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -212,7 +212,8 @@
 		Class:  r.Header.Get("x-qos"),
 		Key:    r.Header.Get("idempotency-key"),
 		Repeat: r.Header.Get("x-second-try") == "1",
-		Tenant: r.Header.Get("x-customer"),
+		Tenant: r.Header.Sole("x-customer"),
+		About:  about(r.Header),
 	}
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	if a.Class == "" {
@@ -250,14 +251,45 @@
 		if t.Tablet == nil || t.Fraction == nil {
 			return a, fmt.Errorf("%w: tablets[%d] lacks tablet or fraction", gatherer.ErrInvalid, i)
 		}
-		if i == 0 {
-			a.About = t.Token
+		if i == 0 && a.About == "" && isKey(t.Token) {
+			a.About = t.Token // it stands for the key and this part's shard
 		}
 		a.Parts = append(a.Parts, gatherer.AskPart{Shard: *t.Tablet, Weight: *t.Fraction})
 	}
 	return a, nil
 }
 
+// userCookie holds what a query is about, where queries have such a key.
+const userCookie = "user"
+
+// about reads what a query is about from its cookies. What can't be a key is none: a query
+// without one is served all the same. So are two that differ: neither can be believed.
+func about(h http1.Header) string {
+	key := ""
+	for _, f := range h {
+		if f.Name != "cookie" {
+			continue
+		}
+		for pair := range strings.SplitSeq(f.Value, ";") {
+			name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+			switch {
+			case name != userCookie:
+			case !isKey(value), key != "" && key != value:
+				return ""
+			default:
+				key = value
+			}
+		}
+	}
+	return key
+}
+
+// maxKey bounds a key: clients send 16 hex digits.
+const maxKey = 64
+
+// isKey tells whether s can be what a query is about.
+func isKey(s string) bool { return len(s) <= maxKey && isName(s) }
+
 const maxName = 128
 
 // isName tells whether s can stand in a searcher's frame: no blanks, and none
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -508,6 +508,80 @@
 	}
 }
 
+// What a query is about and whose it is decide how it is treated, and come from clients. What can't be
+// believed counts as absent or gets a clear 4xx: never a crash, never another's key or share.
+func TestKeysAndTenantsThatCannotBeBelieved(t *testing.T) {
+	r := start(t, func(r *rig) {
+		r.cfg.Gatherer.Module.Tenants = []eiderwinch.Tenant{{Name: "north", Share: 0.5}, {Name: "south", Share: 0.5}}
+		r.core = gatherer.New(r.cfg.Gatherer, r, r.pool, stats.New(), slog.New(slog.DiscardHandler), time.Now())
+	})
+	type want struct {
+		status int
+		key    string
+		tenant int
+	}
+	token := `"tablet":0,"token":"00ab"`
+	n := 0
+	for _, c := range []struct {
+		name, fields, tablet string
+		want                 want
+	}{
+		{"a key", "Cookie: user=7f3a9c21e0b4d655\r\nX-Customer: south\r\n", "", want{200, "7f3a9c21e0b4d655", 2}},
+		{"among others", "Cookie: a=b; user=7f; x\r\n", "", want{200, "7f", 0}},
+		{"a token", "", token, want{200, "00ab", 0}},
+		{"both", "Cookie: user=7f\r\n", token, want{200, "7f", 0}},
+		{"the same twice", "Cookie: user=7f; user=7f\r\nCookie: user=7f\r\n", "", want{200, "7f", 0}},
+		{"two that differ", "Cookie: user=7f; user=80\r\n", "", want{200, "", 0}},
+		{"two cookies that differ", "Cookie: user=7f\r\nCookie: user=80\r\n", "", want{200, "", 0}},
+		{"an empty one", "Cookie: user=\r\n", "", want{200, "", 0}},
+		{"no value", "Cookie: user\r\n", "", want{200, "", 0}},
+		{"another name", "Cookie: users=7f; User=7f\r\n", "", want{200, "", 0}},
+		{"not a key", "Cookie: user=a,b\r\n", "", want{200, "", 0}},
+		{"bytes that are no text", "Cookie: user=\xff\xfe\r\n", "", want{200, "", 0}},
+		{"one that is too long", "Cookie: user=" + strings.Repeat("a", 4096) + "\r\n", "", want{200, "", 0}},
+		{"one of 60 KB", "Cookie: user=" + strings.Repeat("a", 60<<10) + "\r\n", "", want{431, "", 0}},
+		{"a control sign", "Cookie: user=a\x01\r\n", "", want{400, "", 0}},
+		{"a token that is none", "", `"tablet":0,"token":"` + strings.Repeat("t", 500) + `"`, want{200, "", 0}},
+		{"a token that is no text", "", `"tablet":0,"token":7`, want{400, "", 0}},
+		{"an unknown tenant", "X-Customer: east\r\n", "", want{200, "", 0}},
+		{"in other letters", "X-Customer: NORTH\r\n", "", want{200, "", 0}},
+		{"a tenant twice", "X-Customer: north\r\nX-Customer: north\r\n", "", want{200, "", 1}},
+		{"two tenants", "X-Customer: north\r\nX-Customer: south\r\n", "", want{200, "", 0}},
+	} {
+		n++
+		q := testpeer.Query("search", fmt.Sprint("t", n), time.Minute, 1)
+		if c.tablet != "" {
+			length := len(q) - strings.Index(q, "\r\n\r\n") - 4
+			q = strings.Replace(q, `"tablet":0`, c.tablet, 1)
+			q = strings.Replace(q, fmt.Sprint("Content-Length: ", length), fmt.Sprint("Content-Length: ", length+len(c.tablet)-len(`"tablet":0`)), 1)
+		}
+		q = strings.Replace(q, "X-Trace-Id", c.fields+"X-Trace-Id", 1)
+		client := testpeer.NewClient(t, r.Addr()).Say(q)
+		if c.want.status == 200 {
+			p := r.part()
+			p.Write("a" + p.ID + " served 1 waiting=3,new=x\nv")
+		}
+		resp, body := client.Hear()
+		if resp.StatusCode != c.want.status {
+			t.Errorf("%s: have %s %s, want %d", c.name, resp.Status, body, c.want.status)
+		}
+		if c.want.status != 200 {
+			continue
+		}
+		for {
+			if e, ok := testpeer.Get(t, r.events, "the query").(eiderwinch.Query); ok {
+				if have := (want{200, e.Key, e.Tenant}); have != c.want {
+					t.Errorf("%s: have %+v, want %+v", c.name, have, c.want)
+				}
+				break
+			}
+		}
+		if o := r.outcome(); o.Load == nil || o.Load.Waiting != 3 {
+			t.Errorf("%s: load %+v", c.name, o.Load)
+		}
+	}
+}
+
 // A client that sends no whole request is owed an error or a close; one that has asked may keep its connection.
 func TestRequestsThatDoNotComeInWhole(t *testing.T) {
 	r := start(t, nil)
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -430,6 +430,13 @@
 	a := l.out[i].attempt
 	l.land(a)
 	l.last = r.ID
+	switch {
+	case r.Report.Given:
+		l.pool.n.stats.Reports++
+		a.Load = &eiderwinch.Load{Waiting: r.Report.Waiting}
+	case r.Report.Spoilt:
+		l.pool.n.stats.ReportsBad++
+	}
 	l.pool.n.core.Result(now, a, statuses[r.End], r.Score, r.Value)
 	return nil
 }
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -37,6 +37,8 @@
 	Unconnected int
 	Reset       int
 	Cancelled   int
+	Reports     int // of OK, Errors and Skipped: answers with a load report that is used
+	ReportsBad  int // those whose report can't be used
 
 	Clients int            // connections that clients opened
 	Reused  int            // requests on one that had carried another before
@@ -95,7 +97,7 @@
 			"idle_closed", c.IdleClosed, "left", c.Left, "left_out", c.LeftOut,
 			"beside", c.Beside, "muted", c.Muted, "spoilt", c.Spoilt),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
-			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled),
+			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "reports", c.Reports, "reports_bad", c.ReportsBad),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists),
 		group("layout", "epochs", c.Epochs, "epochs_old", c.EpochsOld, "epochs_ahead", c.EpochsAhead,
 			"translated", c.Translated),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -173,6 +173,7 @@
 			Replica: p.text(3),
 			Status:  p.status(4),
 			Took:    time.Duration(p.int(5)),
+			Load:    load(p.optional(7)),
 		})
 	default:
 		return fmt.Errorf("unknown message")
@@ -180,6 +181,20 @@
 	return p.err
 }
 
+// load reads a load report, name:value pairs set apart by commas. What is not known of it
+// or can't be is passed over.
+func load(report string) *eiderwinch.Load {
+	for report != "" {
+		var pair string
+		pair, report, _ = strings.Cut(report, ",")
+		name, value, _ := strings.Cut(pair, ":")
+		if v, err := strconv.ParseFloat(value, 64); name == "waiting" && err == nil && v >= 0 && !math.IsInf(v, 1) {
+			return &eiderwinch.Load{Waiting: v}
+		}
+	}
+	return nil
+}
+
 // turnTo makes who the instance of the lines that follow.
 func (r *Reader) turnTo(b *Batch, who string) {
 	for _, n := range b.News {
--- a/state.go
+++ b/state.go
@@ -160,11 +160,13 @@
 	Replica
 	listed bool // ready, by the latest news
 
-	out    []*attempt // in the order they were sent
-	pace   float64    // time of its calls in usual times
-	calls  int        // calls out
-	window float64    // most of our parts to have out there
-	record float64    // 0 good to 1 bad, by its last calls
+	out    []*attempt    // in the order they were sent
+	queue  float64       // parts of all aggregators that waited there, by its last report
+	heard  time.Duration // when that came; 0 if none did
+	pace   float64       // time of its calls in usual times
+	calls  int           // calls out
+	window float64       // most of our parts to have out there
+	record float64       // 0 good to 1 bad, by its last calls
 	judged time.Duration
 	lastOK time.Duration // when it last answered
 
