Send second copies only for servers that are silent

Copies and their wait were tuned where a cancelled part is dropped.

At fault: needsTry gave a part another attempt once it was overdue (2.5 usual times), also at a server that goes on answering others: slow or crowded, not gone.

Now a copy waits for a server that has answered nothing since, and five usual times, up to half the aim.

--- a/aggregator.go
+++ b/aggregator.go
@@ -37,6 +37,7 @@
 	overdueLeast = 4   // but not before this fraction (1/4) of its class's aim,
 	overdueMost  = 2   // and at this fraction (1/2) at the latest: a second copy needs the rest
 	overdueFar   = 8   // after so many usual times it is, however long the aim: few calls take half as long
+	copyTimes    = 5   // after so many from a server without any answer a second copy may go: two calls' time
 	trialTimes   = 4   // after so many a server set aside gets its first trial: most calls have ended then
 
 	queueApart = 2   // queues that differ by more parts are not alike: reports are noisy and late
@@ -453,9 +454,12 @@
 }
 
 // overdueAfter is how long a part of a class may be out before something is taken to be wrong.
-func (a *Aggregator) overdueAfter(c *class) time.Duration {
+func (a *Aggregator) overdueAfter(c *class) time.Duration { return a.patience(c, overdueTimes) }
+
+// patience is so many usual times of a class's calls, within what its aim bears.
+func (a *Aggregator) patience(c *class, times float64) time.Duration {
 	least := a.soon(c.Aim/overdueLeast, overdueFar)
-	return min(max(time.Duration(c.usual*overdueTimes), least), c.Aim/overdueMost)
+	return min(max(time.Duration(c.usual*times), least), c.Aim/overdueMost)
 }
 
 // soon cuts a wait that an aim sets: else a server would miss fifty short calls for one, and the others jam.
@@ -467,6 +471,13 @@
 	return a.now-t.sent >= a.overdueAfter(t.part.query.class)
 }
 
+// silent tells that a server has answered nothing since it was sent an attempt, for long: it may be lost. One
+// that answers others is slow or crowded and will come to it; a second copy would be work on top, which a
+// cancel need not stop, just when there is too much of it.
+func (a *Aggregator) silent(t *attempt) bool {
+	return t.server.lastOK <= t.sent && a.now-t.sent >= a.patience(t.part.query.class, copyTimes)
+}
+
 // judge marks the servers that hold a part for too long; they get nothing new until its outcome is in.
 func (a *Aggregator) judge() {
 	for _, s := range a.working {
@@ -682,10 +693,10 @@
 }
 
 // needsTry tells that a part should get an attempt: it has none out, or those out are on servers that are
-// overdue with it or set aside.
+// silent or set aside.
 func (a *Aggregator) needsTry(p *part) bool {
 	for _, t := range p.attempts {
-		if !t.over && !t.server.aside && !a.tooLong(t) {
+		if !t.over && !t.server.aside && !a.silent(t) {
 			return false
 		}
 	}
--- a/deployments_test.go
+++ b/deployments_test.go
@@ -96,3 +96,30 @@
 	c.want("beyond the last", a.inShare(2), 0.1)
 	c.want("where there are none", New(testSettings()).inShare(-1), 1.0)
 }
+
+// A server that answers others will come to a part as well: a second copy would only be work on top.
+// Of one that answers nothing any more the part gets a copy in time.
+func TestSecondCopiesGoOnlyForSilentServers(t *testing.T) {
+	copies := func(answers bool) (n int) {
+		c := start(t, testSettings())
+		for i := range uint64(20) { // calls take 50 ms
+			for _, x := range only[Send](c.turn(ask(100+i, 0, int(i%4)))) {
+				c.after(50*ms, ok(x.Part, 0, x.Replica))
+			}
+		}
+		c.a.copies = copyMost
+		c.turn(ask(1, 0, 0))
+		p := c.a.parts[10]
+		id := p.attempts[0].server.ID
+		for i := range uint64(80) { // 400 ms, eight times as long, below half of the aim
+			if answers && i%10 == 5 {
+				c.a.byID[id].lastOK = c.now
+			}
+			c.after(5 * ms)
+		}
+		return len(p.attempts) - 1
+	}
+	c := &script{t: t}
+	c.want("of a silent one", copies(false), 1)
+	c.want("of one that answers", copies(true), 0)
+}
