Let the emulator play a ring with tenants, keys, queues in answers and second copies

Scenarios may now have a ring (each segment on the next searcher too, 16 parts a call), wide reports that may be answered from half, tenants, keys, reports of queues, second copies, and searchers that serve what was cancelled. Faults: kill (gatherers away for a time), focus (a hot key), swell (a tenant beyond its share), stale (old reports). A part at a searcher that does not hold it is a breach. Without them a run is the same to the byte but for worth by work, which the module is told.

The load is now the same for each searcher at every size.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -11,25 +11,35 @@
 
 // client is one that asks a query, and asks again where it is refused.
 type client struct {
-	w     *world
-	class int
-	id    uint64
-	node  *node
-	trace string
-	key   string
-	first int // of its segments
-	tries int
-	asked time.Time // its first try
-	query uint64
-	over  bool // the try at hand is over
-	slot  int  // its place among the open ones
+	w      *world
+	class  int
+	id     uint64
+	node   *node
+	trace  string
+	key    string
+	first  int    // of its segments
+	about  string // its key
+	tenant int    // -1 where there are none
+	tries  int
+	asked  time.Time // its first try
+	query  uint64
+	over   bool // the try at hand is over
+	slot   int  // its place among the open ones
 }
 
 func newClient(w *world, class int) *client {
-	return &client{
+	c := &client{
 		w: w, class: class, id: w.asked, key: "k" + strconv.FormatUint(w.asked, 10),
-		first: w.rng.IntN(w.Cells * w.PerCell), asked: w.now,
+		first: w.rng.IntN(w.Cells * w.PerCell), asked: w.now, tenant: w.drawTenant(),
 	}
+	if w.Keys > 0 {
+		about := 1 + w.rng.IntN(w.Keys)
+		if w.focus > 0 && w.rng.Float64() < w.focus {
+			about, c.first = 0, 0 // queries about one key need the same segments
+		}
+		c.about = "a" + strconv.Itoa(about)
+	}
+	return c
 }
 
 // ask sends the query to any gatherer.
@@ -44,7 +54,7 @@
 	}
 	n, life := c.node, c.node.life
 	w.after(w.Near, func() {
-		if n.life != life {
+		if n.life != life || n.down {
 			c.broken()
 			return
 		}
@@ -54,7 +64,10 @@
 			c.end(failed)
 			return
 		}
-		a := gatherer.Ask{Trace: c.trace, Class: k.Name, Key: c.key, Expires: left, Repeat: c.tries > 1, Text: "q"}
+		a := gatherer.Ask{Trace: c.trace, Class: k.Name, Key: c.key, Expires: left, Repeat: c.tries > 1, Text: "q", About: c.about}
+		if c.tenant >= 0 {
+			a.Tenant = tenantName(c.tenant)
+		}
 		for i := range k.Parts {
 			a.Parts = append(a.Parts, gatherer.AskPart{Shard: (c.first + i) % (w.Cells * w.PerCell), Weight: 1 / float64(k.Parts)})
 		}
--- a/internal/emulator/file.go
+++ b/internal/emulator/file.go
@@ -21,6 +21,9 @@
 	factor := func(name, def string, least, most float64, doc string) xmlform.Attribute {
 		return xmlform.Attribute{Name: name, Kind: xmlform.Factor, Default: def, Least: least, Most: most, Doc: doc}
 	}
+	choice := func(name, doc string, values ...string) xmlform.Attribute { // the first is the default
+		return xmlform.Attribute{Name: name, Kind: xmlform.Choice, Default: values[0], Values: values, Doc: doc}
+	}
 	return &xmlform.Form{
 		Namespace: Namespace, Root: "experiment", Depth: 3,
 		Doc:   "An experiment on the emulator of eiderwinch: scenarios, seeds and what is swept. See docs/emulator.md.",
@@ -42,16 +45,23 @@
 				count("tries", "2", 16, "of a client, the first included"),
 				count("attempts", "4", 16, "of a part"),
 				span("lag", "200ms", 0.001, 6, "of discovery, on average"),
+				choice("layout", "of the segments: sets of three searchers hold the same three, or in a ring two begin at each searcher and the next holds them as well", sets, ring),
+				choice("answers", "whole: classes of a stock service, which need all parts, one of them with a second step; partial: batches, and wide reports that may be answered from half", wholeOnly, partialToo),
+				choice("copies", "whether a part may have a second copy out", no, yes),
+				choice("cancelled", "whether waiting work that is cancelled is dropped or served all the same", "dropped", served),
+				span("reports", "0s", 0, 60, "the age up to which answers carry their searcher's queue; 0s: none do"),
+				{Name: "tenants", Kind: xmlform.Number, Default: "0", Most: 64, Doc: "with shares that fall as 1, 1/2, 1/3; 0: none"},
+				{Name: "keys", Kind: xmlform.Number, Default: "0", Most: 1e9, Doc: "that queries are about, each with segments of its own; 0: none"},
 			}, Children: []xmlform.Child{{Name: "fault", Most: 64}}},
 			"fault": {Doc: "something that goes wrong", Attributes: []xmlform.Attribute{
-				{Name: "kind", Kind: xmlform.Choice, Required: true, Values: []string{"crash", "pause", "slow", "drain", "cut", "flood", "restart"}, Doc: "crash, pause, slow and drain are of searchers, restart of gatherers, cut of a zone, flood of a class"},
+				{Name: "kind", Kind: xmlform.Choice, Required: true, Values: []string{"crash", "pause", "slow", "drain", "cut", "flood", "restart", "kill", "focus", "swell", "stale"}, Doc: "crash, pause, slow and drain are of searchers, restart and kill of gatherers, cut of a zone, flood of a class, focus of one key, swell of a tenant, stale of load reports"},
 				{Name: "at", Kind: xmlform.Span, Required: true, Doc: "from the beginning of the run on"},
 				{Name: "for", Kind: xmlform.Span, Required: true, Doc: "it lasts; of drain and restart, within which one after the other is hit"},
-				{Name: "first", Kind: xmlform.Number, Default: "0", Doc: "the number of the first that is hit"},
+				{Name: "first", Kind: xmlform.Number, Default: "0", Doc: "the number of the first that is hit; of swell, the tenant"},
 				count("many", "1", 10000, "are hit"),
 				{Name: "zone", Kind: xmlform.Number, Default: "0", Doc: "that is cut off"},
 				{Name: "class", Kind: xmlform.Text, Doc: "that is flooded"},
-				factor("factor", "1", 0.001, 1000, "of slow and flood"),
+				factor("factor", "1", 0.001, 1000, "of slow, flood and swell; of focus the share of queries, of stale the seconds"),
 			}},
 			"sweep": {Doc: "an attribute of the scenarios that takes several values", Attributes: []xmlform.Attribute{
 				{Name: "of", Kind: xmlform.Choice, Required: true, Values: []string{"load", "slots", "queue", "tries", "attempts"}, Doc: "which attribute"},
@@ -68,6 +78,27 @@
 	Of        string    // what is swept; empty: nothing
 	Values    []float64 // of it
 	base      map[string]float64
+	wide      map[string]bool // scenarios whose answers may be partial
+}
+
+// The values of a scenario's properties.
+const (
+	sets, ring            = "sets", "ring"
+	wholeOnly, partialToo = "whole", "partial"
+	no, yes               = "no", "yes"
+	served                = "served"
+)
+
+// classes are those of a scenario, at the load of usualSearchers.
+func (x *Experiment) classes(s Scenario) []Class {
+	if !x.wide[s.Name] {
+		return Usual()
+	}
+	cells, per := s.Cells, s.PerCell
+	if cells == 0 { // not completed yet
+		cells, per = max(s.Searchers/3, 1), 3
+	}
+	return Wide(cells * per)
 }
 
 // ReadExperiment reads a file, whose name is for messages only. The error joins all
@@ -78,7 +109,7 @@
 	if root == nil || faults.Count() > 0 {
 		return nil, faults.Err()
 	}
-	x := &Experiment{Values: []float64{0}, base: make(map[string]float64)}
+	x := &Experiment{Values: []float64{0}, base: make(map[string]float64), wide: make(map[string]bool)}
 	for i := range root.Number("seeds") {
 		x.Seeds = append(x.Seeds, root.Number("first")+i)
 	}
@@ -95,8 +126,15 @@
 		s := Scenario{
 			Name: n.Text("name"), Duration: n.Span("duration"), Gatherers: int(n.Number("gatherers")), Searchers: int(n.Number("searchers")),
 			Zones: int(n.Number("zones")), Slots: int(n.Number("slots")), Queue: int(n.Number("queue")), Tries: int(n.Number("tries")),
-			Attempts: int(n.Number("attempts")), Lag: n.Span("lag"), Classes: Usual(),
+			Attempts: int(n.Number("attempts")), Lag: n.Span("lag"),
+			Copies: n.Text("copies") == yes, Deaf: n.Text("cancelled") == served, Reports: n.Span("reports"),
+			Tenants: int(n.Number("tenants")), Keys: int(n.Number("keys")),
+		}
+		if n.Text("layout") == ring {
+			s.Cells, s.PerCell, s.Reach, s.Batch = s.Searchers, 2, 2, 16
 		}
+		x.wide[s.Name] = n.Text("answers") == partialToo
+		s.Classes = x.classes(s)
 		if slices.ContainsFunc(x.Scenarios, func(o Scenario) bool { return o.Name == s.Name }) {
 			faults.Add(n.Line, n.Name, "a second scenario "+s.Name, "a name of its own")
 		}
@@ -157,7 +195,7 @@
 	case "attempts":
 		s.Attempts = int(p.Value)
 	}
-	s.Classes = Usual()
+	s.Classes = x.classes(s)
 	for i := range s.Classes {
 		s.Classes[i].Rate *= load * float64(s.Searchers) / usualSearchers
 	}
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -16,6 +16,7 @@
 	number   int
 	zone     int
 	life     int
+	down     bool // it was killed and is not back
 	core     *gatherer.Core
 	counters *stats.Counters
 	wake     event
@@ -50,6 +51,7 @@
 // start starts a process, which knows the list as discovery has it.
 func (n *node) start() {
 	n.life++
+	n.down = false
 	w := n.w
 	n.counters = stats.New()
 	n.links, n.flights = make(map[string]*link), make(map[*gatherer.Attempt]*flight)
@@ -75,9 +77,25 @@
 	n.arm()
 }
 
+// kill ends it. What it had open is answered by nobody, and it takes nothing until it is started.
+func (n *node) kill() {
+	n.abort()
+	n.life++
+	n.down = true
+	n.w.events.Stop(&n.wake)
+	for id := range n.links {
+		delete(n.links, id)
+	}
+}
+
 // restart starts it again. What it had open is answered by nobody; its clients see
 // their connections break.
 func (n *node) restart() {
+	n.abort()
+	n.start()
+}
+
+func (n *node) abort() {
 	for _, l := range n.links {
 		l.open = false
 	}
@@ -86,7 +104,6 @@
 			c.broken()
 		}
 	}
-	n.start()
 }
 
 // arm sets the time of the next run.
@@ -106,7 +123,7 @@
 
 // hear takes in news of a searcher, unless newer has come.
 func (n *node) hear(s *searcher, revision int, state eiderwinch.State) {
-	if revision <= n.known[s.id] {
+	if n.down || revision <= n.known[s.id] {
 		return
 	}
 	n.known[s.id] = revision
@@ -131,8 +148,17 @@
 	for i, a := range attempts {
 		f := &flight{attempt: a, link: l, id: a.PartID(), class: n.w.result.classOf(a.Trace), key: a.Key, first: i == 0}
 		n.flights[a] = f
-		if n.out[f.id]++; n.out[f.id] > 1 {
+		n.out[f.id]++
+		switch out := n.out[f.id]; {
+		case out == 2 && !n.w.Copies:
 			n.w.result.breach("part %s has two attempts out", f.id)
+		case out == 2:
+			n.w.result.Copies++
+		case out > 2:
+			n.w.result.breach("part %s has %d attempts out", f.id, out)
+		}
+		if !s.holds(a.Shard) {
+			n.w.result.breach("part %s went to %s, which does not hold it", f.id, s.id)
 		}
 		if l.open {
 			l.send(f)
@@ -185,10 +211,11 @@
 }
 
 // result brings an answer.
-func (n *node) result(f *flight, status eiderwinch.Status) {
+func (n *node) result(f *flight, status eiderwinch.Status, load *eiderwinch.Load) {
 	if !n.land(f) {
 		return
 	}
+	f.attempt.Load = load
 	n.core.Result(n.w.now, f.attempt, status, int64(f.attempt.Shard), "v")
 	n.arm()
 }
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -48,6 +48,7 @@
 	Events   uint64 // of the model
 	Turns    uint64 // runs of cores
 	Sent     uint64 // attempts handed to the network
+	Copies   uint64 // second copies among them
 	Fallen   int    // cold searchers that were pushed over
 	Breaches int    // of rules
 	Faults   []string
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -10,6 +10,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"eiderwinch"
@@ -24,6 +25,8 @@
 	Zones      int           // data centres; 3
 	Cells      int           // sets of searchers that hold the same segments; Searchers/3
 	PerCell    int           // segments of each cell; 3
+	Reach      int           // cells in a row that hold a segment: 1 for sets, more for a ring; 1
+	Batch      int           // parts of a call; 4
 	Classes    []Class       // Usual()
 	Slots      int           // parts that a searcher serves at once; 4
 	Queue      int           // parts that wait there; more are turned away; 64
@@ -40,6 +43,12 @@
 	Tries      int           // of a client, the first included; 2
 	MaxOpen    int           // queries and parts of a gatherer at once; 1,000
 	Attempts   int           // of a part; 4
+	Copies     bool          // a part may have a second copy out
+	Deaf       bool          // searchers do not drop waiting work that is cancelled
+	Reports    time.Duration // answers carry the searcher's queue, as it was up to so long ago; 0: none do
+	Tenants    int           // with shares that fall as 1 to 1/Tenants; 0: none
+	OverShare  float64       // worth of what a tenant sends beyond its share; 0.05
+	Keys       int           // what queries are about, and the same key needs the same segments; 0: nothing
 	Faults     []Fault
 	Overridden func(*eiderwinch.Settings) // changes what the module is told; may be nil
 }
@@ -64,6 +73,10 @@
 	Cut     FaultKind = "cut"     // a zone is cut off from the others for For: nothing is said, nothing arrives
 	Flood   FaultKind = "flood"   // a class comes Factor times as often for For
 	Restart FaultKind = "restart" // gatherers are started again one after the other within For
+	Kill    FaultKind = "kill"    // gatherers die at once and are back after For, with empty memory
+	Focus   FaultKind = "focus"   // a share of Factor of all queries is about one key for For
+	Swell   FaultKind = "swell"   // the tenant First sends Factor times as much for For
+	Stale   FaultKind = "stale"   // load reports are those of Factor seconds before, for For
 )
 
 // Fault is one fault.
@@ -94,6 +107,22 @@
 	}
 }
 
+// Wide are the classes of an archive: batches that need all their parts, and reports over two fifths
+// of the segments that may be answered from half, at a load that 12 searchers bear with room to spare.
+func Wide(segments int) []Class {
+	class := func(name string, deadline time.Duration, worth, late, floor float64) eiderwinch.Class {
+		return eiderwinch.Class{
+			Name: name, Aim: 2 * time.Second, Deadline: deadline, Worth: worth, LateWorth: late, Need: 1, Floor: floor, Partial: 0.8,
+		}
+	}
+	// The wider the queries of a larger archive, the fewer: parts a second for each searcher stay.
+	lookup, report := min(max(segments/10, 4), 12, segments), min(max(segments*2/5, 4), 40, segments)
+	return []Class{
+		{class("lookup", 6*time.Second, 1, 0.3, 1), 480 / float64(lookup), lookup, 6 * time.Millisecond},
+		{class("report", 5*time.Second, 3, 0.1, 0.5), 400 / float64(report), report, 8 * time.Millisecond},
+	}
+}
+
 // complete puts defaults in place and checks the rest.
 func (s Scenario) complete() (Scenario, error) {
 	span := func(d *time.Duration, def time.Duration) {
@@ -117,6 +146,9 @@
 	count(&s.Zones, 3)
 	count(&s.Cells, max(s.Searchers/3, 1))
 	count(&s.PerCell, 3)
+	count(&s.Reach, 1)
+	count(&s.Batch, 4)
+	share(&s.OverShare, 0.05)
 	count(&s.Slots, 4)
 	count(&s.Queue, 64)
 	share(&s.Spread, 0.35)
@@ -143,6 +175,10 @@
 			s.Gatherers, s.Searchers, s.Zones, s.Cells, s.Duration)
 	}
 	segments := s.Cells * s.PerCell
+	if s.Reach < 1 || s.Reach > s.Cells || s.Batch < 1 || s.Tenants < 0 || s.Reports < 0 || s.Keys < 0 {
+		wrong("found segments on %d of %d cells, calls of %d parts, %d tenants, %d keys, reports every %v, want 1 cell and part or more, and no number below 0",
+			s.Reach, s.Cells, s.Batch, s.Tenants, s.Keys, s.Reports)
+	}
 	for _, c := range s.Classes {
 		if c.Rate < 0 || c.Parts < 1 || c.Parts > segments || c.Work <= 0 || c.Aim <= 0 || c.Deadline < c.Aim {
 			wrong("class %q: found rate %v, %d parts, work %v, aim %v, deadline %v, want parts up to the %d segments and times above 0",
@@ -151,11 +187,11 @@
 	}
 	for i, f := range s.Faults {
 		most := s.Searchers
-		if f.Kind == Restart {
+		if f.Kind == Restart || f.Kind == Kill {
 			most = s.Gatherers
 		}
 		switch f.Kind {
-		case Crash, Pause, Drain, Restart, Slow:
+		case Crash, Pause, Drain, Restart, Slow, Kill:
 			if f.First < 0 || f.Many < 1 || f.First+f.Many > most {
 				wrong("fault %d, %s: found %d from %d on, want some of %d", i+1, f.Kind, f.Many, f.First, most)
 			}
@@ -163,11 +199,19 @@
 			if f.Zone < 0 || f.Zone >= s.Zones {
 				wrong("fault %d, cut: found zone %d, want one of %d", i+1, f.Zone, s.Zones)
 			}
-		case Flood:
+		case Flood, Stale:
+		case Focus:
+			if f.Factor > 1 {
+				wrong("fault %d, focus: found a share of %v, want one up to 1", i+1, f.Factor)
+			}
+		case Swell:
+			if f.First < 0 || f.First >= s.Tenants {
+				wrong("fault %d, swell: found tenant %d, want one of %d", i+1, f.First, s.Tenants)
+			}
 		default:
 			wrong("fault %d: found kind %q", i+1, f.Kind)
 		}
-		if (f.Kind == Slow || f.Kind == Flood) && f.Factor <= 0 {
+		if slices.Contains([]FaultKind{Slow, Flood, Focus, Swell, Stale}, f.Kind) && f.Factor <= 0 {
 			wrong("fault %d, %s: found factor %v, want one above 0", i+1, f.Kind, f.Factor)
 		}
 		if f.At < 0 || f.For < 0 {
@@ -181,10 +225,14 @@
 func (s Scenario) settings(number int, zone string, seed uint64) eiderwinch.Settings {
 	set := eiderwinch.Settings{
 		Seed: seed, Brokers: s.Gatherers, Number: number, Zone: zone, Tick: tick,
-		Shards: s.Cells * s.PerCell, Cells: s.Cells, Reach: 1, Batch: 4, CallCost: s.CallCost,
+		Shards: s.Cells * s.PerCell, Cells: s.Cells, Reach: s.Reach, Batch: s.Batch, CallCost: s.CallCost,
 		MaxAttempts: s.Attempts, MayCancel: true, RetryAdvice: true, MaxRetryAdvice: time.Second,
 		ColdShare: s.ColdShare, ColdFor: s.ColdFor, ColdMultiple: s.ColdMost, ColdOverloads: s.ColdFalls,
 	}
+	set.SecondCopies, set.OverShare, set.WorthByWork = s.Copies, s.OverShare, true
+	for i := range s.Tenants {
+		set.Tenants = append(set.Tenants, eiderwinch.Tenant{Name: tenantName(i), Share: s.shareOf(i)})
+	}
 	for _, c := range s.Classes {
 		set.Classes = append(set.Classes, c.Class)
 	}
@@ -194,4 +242,15 @@
 	return set
 }
 
+func tenantName(i int) string { return fmt.Sprintf("t%d", i) }
+
+// shareOf is a tenant's share of the service, and of the usual traffic.
+func (s Scenario) shareOf(tenant int) float64 {
+	sum := 0.0
+	for i := range s.Tenants {
+		sum += 1 / float64(i+1)
+	}
+	return 1 / float64(tenant+1) / sum
+}
+
 const tick = 5 * time.Millisecond
--- a/internal/emulator/searcher.go
+++ b/internal/emulator/searcher.go
@@ -27,6 +27,7 @@
 	pausedUntil time.Time
 	busy        int
 	waiting     []*flight
+	told        []float64 // queues as they were at the last reports, the newest last
 	over        time.Time // since when it has had too much for a cold one; zero if it has not
 	links       []*link
 }
@@ -137,16 +138,48 @@
 // answer sends an answer back, if its connection is still there.
 func (s *searcher) answer(f *flight, status eiderwinch.Status) {
 	l := f.link
+	load := s.load()
 	s.w.after(s.w.way(s.zone, l.node.zone), func() {
 		if !l.open || s.w.severed(s.zone, l.node.zone) {
 			return
 		}
-		l.node.result(f, status)
+		l.node.result(f, status, load)
 	})
 }
 
+// holds tells that a segment is one of its own: those that begin at its cell, and at the ones before.
+func (s *searcher) holds(segment int) bool {
+	cells := s.w.Cells
+	return ((s.cell-segment)%cells+cells)%cells < s.w.Reach
+}
+
+// maxTold bounds the reports that are kept.
+const maxTold = 64
+
+// report notes the queue's length, from time to time.
+func (s *searcher) report() {
+	if len(s.told) == maxTold {
+		s.told = s.told[1:]
+	}
+	s.told = append(s.told, float64(len(s.waiting)))
+	s.w.after(s.w.Reports/2+s.w.exp(s.w.Reports/2), s.report)
+}
+
+// load is what it reports with an answer: the last queue that it noted, or an older one while
+// reports are stale; nil where answers carry none.
+func (s *searcher) load() *eiderwinch.Load {
+	if len(s.told) == 0 {
+		return nil
+	}
+	back := int(s.w.stale / max(s.w.Reports, time.Millisecond))
+	return &eiderwinch.Load{Waiting: s.told[max(len(s.told)-1-back, 0)]}
+}
+
 // cancel takes a part out of the queue; one that is served goes on.
 func (s *searcher) cancel(f *flight) {
+	if s.w.Deaf {
+		return
+	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(x *flight) bool { return x == f })
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -32,6 +32,9 @@
 	byID      map[string]*searcher
 	cut       []bool // zones that are cut off
 	flood     []float64
+	swell     []float64     // by tenant
+	focus     float64       // share of the queries that are about one key
+	stale     time.Duration // load reports are so old
 	asked     uint64
 	made      map[string]time.Time // reservations by key: when they were made first
 	result    *Result
@@ -63,8 +66,14 @@
 	for range s.Classes {
 		w.flood = append(w.flood, 1)
 	}
+	for range s.Tenants {
+		w.swell = append(w.swell, 1)
+	}
 	for i := range s.Searchers {
 		w.add(i)
+		if s.Reports > 0 {
+			w.searchers[i].report()
+		}
 	}
 	for i := range s.Gatherers {
 		n := &node{w: w, number: i, zone: i % s.Zones}
@@ -130,7 +139,7 @@
 
 // arrive lets the next query of a class come: a Poisson process.
 func (w *world) arrive(class int) {
-	rate := w.Classes[class].Rate * w.flood[class]
+	rate := w.Classes[class].Rate * w.flood[class] * w.swollen()
 	w.after(w.exp(time.Duration(float64(time.Second)/rate)), func() {
 		if w.elapsed() >= w.Duration {
 			return
@@ -141,6 +150,36 @@
 	})
 }
 
+// drawTenant draws whose a query is; -1 where there are none.
+func (w *world) drawTenant() int {
+	if w.Tenants == 0 {
+		return -1
+	}
+	sum := 0.0
+	for i, f := range w.swell {
+		sum += f * w.shareOf(i)
+	}
+	at := w.rng.Float64() * sum
+	for i, f := range w.swell {
+		if at -= f * w.shareOf(i); at < 0 {
+			return i
+		}
+	}
+	return w.Tenants - 1
+}
+
+// swollen is the traffic of all tenants together, in usual ones.
+func (w *world) swollen() float64 {
+	if w.Tenants == 0 {
+		return 1
+	}
+	sum := 0.0
+	for i, f := range w.swell {
+		sum += f * w.shareOf(i)
+	}
+	return sum
+}
+
 // strike lets a fault happen.
 func (w *world) strike(f Fault) {
 	each := func(list func(*searcher)) {
@@ -172,6 +211,20 @@
 				w.after(f.For, func() { w.flood[i] = 1 })
 			}
 		}
+	case Kill:
+		for _, n := range w.nodes[f.First : f.First+f.Many] {
+			n.kill()
+			w.after(f.For, n.start)
+		}
+	case Focus:
+		w.focus = f.Factor
+		w.after(f.For, func() { w.focus = 0 })
+	case Swell:
+		w.swell[f.First] = f.Factor
+		w.after(f.For, func() { w.swell[f.First] = 1 })
+	case Stale:
+		w.stale = time.Duration(f.Factor * float64(time.Second))
+		w.after(f.For, func() { w.stale = 0 })
 	case Restart:
 		for i := range f.Many {
 			n := w.nodes[f.First+i]
