Close connections between requests whole, and never where a request has come

Read beside the protocol: a close between requests may cross a request only if that is not read.

At fault: dismiss (trims, the end of a drain) and the time-out for silence shut the way out of a connection without looking whether something had come, and went on reading for 2 s: a request that crossed was read, counted as crossed and thrown away, answered by nobody. Only evictions looked. Now all three look first and spare the connection, and close it whole within the same turn of the loop: what crosses is not read, and its client sends it again.

The tests fail without the mend. Crossed now counts evictions only.

--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -42,7 +42,6 @@
 	last   bool   // the request in hand is the last one here
 	deaf   bool   // nothing more is taken in; what is open is still answered
 	ending bool   // the connection is about to be closed
-	untold bool   // ending: its client was not told by an answer
 }
 
 func newClient(n *Node) *client {
@@ -72,10 +71,6 @@
 
 func (c *client) traffic(b []byte) {
 	if c.ending {
-		if c.untold { // its client had not heard of the end, and sends this once more
-			c.untold = false
-			c.n.stats.Crossed++
-		}
 		// Closing at once would reset the connection and take the error along.
 		if c.spilt += len(b); c.spilt > maxLinger {
 			c.drop()
@@ -430,39 +425,64 @@
 	seat.Owner.drop()
 }
 
-// dismiss ends a connection between requests, whose client could not be told.
-func (c *client) dismiss() {
-	c.untold = true
-	c.end()
+// dismiss closes a connection between requests, whose client could not be told, and tells
+// whether it did: not where a request has come. It is closed whole at once. A client sends once
+// more what crosses that and was not read; were only the way out shut and the rest read and
+// thrown away, a request would be taken that nobody answers.
+func (c *client) dismiss() bool {
+	if c.unread() {
+		c.n.stats.Spared++
+		return false
+	}
+	c.ending = true
+	c.leave()
+	// Close of the connection itself waits for the loop's next round, which may read first.
+	_ = c.conn.EventLoop().Close(c.conn)
+	return true
 }
 
-// closeIdleClients closes the connections that are between requests.
-func (n *Node) closeIdleClients() {
+// closeIdleClients closes the connections that are between requests, and tells whether
+// none is left.
+func (n *Node) closeIdleClients() bool {
 	for _, stage := range [...]limit.Stage{limit.Silent, limit.Idle} {
 		for s := n.table.Oldest(stage); s != nil; s = n.table.Oldest(stage) {
-			s.Owner.dismiss()
+			if !s.Owner.dismiss() {
+				return false // its request is read next
+			}
 		}
 	}
+	return true
 }
 
 // checkClients closes the connections whose time is up, and those that are
 // idle for longest where there are too many.
 func (n *Node) checkClients(now time.Time) {
+	n.closeOverdue(now)
+	for s := n.table.Trim(now); s != nil && !n.draining && s.Owner.dismiss(); s = n.table.Trim(now) {
+		n.stats.Trimmed++
+	}
+	n.checkFlushing(now)
+}
+
+// closeOverdue closes the connections whose time is up.
+func (n *Node) closeOverdue(now time.Time) {
 	for s := n.table.Overdue(now); s != nil; s = n.table.Overdue(now) {
 		switch c := s.Owner; {
 		case s.Stage() == limit.Ending:
 			c.drop()
 		case c.parser.Idle():
+			if !c.dismiss() {
+				return // its request is read next
+			}
 			n.stats.Silent++
-			c.end()
 		default:
 			c.reject(http.StatusRequestTimeout, "the request did not come in whole in time", true)
 		}
 	}
-	for s := n.table.Trim(now); s != nil && !n.draining; s = n.table.Trim(now) {
-		n.stats.Trimmed++
-		s.Owner.dismiss()
-	}
+}
+
+// checkFlushing ends the connections whose last answer has left or takes too long.
+func (n *Node) checkFlushing(now time.Time) {
 	for c, until := range n.flushing {
 		switch {
 		case c.conn.OutboundBuffered() == 0:
--- a/internal/netio/crowd_test.go
+++ b/internal/netio/crowd_test.go
@@ -155,21 +155,49 @@
 	}
 }
 
-// What comes on a connection after it was closed without a word is counted.
-func TestWhatCrossesACloseIsCounted(t *testing.T) {
-	r := bounded(t, 100, 100, 100)
-	c := testpeer.NewClient(t, r.Addr())
-	heard(t, c, health)
-	r.onLoop(func() { r.table.Oldest(limit.Idle).Owner.dismiss() })
-	c.Say(health).Say(health)
-	c.CloseWrite()
-	r.until("a crossing", func() bool { return r.stats.Crossed > 0 })
-	r.onLoop(func() {
-		if r.stats.Crossed != 1 {
-			t.Errorf("%d crossed", r.stats.Crossed)
+// What crosses a close without a word is not read: its client sends it once more. A request that
+// has come is never cut off, by whichever way connections between requests are closed.
+func TestWhatCrossesACloseIsNotRead(t *testing.T) {
+	for name, shut := range map[string]func(*rig){
+		"trimmed": func(r *rig) { r.checkClients(time.Now().Add(r.table.Bounds().KeptFor)) },
+		"drained": func(r *rig) { r.closeIdleClients() },
+		"silent":  func(r *rig) { r.checkClients(time.Now().Add(r.table.Bounds().Request)) },
+	} {
+		r := bounded(t, 1, 100, 100)
+		a := testpeer.NewClient(t, r.Addr())
+		stage := limit.Silent
+		if name != "silent" {
+			heard(t, a, health)
+			stage = limit.Idle
 		}
-	})
-	c.Closed()
+		r.until("the connection", func() bool { return r.table.Count(stage) == 1 })
+		r.onLoop(func() {
+			c := r.table.Oldest(stage).Owner
+			a.Say(health)
+			for end := time.Now().Add(testpeer.Patience); pending(c.conn.Fd()) == 0 && time.Now().Before(end); {
+			}
+			shut(r)
+			if r.stats.Spared != 1 || c.ending {
+				t.Errorf("%s: spared %d, ending %v", name, r.stats.Spared, c.ending)
+			}
+		})
+		if resp, _ := a.Hear(); resp.StatusCode != 200 {
+			t.Errorf("%s: have %s", name, resp.Status)
+		}
+		b := testpeer.NewClient(t, r.Addr())
+		r.until("a new one", func() bool { return r.table.Count(limit.Silent) == 1 })
+		r.onLoop(func() {
+			c := r.table.Oldest(limit.Silent).Owner
+			if !c.dismiss() { // nothing has come
+				t.Errorf("%s: not closed", name)
+			}
+			c.traffic([]byte(testpeer.Query("search", "x", time.Minute, 1)))
+			if r.stats.Taken != 0 {
+				t.Errorf("%s: a request was taken after the close", name)
+			}
+		})
+		b.Closed()
+	}
 }
 
 // A connection on which something has come that was not read yet keeps its place.
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -464,10 +464,10 @@
 	if !n.draining || now.Before(n.drainUntil) || now.Before(n.serveUntil) && n.table.Held() > 0 {
 		return false
 	}
-	n.closeIdleClients()
+	closed := n.closeIdleClients()
 	half := n.table.Count(limit.First)+n.table.Count(limit.Further) > 0
 	half = half && now.Before(n.serveUntil.Add(drainPartial))
-	return !half && n.core.Open() == 0 && n.table.Count(limit.Busy) == 0
+	return closed && !half && n.core.Open() == 0 && n.table.Count(limit.Busy) == 0
 }
 
 // apply hands news of the searchers to the core and the connections.
