--- a/cmd/eiderwinch/commands_test.go
+++ b/cmd/eiderwinch/commands_test.go
@@ -44,13 +44,16 @@
 }
 
 func TestDemoAnswersAllClasses(t *testing.T) {
-	code, out, errs := call(t, nil, "demo", "--queries", "9", "--clients", "3")
-	if code != exitOK || !strings.Contains(out, "9 of 9 answered whole") || !strings.Contains(out, "0 reservations made twice") {
-		t.Errorf("code %d\n%s%s", code, out, errs)
-	}
-	for _, class := range demoClasses {
-		if !strings.Contains(out, class+" ") {
-			t.Errorf("no %s in\n%s", class, out)
+	for _, c := range []struct{ layout, answers string }{{"sets", "whole"}, {"ring", "partial"}, {"ring", "whole"}, {"sets", "partial"}} {
+		code, out, errs := call(t, nil, "demo", "--queries", "9", "--clients", "3", "--layout", c.layout, "--answers", c.answers)
+		if code != exitOK || !strings.Contains(out, "9 of 9 answered whole") || !strings.Contains(out, "0 reservations made twice") {
+			t.Errorf("%+v: code %d\n%s%s", c, code, out, errs)
+		}
+		classes, _ := demoCommand{Answers: c.answers}.classes()
+		for _, class := range classes {
+			if !strings.Contains(out, class+" ") {
+				t.Errorf("%+v: no %s in\n%s", c, class, out)
+			}
 		}
 	}
 }
--- a/cmd/eiderwinch/demo.go
+++ b/cmd/eiderwinch/demo.go
@@ -24,6 +24,8 @@
 	Queries int    `default:"60" help:"How many queries to ask, 1 to 10000."`
 	Clients int    `default:"6" help:"How many ask at once, 1 to 200."`
 	Seed    uint64 `default:"1" help:"For the catalogue and the queries: the same seed asks the same."`
+	Layout  string `default:"sets" enum:"sets,ring" help:"Of the segments: ${enum}. Sets of searchers hold the same ones; in a ring the next searcher holds them as well."`
+	Answers string `default:"whole" enum:"whole,partial" help:"What classes there are: ${enum}. Whole: searches, reservations and reports in two steps; partial: batches, and wide reports that may be answered from half, for tenants, with keys and second copies."`
 	Verbose bool   `short:"v" help:"Show the gatherer's own log on standard error."`
 }
 
@@ -49,7 +51,7 @@
 	if d.Verbose {
 		log = slog.New(slog.NewTextHandler(e.stderr, nil))
 	}
-	l, err := startLoopback(d.Seed, log)
+	l, err := startLoopback(standin.DeploymentOptions{Seed: d.Seed, Ring: d.Layout == "ring", Partial: d.partial()}, log)
 	if err != nil {
 		return err
 	}
@@ -69,6 +71,7 @@
 type asked struct {
 	class, trace, key, statement string
 	segments                     []int
+	about, tenant                string
 
 	status int
 	full   bool
@@ -89,21 +92,36 @@
 	done []*asked
 }
 
-var demoClasses = []string{"report", "search", "reserve"}
+func (d demoCommand) partial() bool { return d.Answers == "partial" }
+
+// classes are those that it asks, and how often each of them is asked of seven times.
+func (d demoCommand) classes() (names, mix []string) {
+	if d.partial() {
+		return []string{"report", "lookup"}, []string{"report", "report", "lookup", "lookup", "lookup", "lookup", "lookup"}
+	}
+	return []string{"report", "search", "reserve"}, []string{"report", "search", "search", "search", "search", "reserve", "reserve"}
+}
 
 func newAsker(d demoCommand, addr string, segments int, out io.Writer) *asker {
 	a := &asker{demoCommand: d, addr: addr, out: out, client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: d.Clients, MaxConnsPerHost: d.Clients},
 	}}
 	rng := rand.New(rand.NewPCG(d.Seed, 2))
+	classes, mix := d.classes()
 	for i := range d.Queries {
 		// One class after the other first, so that a short demo shows all; then as branches ask.
-		class := demoClasses[i%len(demoClasses)]
-		if i >= len(demoClasses) {
-			class = []string{"report", "search", "search", "search", "search", "reserve", "reserve"}[rng.IntN(7)]
+		class := classes[i%len(classes)]
+		if i >= len(classes) {
+			class = mix[rng.IntN(len(mix))]
 		}
 		q := &asked{class: class, trace: fmt.Sprintf("demo-%d-%d", d.Seed, i)}
-		parts := map[string]int{"report": 4, "search": 3 + rng.IntN(2), "reserve": 1}[class]
+		parts := map[string]int{"report": 4, "search": 3 + rng.IntN(2), "reserve": 1, "lookup": 4}[class]
+		if d.partial() {
+			if class == "report" {
+				parts = segments * 2 / 5
+			}
+			q.about, q.tenant = fmt.Sprintf("%016x", rng.Uint64()), standin.Tenants[rng.IntN(len(standin.Tenants))]
+		}
 		first := rng.IntN(segments)
 		for j := range min(parts, segments) {
 			q.segments = append(q.segments, (first+j)%segments)
@@ -111,7 +129,7 @@
 		switch class {
 		case "report":
 			q.statement = "total"
-		case "search":
+		case "search", "lookup":
 			q.statement = "find fullest"
 		default:
 			q.statement, q.key = "reserve one", fmt.Sprintf("key-%d-%d", d.Seed, i)
@@ -172,6 +190,7 @@
 func (a *asker) post(ctx context.Context, q *asked) error {
 	got, err := ask.Do(ctx, a.client, a.addr, ask.Query{
 		Class: q.class, Trace: q.trace, Key: q.key, Expires: 4 * time.Second, Segments: q.segments, Statement: q.statement,
+		About: q.about, Tenant: q.tenant,
 	})
 	if got.Status != 0 {
 		q.took, q.status = got.Done.Sub(got.Sent), got.Status
@@ -192,7 +211,8 @@
 	table := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "class\tasked\twhole\tp50 ms\tp99 ms")
 	whole := 0
-	for _, class := range demoClasses {
+	classes, _ := a.classes()
+	for _, class := range classes {
 		times := hdrhistogram.New(1, mostMS*1000, 3) // microseconds, to three digits
 		count, full := 0, 0
 		for _, q := range a.done {
--- a/cmd/eiderwinch/load.go
+++ b/cmd/eiderwinch/load.go
@@ -23,9 +23,9 @@
 }
 
 // startLoopback starts one.
-func startLoopback(seed uint64, log *slog.Logger) (l *loopback, err error) {
+func startLoopback(o standin.DeploymentOptions, log *slog.Logger) (l *loopback, err error) {
 	l = &loopback{ended: make(chan error, 1)}
-	if l.world, err = standin.NewDeployment(standin.DeploymentOptions{Seed: seed}); err != nil {
+	if l.world, err = standin.NewDeployment(o); err != nil {
 		return nil, err
 	}
 	defer func() {
@@ -88,7 +88,7 @@
 		Addr: c.At, Rate: c.Rate, Duration: c.Duration, Segments: c.Segments, Classes: load.Usual(), Open: c.Open, Timeout: loadTimeout, Seed: c.Seed,
 	}
 	if c.At == "" {
-		l, startErr := startLoopback(c.Seed, slog.New(slog.DiscardHandler))
+		l, startErr := startLoopback(standin.DeploymentOptions{Seed: c.Seed}, slog.New(slog.DiscardHandler))
 		if startErr != nil {
 			return startErr
 		}
--- a/internal/ask/ask.go
+++ b/internal/ask/ask.go
@@ -21,6 +21,8 @@
 	Epoch        uint64        // of the layout that its client knows; 0: it does not say
 	Segments     []int
 	Statement    string
+	About        string // the key that it is about; empty: none
+	Tenant       string // whose it is; empty: nobody's
 }
 
 // Answer is what came of it. Where there is an error, it holds what was known by then.
@@ -65,6 +67,12 @@
 	if q.Key != "" {
 		r.Header.Set("Idempotency-Key", q.Key)
 	}
+	if q.About != "" {
+		r.AddCookie(&http.Cookie{Name: "user", Value: q.About})
+	}
+	if q.Tenant != "" {
+		r.Header.Set("X-Customer", q.Tenant)
+	}
 	if q.Expires > 0 {
 		r.Header.Set("X-Expires-In-Ms", strconv.FormatInt(q.Expires.Milliseconds(), 10))
 	}
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -18,6 +18,13 @@
 	Service   time.Duration
 	Seed      uint64
 
+	// Ring lays the segments out in a ring: two begin at each searcher, and the next one
+	// holds them as well. Cells and PerCell are passed over.
+	Ring bool
+	// Partial makes a service of batches, and of wide reports that may be answered from half
+	// of their segments, for tenants, with second copies: no second steps, no reservations.
+	Partial bool
+
 	// Layout and Work make a deployment whose segments change: which searchers,
 	// in order of their zones, hold what at first, and what they do with it. Where
 	// they are nil the cells say who holds what, and all hold a Stock.
@@ -40,6 +47,9 @@
 
 var zoneNames = []string{"verona", "brescia", "padova", "trento", "vicenza"}
 
+// Tenants are those of a deployment that has some, with equal shares.
+var Tenants = []string{"north", "south", "west"}
+
 // callCost is a call's work beside its parts: Dixie's price of a server.
 const callCost = 2 * time.Millisecond
 
@@ -53,6 +63,9 @@
 			*at.value = at.def
 		}
 	}
+	if o.Ring {
+		o.Cells, o.PerCell = o.Searchers, 2
+	}
 	if o.Zones > len(zoneNames) {
 		return nil, fmt.Errorf("stand-in: %d zones, at most %d", o.Zones, len(zoneNames))
 	}
@@ -153,24 +166,41 @@
 		return object{"name": name, "effect": effect, "aim": aim.Nanoseconds(), "deadline": deadline.Nanoseconds(),
 			"repeat_window": defaultWindow.Nanoseconds(), "late_worth": 0.1, "worth": worth}
 	}
+	reach, batch := 1, 4
+	if d.opts.Ring {
+		reach, batch = 2, 16
+	}
+	classes := []object{
+		class("report", "safe", 4*time.Second, 12*time.Second, 3),
+		class("search", "safe", 1500*time.Millisecond, 4*time.Second, 1),
+		class("reserve", "keyed", 1500*time.Millisecond, 5*time.Second, 2),
+	}
+	fetch, floors, partial, attempts := []int{3, 0, 0}, []float64{1, 1, 1}, []float64{0.9, 0.9, 0.9}, 4
+	var parties []object
+	if d.opts.Partial {
+		classes = []object{
+			class("report", "safe", 2*time.Second, 5*time.Second, 3),
+			class("lookup", "safe", 2*time.Second, 6*time.Second, 1),
+		}
+		fetch, floors, partial, attempts = []int{0, 0}, []float64{0.5, 1}, []float64{0.8, 0.9}, 3
+		for _, t := range Tenants {
+			parties = append(parties, object{"name": t, "share": 1 / float64(len(Tenants))})
+		}
+	}
 	return json.MarshalIndent(object{
 		"name": name, "listen": listen, "discovery": d.Discovery.Addr(), "seed": fmt.Sprintf("%016x", d.opts.Seed),
 		"limits": object{"memory_mb": 192, "sockets": 1024},
 		"known":  json.RawMessage(d.Discovery.List()),
 		"settings": object{
 			"az": zoneNames[0], "balancers": 1, "my_number": 0, "membership_mode": "pushed",
-			"tick": (5 * time.Millisecond).Nanoseconds(),
-			"classes": []object{
-				class("report", "safe", 4*time.Second, 12*time.Second, 3),
-				class("search", "safe", 1500*time.Millisecond, 4*time.Second, 1),
-				class("reserve", "keyed", 1500*time.Millisecond, 5*time.Second, 2),
-			},
+			"tick":    (5 * time.Millisecond).Nanoseconds(),
+			"classes": classes, "parties": parties, "over_share_worth": 0.05, "value_by": "work",
 			"domain": object{
-				"per_call": 4, "call_cost": callCost.Nanoseconds(), "places": d.opts.Cells, "in_a_row": 1, "shards": d.Segments(),
-				"class_fetch": []int{3, 0, 0}, "floor_by_class": []int{1, 1, 1}, "whole_at": []int{1, 1, 1},
+				"per_call": batch, "call_cost": callCost.Nanoseconds(), "places": d.opts.Cells, "in_a_row": reach, "shards": d.Segments(),
+				"class_fetch": fetch, "floor_by_class": floors, "class_partial": partial, "whole_at": []int{1, 1, 1}[:len(classes)],
 			},
 			"policy_limits": object{
-				"attempts_cap": 4, "cancel": true, "retry_after": true, "max_retry_after": time.Second.Nanoseconds(),
+				"second_copies": d.opts.Partial, "attempts_cap": attempts, "cancel": true, "retry_after": true, "max_retry_after": time.Second.Nanoseconds(),
 				"max_open": 1000, "multiplex": 32, "connect_timeout": (250 * time.Millisecond).Nanoseconds(),
 				"conn_idle": (30 * time.Second).Nanoseconds(),
 			},
