--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -83,9 +83,6 @@
 	n.life++
 	n.down = true
 	n.w.events.Stop(&n.wake)
-	for id := range n.links {
-		delete(n.links, id)
-	}
 }
 
 // restart starts it again. What it had open is answered by nobody; its clients see
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -47,7 +47,7 @@
 	Silent  int            // those closed since no request came
 	Evicted map[string]int // those closed to make room for others, by rank
 	Spared  int            // those not chosen for that, since something had come on them
-	Crossed int            // requests that came on one after its end, or were cut by it
+	Crossed int            // of Evicted: those on which something had come that was not read, or whose answer had not left
 	Unread  int            // those closed since their client did not read its answers
 
 	Dialed     int // connections opened to searchers
