Take back attempts that later ones overtook, and leave connections that fell silent

At fault: freeDead asked whether a server had answered anything since its oldest part was sent, so one lost answer hid all that hung behind it; silent() let no copy go once the server had answered anything since; the copy's twin stayed out until its whole query ended; pool.Abandon marked a connection as mute only if nothing at all had come since that attempt was sent, so one that fell silent 4 ms after an answer was used again at once (trace: s-, 3.13 s).

An attempt's wait now counts from its server's last answer, or from its sending where a later one was answered; connections are judged by how long they are silent beside usual calls.

--- a/aggregator.go
+++ b/aggregator.go
@@ -319,6 +319,7 @@
 		}
 		p.in = true
 		p.query.in += p.Weight
+		a.recall(p)
 	}
 	if p.over && p.open == 0 {
 		delete(a.parts, p.ID)
@@ -341,7 +342,7 @@
 	}
 	switch e.Status {
 	case OK:
-		s.lastOK, s.down = a.now, false
+		s.lastOK, s.newest, s.down = a.now, max(s.newest, t.sent), false
 		if t.fresh {
 			a.dead = max(a.dead-learn*learn, 0) // so it is forgotten in time
 		} else if float64(t.idle) >= a.stale {
@@ -471,11 +472,20 @@
 	return a.now-t.sent >= a.overdueAfter(t.part.query.class)
 }
 
-// silent tells that a server has answered nothing since it was sent an attempt, for long: it may be lost. One
-// that answers others is slow or crowded and will come to it; a second copy would be work on top, which a
-// cancel need not stop, just when there is too much of it.
+// silent tells that an attempt is not likely to be answered. A server that answers what it was sent before
+// is slow or crowded and will come to it; a second copy would be work on top, which a cancel need not stop,
+// just when there is too much of it.
 func (a *Aggregator) silent(t *attempt) bool {
-	return t.server.lastOK <= t.sent && a.now-t.sent >= a.patience(t.part.query.class, copyTimes)
+	return a.waited(t) >= a.patience(t.part.query.class, copyTimes)
+}
+
+// waited is for how long nothing has told that an attempt will be answered: since its server's last answer,
+// or since it was sent if that was later, or if a later one was answered, which has overtaken it.
+func (a *Aggregator) waited(t *attempt) time.Duration {
+	if t.sent < t.server.newest {
+		return a.now - t.sent
+	}
+	return a.now - max(t.sent, t.server.lastOK)
 }
 
 // judge marks the servers that hold a part for too long; they get nothing new until its outcome is in.
@@ -487,20 +497,21 @@
 	a.rest()
 }
 
-// freeDead takes back the safe work on a server that answers nothing while calls are usually far faster, if
-// another quick one can take it, its spot is not overloaded, and some calls were lost on idle connections or
-// calls are quick: from dead connections, hung servers, lost answers. It harms work that would end and feeds
-// jams, and of a large fleet all aggregators do it at once: hence late, and only where there is room.
+// freeDead takes back safe work that a server is not likely to answer while calls are usually far faster, if
+// it may be sent again, another quick server can take it, its spot is not overloaded, and some calls were
+// lost on idle connections or calls are quick: from dead connections, hung servers, lost answers. It harms
+// work that would end and feeds jams, and a large fleet does it all at once: hence late, with room only.
+// Keyed work stays: a server that stands still may do it when the repeat elsewhere is past its window.
 func (a *Aggregator) freeDead(s *server) {
-	if !s.overdue || !a.set.MayCancel || s.lastOK >= s.out[0].sent {
+	if !s.overdue || !a.set.MayCancel {
 		return
 	}
 	other := func(o *server) bool { return o != s && a.sound(o) && o.pace < deadSlow }
 	patience := deadTimes * min(max(s.pace, 1), deadSlow) // a slow one takes its time for each
 	for _, t := range s.out {
-		if c := t.part.query.class; c.Effect == Safe && !t.over && !t.recalled &&
-			c.usual > 0 && float64(a.now-t.sent) >= patience*c.usual &&
-			(a.dead >= 1 || !a.set.SecondCopies && c.easy()) &&
+		c := t.part.query.class
+		if c.Effect == Safe && !t.recalled && c.usual > 0 && float64(a.waited(t)) >= patience*c.usual &&
+			(a.dead >= 1 || c.easy()) && a.mayAgain(t.part) &&
 			a.spot(t.part.Part).share >= 1 && slices.ContainsFunc(a.holding(t.part), other) {
 			t.recalled = true
 			a.do(Cancel{t.part.ID, t.number})
@@ -549,10 +560,16 @@
 func (a *Aggregator) withdraw(q *query) {
 	a.forgetParts(q)
 	for _, p := range q.parts {
-		for _, t := range p.attempts {
-			if a.set.MayCancel && !t.over && !t.recalled {
-				a.do(Cancel{p.ID, t.number})
-			}
+		a.recall(p)
+	}
+}
+
+// recall takes back what a part has out.
+func (a *Aggregator) recall(p *part) {
+	for _, t := range p.attempts {
+		if a.set.MayCancel && !t.over && !t.recalled {
+			t.recalled = true
+			a.do(Cancel{p.ID, t.number})
 		}
 	}
 }
@@ -668,19 +685,17 @@
 
 // mayTry tells that a part may get a first try or another one now.
 func (a *Aggregator) mayTry(p *part) bool {
-	q := p.query
-	if p.in || a.late(q) {
-		return false
-	}
-	n := len(p.attempts)
-	if n == 0 {
-		return true
-	}
-	most := a.set.MaxAttempts
+	free := p.open == 0 || a.set.SecondCopies
+	return !p.in && !a.late(p.query) && (len(p.attempts) == 0 || free && a.mayAgain(p))
+}
+
+// mayAgain tells that a part may get another try by the rules, once none is out.
+func (a *Aggregator) mayAgain(p *part) bool {
+	q, most := p.query, a.set.MaxAttempts
 	if q.Attempts > 0 && (most == 0 || q.Attempts < most) {
 		most = q.Attempts
 	}
-	if most > 0 && n >= most || p.open > 0 && !a.set.SecondCopies {
+	if most > 0 && len(p.attempts) >= most {
 		return false
 	}
 	return q.class.Effect == Safe || !mayHaveRun(p) ||
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -366,6 +366,30 @@
 	}
 }
 
+// A connection may be cut off just after it has answered something else: what counts is how long it has
+// been silent with something out, beside how long calls take, and not whether it has ever answered since.
+func TestAConnectionThatFallsSilentAfterAnAnswerIsNotUsedAgain(t *testing.T) {
+	r := start(t, func(r *rig) {
+		r.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+			if e, ok := e.(eiderwinch.Query); ok {
+				return []eiderwinch.Action{eiderwinch.Send{Part: e.Parts[0].ID, Replica: "s", TimeOut: time.Minute}}
+			}
+			return nil
+		}
+	})
+	r.ask("search", "t1", time.Minute, 1)
+	r.part()
+	r.ask("search", "t2", time.Minute, 1)
+	second := r.part()
+	second.Answer("served", 1, "v")
+	r.outcome()
+	time.Sleep(100 * time.Millisecond) // many times as long as calls take
+	r.ask("search", "t3", time.Minute, 1)
+	if p := r.part(); p.Conn == second.Conn {
+		t.Error("the silent connection is used")
+	}
+}
+
 // A zone that is cut off says nothing: a call must not wait there for longer than its aim bears.
 func TestACallWaitsForAConnectionNoLongerThanItsAimBears(t *testing.T) {
 	r := start(t, func(r *rig) {
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -16,6 +16,8 @@
 
 const (
 	idleMargin = 2 * time.Second // idle connections are closed so long before the searcher does
+	muteTimes  = 8               // a connection is mute when nothing comes for so many usual times of calls
+	muteLearn  = 0.05            // weight of one call in their usual time
 	maxGhosts  = 256             // given-up parts without an answer; then a connection is not used again
 )
 
@@ -26,6 +28,7 @@
 	flights map[*gatherer.Attempt]*link // where attempts were written
 	links   int                         // all connections, those being dialed included
 	timers  due.Queue[func(now time.Time)]
+	usual   time.Duration // of calls that were answered; 0 while none was
 }
 
 // timer is one of the pool's; it does what is due.
@@ -65,7 +68,7 @@
 	heard  time.Time       // when anything came last
 	frame  timer           // set while a frame is coming: when it must have ended
 	last   string          // the id that was answered last
-	mute   bool            // it may be cut off: see Abandon
+	mute   bool            // it may be cut off: see quiet
 }
 
 // flight is an attempt that is out on a connection.
@@ -144,6 +147,9 @@
 // crosses that is a reset, which may have run.
 func (at *peer) pick(now time.Time, attempts []*gatherer.Attempt, multiplex int, idle time.Duration) *link {
 	for _, l := range at.links {
+		if len(l.out) > 0 {
+			l.quiet(now, l.out[0].sent)
+		}
 		if l.conn == nil || l.shut || l.mute || l.frame.Set() || now.Sub(l.idle) >= idle && len(l.out) == 0 || len(l.out) > 0 && len(l.out)+len(attempts) > multiplex ||
 			len(l.ghosts) >= maxGhosts || l.conn.OutboundBuffered() > 0 {
 			continue
@@ -205,26 +211,41 @@
 	}
 }
 
-// Abandon implements gatherer.Searchers. A connection that brought nothing at
-// all while the attempt was out may be cut off: TCP does not tell, and what is
-// sent there hangs until its query ends. It gets nothing new until something
-// comes on it again. The next call opens another, which a searcher that is cut
-// off does not take: then the call surely has not run, and can go elsewhere.
+// Abandon implements gatherer.Searchers.
 func (p *pool) Abandon(a *gatherer.Attempt) {
 	l := p.flights[a]
 	if l == nil {
 		return // it waits for a connection, and is dropped there
 	}
 	id := a.PartID()
-	sent := l.land(a)
-	if !l.mute && l.heard.Before(sent) && time.Since(sent) >= p.n.muteAfter {
-		l.mute = true
-		p.n.stats.Muted++
-	}
+	l.quiet(time.Now(), l.land(a))
 	l.ghosts[id] = true
 	l.write(frame.AppendCancel(nil, id))
 }
 
+// quiet marks a connection as mute on which nothing has come for far longer than calls take, though an attempt
+// has been out on it since then: it may be cut off. TCP does not tell, and what is sent there hangs until its
+// query ends. It gets nothing new until something comes on it again. The next call opens another, which a
+// searcher that is cut off does not take: then the call surely has not run, and can go elsewhere.
+func (l *link) quiet(now, sent time.Time) {
+	since := l.heard
+	if since.Before(sent) {
+		since = sent
+	}
+	if !l.mute && now.Sub(since) >= l.pool.patience() {
+		l.mute = true
+		l.pool.n.stats.Muted++
+	}
+}
+
+// patience is how long a connection may bring nothing while something is out on it.
+func (p *pool) patience() time.Duration {
+	if p.usual == 0 {
+		return p.n.muteAfter
+	}
+	return min(p.n.muteAfter, max(muteTimes*p.usual, muteTimes*p.n.cfg.Gatherer.Tick))
+}
+
 // CloseIdle implements gatherer.Searchers. It closes those that may be cut off, see
 // Abandon. The aggregator judges connections by calls that took too long at any
 // searcher; what is known here is each connection's own. Where calls are few, nearly
@@ -428,7 +449,11 @@
 		return l.unasked(f.Letter)
 	}
 	a := l.out[i].attempt
-	l.land(a)
+	if took := now.Sub(l.land(a)); l.pool.usual == 0 {
+		l.pool.usual = took
+	} else {
+		l.pool.usual += time.Duration(muteLearn * float64(took-l.pool.usual))
+	}
 	l.last = r.ID
 	switch {
 	case r.Report.Given:
--- a/state.go
+++ b/state.go
@@ -169,6 +169,7 @@
 	record float64       // 0 good to 1 bad, by its last calls
 	judged time.Duration
 	lastOK time.Duration // when it last answered
+	newest time.Duration // when the latest of those that it has answered was sent
 
 	overdue bool          // holds a part for too long
 	down    bool          // not reached at the last try
