--- a/internal/emulator/deployments_test.go
+++ b/internal/emulator/deployments_test.go
@@ -47,6 +47,7 @@
 		"focus": {Fault{Kind: Focus, At: at, For: long, Factor: 0.24}, func(r *Result) bool { return heat(r) > heat(calm)*5/4 }},
 		"swell": {Fault{Kind: Swell, At: at, For: long, First: 0, Factor: 4}, func(r *Result) bool { return asked(r) > asked(calm)*5/4 }},
 		"pause": {Fault{Kind: Pause, At: at, For: 3 * time.Second, Many: 2}, func(r *Result) bool { return r.Copies > calm.Copies }},
+		"lose":  {Fault{Kind: Lose, At: at, For: long, Factor: 0.02}, func(r *Result) bool { return r.Sent > calm.Sent }},
 		"stale": {Fault{Kind: Stale, At: at, For: long, Factor: 4}, func(r *Result) bool { return asked(r) == asked(calm) }},
 	} {
 		if r := run(t, archive(c.fault), 3); !c.holds(r) {
@@ -60,3 +61,19 @@
 		t.Errorf("have %v", err)
 	}
 }
+
+// A searcher whose answer is lost must not be kept from work until the query that waits for it ends.
+// Reservations are not sent again while one may run, so their own loss stays.
+func TestLostAnswersCostLittle(t *testing.T) {
+	lose := Fault{Kind: Lose, At: 2 * time.Second, For: 8 * time.Second, Factor: 0.01}
+	for name, s := range map[string]Scenario{
+		"archive": archive(lose),
+		"stock":   {Name: "stock", Duration: 12 * time.Second, Faults: []Fault{lose}},
+	} {
+		for _, c := range run(t, s, 1).Classes {
+			if share := c.InTimeShare(); share < 0.97 && c.Name != "reserve" {
+				t.Errorf("%s, %s: %.3f in time, 99%% within %v", name, c.Name, share, c.P99)
+			}
+		}
+	}
+}
--- a/internal/emulator/file.go
+++ b/internal/emulator/file.go
@@ -54,14 +54,14 @@
 				{Name: "keys", Kind: xmlform.Number, Default: "0", Most: 1e9, Doc: "that queries are about, each with segments of its own; 0: none"},
 			}, Children: []xmlform.Child{{Name: "fault", Most: 64}}},
 			"fault": {Doc: "something that goes wrong", Attributes: []xmlform.Attribute{
-				{Name: "kind", Kind: xmlform.Choice, Required: true, Values: []string{"crash", "pause", "slow", "drain", "cut", "flood", "restart", "kill", "focus", "swell", "stale"}, Doc: "crash, pause, slow and drain are of searchers, restart and kill of gatherers, cut of a zone, flood of a class, focus of one key, swell of a tenant, stale of load reports"},
+				{Name: "kind", Kind: xmlform.Choice, Required: true, Values: []string{"crash", "pause", "slow", "drain", "cut", "flood", "restart", "kill", "focus", "swell", "stale", "lose"}, Doc: "crash, pause, slow and drain are of searchers, restart and kill of gatherers, cut of a zone, flood of a class, focus of one key, swell of a tenant, stale of load reports, lose of answers"},
 				{Name: "at", Kind: xmlform.Span, Required: true, Doc: "from the beginning of the run on"},
 				{Name: "for", Kind: xmlform.Span, Required: true, Doc: "it lasts; of drain and restart, within which one after the other is hit"},
 				{Name: "first", Kind: xmlform.Number, Default: "0", Doc: "the number of the first that is hit; of swell, the tenant"},
 				count("many", "1", 10000, "are hit"),
 				{Name: "zone", Kind: xmlform.Number, Default: "0", Doc: "that is cut off"},
 				{Name: "class", Kind: xmlform.Text, Doc: "that is flooded"},
-				factor("factor", "1", 0.001, 1000, "of slow, flood and swell; of focus the share of queries, of stale the seconds"),
+				factor("factor", "1", 0.001, 1000, "of slow, flood and swell; of focus the share of queries, of lose that of answers, of stale the seconds"),
 			}},
 			"sweep": {Doc: "an attribute of the scenarios that takes several values", Attributes: []xmlform.Attribute{
 				{Name: "of", Kind: xmlform.Choice, Required: true, Values: []string{"load", "slots", "queue", "tries", "attempts"}, Doc: "which attribute"},
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -77,6 +77,7 @@
 	Focus   FaultKind = "focus"   // a share of Factor of all queries is about one key for For
 	Swell   FaultKind = "swell"   // the tenant First sends Factor times as much for For
 	Stale   FaultKind = "stale"   // load reports are those of Factor seconds before, for For
+	Lose    FaultKind = "lose"    // a share of Factor of searchers' answers never comes, for For
 )
 
 // Fault is one fault.
@@ -86,7 +87,7 @@
 	First, Many int     // of searchers or gatherers, by number
 	Zone        int     // of Cut
 	Class       string  // of Flood
-	Factor      float64 // of Slow and Flood
+	Factor      float64 // of Slow, Flood, Focus, Swell, Stale and Lose
 }
 
 // Usual are the classes of a stock deployment, at a load that 12 searchers bear with
@@ -200,9 +201,9 @@
 				wrong("fault %d, cut: found zone %d, want one of %d", i+1, f.Zone, s.Zones)
 			}
 		case Flood, Stale:
-		case Focus:
+		case Focus, Lose:
 			if f.Factor > 1 {
-				wrong("fault %d, focus: found a share of %v, want one up to 1", i+1, f.Factor)
+				wrong("fault %d, %s: found a share of %v, want one up to 1", i+1, f.Kind, f.Factor)
 			}
 		case Swell:
 			if f.First < 0 || f.First >= s.Tenants {
@@ -211,7 +212,7 @@
 		default:
 			wrong("fault %d: found kind %q", i+1, f.Kind)
 		}
-		if slices.Contains([]FaultKind{Slow, Flood, Focus, Swell, Stale}, f.Kind) && f.Factor <= 0 {
+		if slices.Contains([]FaultKind{Slow, Flood, Focus, Swell, Stale, Lose}, f.Kind) && f.Factor <= 0 {
 			wrong("fault %d, %s: found factor %v, want one above 0", i+1, f.Kind, f.Factor)
 		}
 		if f.At < 0 || f.For < 0 {
--- a/internal/emulator/searcher.go
+++ b/internal/emulator/searcher.go
@@ -137,6 +137,9 @@
 
 // answer sends an answer back, if its connection is still there.
 func (s *searcher) answer(f *flight, status eiderwinch.Status) {
+	if s.w.lose > 0 && s.w.rng.Float64() < s.w.lose {
+		return // it has run, and nobody hears of it
+	}
 	l := f.link
 	load := s.load()
 	s.w.after(s.w.way(s.zone, l.node.zone), func() {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -35,6 +35,7 @@
 	swell     []float64     // by tenant
 	focus     float64       // share of the queries that are about one key
 	stale     time.Duration // load reports are so old
+	lose      float64       // share of answers that is lost
 	asked     uint64
 	made      map[string]time.Time // reservations by key: when they were made first
 	result    *Result
@@ -225,6 +226,9 @@
 	case Stale:
 		w.stale = time.Duration(f.Factor * float64(time.Second))
 		w.after(f.For, func() { w.stale = 0 })
+	case Lose:
+		w.lose = f.Factor
+		w.after(f.For, func() { w.lose = 0 })
 	case Restart:
 		for i := range f.Many {
 			n := w.nodes[f.First+i]
