Take work back from servers that answer others only after eight usual times

At fault: silent() and freeDead took an attempt for lost after four or five usual times also where its server answers others: heavy parts and calls of 16 are overtaken as well, and a cancel stops no work there, so it was done twice.

Now such an attempt is given up after eight usual times, of which few calls take half; from silent servers as before, and where copies are allowed copies go first.

--- a/aggregator.go
+++ b/aggregator.go
@@ -476,7 +476,7 @@
 // is slow or crowded and will come to it; a second copy would be work on top, which a cancel need not stop,
 // just when there is too much of it.
 func (a *Aggregator) silent(t *attempt) bool {
-	return a.waited(t) >= a.patience(t.part.query.class, copyTimes)
+	return a.waited(t) >= a.patience(t.part.query.class, copyTimes) && (t.server.lastOK <= t.sent || a.far(t))
 }
 
 // waited is for how long nothing has told that an attempt will be answered: since its server's last answer,
@@ -488,6 +488,11 @@
 	return a.now - max(t.sent, t.server.lastOK)
 }
 
+// far tells that this is for so long that few calls take half as long: heavy parts are overtaken, too.
+func (a *Aggregator) far(t *attempt) bool {
+	return float64(a.waited(t)) >= overdueFar*t.part.query.class.usual
+}
+
 // judge marks the servers that hold a part for too long; they get nothing new until its outcome is in.
 func (a *Aggregator) judge() {
 	for _, s := range a.working {
@@ -508,10 +513,11 @@
 	}
 	other := func(o *server) bool { return o != s && a.sound(o) && o.pace < deadSlow }
 	patience := deadTimes * min(max(s.pace, 1), deadSlow) // a slow one takes its time for each
+	sure := !a.set.SecondCopies                           // else copies go, and a cancel may stop nothing
 	for _, t := range s.out {
-		c := t.part.query.class
+		c, silent := t.part.query.class, s.lastOK <= t.sent
 		if c.Effect == Safe && !t.recalled && c.usual > 0 && float64(a.waited(t)) >= patience*c.usual &&
-			(a.dead >= 1 || c.easy()) && a.mayAgain(t.part) &&
+			(a.dead >= 1 && silent || c.easy() && (sure && silent || a.far(t))) && a.mayAgain(t.part) &&
 			a.spot(t.part.Part).share >= 1 && slices.ContainsFunc(a.holding(t.part), other) {
 			t.recalled = true
 			a.do(Cancel{t.part.ID, t.number})
