Group packages by subsystem, and part the module's file by the steps of its turn

Need: 41 packages lay flat in internal/, and aggregator.go held all steps of a turn; nobody finds a room by looking (ARCHITECTURE). The README's table, node and docs follow; the test of the module's size reads the list of policy files.

--- a/cmd/eiderwinch/check.go
+++ b/cmd/eiderwinch/check.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"os"
 
-	"eiderwinch/internal/config"
+	"eiderwinch/internal/format/config"
 )
 
 // checkCommand checks a configuration file without serving.
--- a/cmd/eiderwinch/config.go
+++ b/cmd/eiderwinch/config.go
@@ -9,10 +9,10 @@
 	"text/tabwriter"
 	"time"
 
-	"eiderwinch/internal/bundle"
-	"eiderwinch/internal/change"
-	"eiderwinch/internal/keeper"
-	"eiderwinch/internal/settings"
+	"eiderwinch/internal/configuration/bundle"
+	"eiderwinch/internal/configuration/change"
+	"eiderwinch/internal/configuration/keeper"
+	"eiderwinch/internal/format/settings"
 )
 
 // toGatherer is how commands find a running gatherer.
--- a/cmd/eiderwinch/config_test.go
+++ b/cmd/eiderwinch/config_test.go
@@ -8,9 +8,9 @@
 	"syscall"
 	"testing"
 
-	"eiderwinch/internal/bundle"
-	"eiderwinch/internal/keeper"
-	"eiderwinch/internal/standin"
+	"eiderwinch/internal/configuration/bundle"
+	"eiderwinch/internal/configuration/keeper"
+	"eiderwinch/internal/trial/standin"
 )
 
 // kept is the built program with an operators' file, round which a stand-in
--- a/cmd/eiderwinch/configsoak.go
+++ b/cmd/eiderwinch/configsoak.go
@@ -6,7 +6,7 @@
 	"io"
 	"time"
 
-	"eiderwinch/internal/soak"
+	"eiderwinch/internal/trial/soak"
 )
 
 // configSoak changes the configuration of a loopback deployment under load.
--- a/cmd/eiderwinch/coordinate.go
+++ b/cmd/eiderwinch/coordinate.go
@@ -15,9 +15,9 @@
 	"time"
 
 	"eiderwinch/internal/admin"
-	"eiderwinch/internal/coordinator"
-	"eiderwinch/internal/reshard"
-	"eiderwinch/internal/settings"
+	"eiderwinch/internal/format/settings"
+	"eiderwinch/internal/layout/coordinator"
+	"eiderwinch/internal/layout/reshard"
 )
 
 type coordinateCommand struct {
--- a/cmd/eiderwinch/coordinate_test.go
+++ b/cmd/eiderwinch/coordinate_test.go
@@ -13,9 +13,9 @@
 
 	"eiderwinch/internal/admin"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/layoutfile"
-	"eiderwinch/internal/reshard"
-	"eiderwinch/internal/standin"
+	"eiderwinch/internal/layout/layoutfile"
+	"eiderwinch/internal/layout/reshard"
+	"eiderwinch/internal/trial/standin"
 )
 
 // moving is a deployment whose segments move: stand-in searchers, and the built
--- a/cmd/eiderwinch/demo.go
+++ b/cmd/eiderwinch/demo.go
@@ -15,8 +15,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"eiderwinch/internal/ask"
-	"eiderwinch/internal/standin"
+	"eiderwinch/internal/trial/ask"
+	"eiderwinch/internal/trial/standin"
 )
 
 // demoCommand starts stand-ins and a gatherer on loopback and asks queries.
--- a/cmd/eiderwinch/experiment.go
+++ b/cmd/eiderwinch/experiment.go
@@ -12,8 +12,8 @@
 	"github.com/schollz/progressbar/v3"
 
 	"eiderwinch/internal/admin"
-	"eiderwinch/internal/emulator"
-	"eiderwinch/internal/experiment"
+	"eiderwinch/internal/trial/emulator"
+	"eiderwinch/internal/trial/experiment"
 )
 
 // experimentCommands play deployments in virtual time.
--- a/cmd/eiderwinch/keep.go
+++ b/cmd/eiderwinch/keep.go
@@ -11,15 +11,15 @@
 	"slices"
 	"time"
 
-	"eiderwinch/internal/bundle"
-	"eiderwinch/internal/change"
-	"eiderwinch/internal/config"
+	"eiderwinch/internal/configuration/bundle"
+	"eiderwinch/internal/configuration/change"
+	"eiderwinch/internal/configuration/history"
+	"eiderwinch/internal/configuration/keeper"
+	"eiderwinch/internal/configuration/signature"
 	"eiderwinch/internal/daemon"
-	"eiderwinch/internal/history"
-	"eiderwinch/internal/keeper"
+	"eiderwinch/internal/format/config"
+	"eiderwinch/internal/format/settings"
 	"eiderwinch/internal/netio"
-	"eiderwinch/internal/settings"
-	"eiderwinch/internal/signature"
 )
 
 // files are the files of a gatherer's configuration.
--- a/cmd/eiderwinch/layout.go
+++ b/cmd/eiderwinch/layout.go
@@ -13,8 +13,8 @@
 
 	"eiderwinch/internal/admin"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/layoutfile"
-	"eiderwinch/internal/reshard"
+	"eiderwinch/internal/layout/layoutfile"
+	"eiderwinch/internal/layout/reshard"
 )
 
 // layoutCommands look into layouts.
--- a/cmd/eiderwinch/layout_test.go
+++ b/cmd/eiderwinch/layout_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"eiderwinch/internal/testpeer"
+	"eiderwinch/internal/trial/testpeer"
 )
 
 const layoutText = `<layout xmlns="urn:eiderwinch:layout:1" epoch="1" next="2" replicas="2">
--- a/cmd/eiderwinch/load.go
+++ b/cmd/eiderwinch/load.go
@@ -7,12 +7,12 @@
 	"text/tabwriter"
 	"time"
 
-	"eiderwinch/internal/config"
 	"eiderwinch/internal/daemon"
-	"eiderwinch/internal/load"
+	"eiderwinch/internal/format/config"
 	"eiderwinch/internal/netio"
-	"eiderwinch/internal/standin"
 	"eiderwinch/internal/stats"
+	"eiderwinch/internal/trial/load"
+	"eiderwinch/internal/trial/standin"
 )
 
 // loopback is a stand-in deployment with a gatherer.
--- a/cmd/eiderwinch/main_test.go
+++ b/cmd/eiderwinch/main_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"eiderwinch/internal/testpeer"
+	"eiderwinch/internal/trial/testpeer"
 )
 
 // program is the built program, running.
--- a/cmd/eiderwinch/ops.go
+++ b/cmd/eiderwinch/ops.go
@@ -9,12 +9,12 @@
 	"path/filepath"
 
 	"eiderwinch/internal/admin"
-	"eiderwinch/internal/config"
-	"eiderwinch/internal/emulator"
-	"eiderwinch/internal/layoutfile"
-	"eiderwinch/internal/settings"
-	"eiderwinch/internal/signature"
-	"eiderwinch/internal/xmlform"
+	"eiderwinch/internal/configuration/signature"
+	"eiderwinch/internal/format/config"
+	"eiderwinch/internal/format/settings"
+	"eiderwinch/internal/format/xmlform"
+	"eiderwinch/internal/layout/layoutfile"
+	"eiderwinch/internal/trial/emulator"
 )
 
 // readForm reads a file of one of the forms; what is wrong with it is the caller's fault.
--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"eiderwinch/internal/admin"
-	"eiderwinch/internal/config"
 	"eiderwinch/internal/daemon"
+	"eiderwinch/internal/format/config"
 	"eiderwinch/internal/netio"
 	"eiderwinch/internal/stats"
 )
--- a/cmd/eiderwinch/soak.go
+++ b/cmd/eiderwinch/soak.go
@@ -8,7 +8,7 @@
 	"text/tabwriter"
 	"time"
 
-	"eiderwinch/internal/soak"
+	"eiderwinch/internal/trial/soak"
 )
 
 // layoutSoak changes the layout of a loopback deployment under load.
--- a/cmd/eiderwinch/socket.go
+++ b/cmd/eiderwinch/socket.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"eiderwinch/internal/admin"
-	"eiderwinch/internal/settings"
+	"eiderwinch/internal/format/settings"
 )
 
 // socket is how commands find the admin socket of a running program.
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -8,7 +8,7 @@
 	"os"
 
 	"eiderwinch"
-	"eiderwinch/internal/wire"
+	"eiderwinch/internal/format/wire"
 )
 
 func main() {
--- a/internal/admin/change.go
+++ b/internal/admin/change.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 
-	"eiderwinch/internal/custody"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/reshard"
+	"eiderwinch/internal/layout/custody"
+	"eiderwinch/internal/layout/reshard"
 )
 
 // Change is a change of the layout, as `layout plan --json` proposes and `layout
--- a/internal/admin/gatherer.go
+++ b/internal/admin/gatherer.go
@@ -11,7 +11,7 @@
 	"strconv"
 
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/layoutfile"
+	"eiderwinch/internal/layout/layoutfile"
 	"eiderwinch/internal/netio"
 	"eiderwinch/internal/service"
 )
--- a/internal/bundle/bundle.go
+++ b/internal/configuration/bundle/bundle.go
@@ -12,11 +12,11 @@
 
 	"github.com/zeebo/blake3"
 
-	"eiderwinch/internal/change"
-	"eiderwinch/internal/config"
+	"eiderwinch/internal/configuration/change"
+	"eiderwinch/internal/format/config"
+	"eiderwinch/internal/format/settings"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/layoutfile"
-	"eiderwinch/internal/settings"
+	"eiderwinch/internal/layout/layoutfile"
 )
 
 // Bundle is the texts.
--- a/internal/history/history.go
+++ b/internal/configuration/history/history.go
@@ -26,9 +26,9 @@
 	"github.com/klauspost/compress/zstd"
 	"go.etcd.io/bbolt"
 
-	"eiderwinch/internal/bundle"
-	"eiderwinch/internal/change"
-	"eiderwinch/internal/sealed"
+	"eiderwinch/internal/configuration/bundle"
+	"eiderwinch/internal/configuration/change"
+	"eiderwinch/internal/format/sealed"
 )
 
 const (
--- a/internal/history/history_test.go
+++ b/internal/configuration/history/history_test.go
@@ -11,9 +11,9 @@
 
 	"go.etcd.io/bbolt"
 
-	"eiderwinch/internal/bundle"
-	"eiderwinch/internal/change"
-	"eiderwinch/internal/sealed"
+	"eiderwinch/internal/configuration/bundle"
+	"eiderwinch/internal/configuration/change"
+	"eiderwinch/internal/format/sealed"
 )
 
 func text(i int) bundle.Bundle {
--- a/internal/keeper/dryrun.go
+++ b/internal/configuration/keeper/dryrun.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"eiderwinch/internal/bundle"
+	"eiderwinch/internal/configuration/bundle"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/netio"
 )
--- a/internal/keeper/keeper.go
+++ b/internal/configuration/keeper/keeper.go
@@ -14,9 +14,9 @@
 	"log/slog"
 	"time"
 
-	"eiderwinch/internal/bundle"
-	"eiderwinch/internal/change"
-	"eiderwinch/internal/guard"
+	"eiderwinch/internal/configuration/bundle"
+	"eiderwinch/internal/configuration/change"
+	"eiderwinch/internal/configuration/guard"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/netio"
 )
--- a/internal/keeper/keeper_test.go
+++ b/internal/configuration/keeper/keeper_test.go
@@ -16,10 +16,10 @@
 	"testing"
 	"time"
 
-	"eiderwinch/internal/bundle"
-	"eiderwinch/internal/change"
+	"eiderwinch/internal/configuration/bundle"
+	"eiderwinch/internal/configuration/change"
+	"eiderwinch/internal/configuration/history"
 	"eiderwinch/internal/daemon"
-	"eiderwinch/internal/history"
 	"eiderwinch/internal/netio"
 	"eiderwinch/internal/service"
 )
--- a/internal/keeper/requests.go
+++ b/internal/configuration/keeper/requests.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
-	"eiderwinch/internal/bundle"
-	"eiderwinch/internal/change"
+	"eiderwinch/internal/configuration/bundle"
+	"eiderwinch/internal/configuration/change"
 )
 
 // Staged is what became of a configuration that was staged.
--- a/internal/keeper/serve.go
+++ b/internal/configuration/keeper/serve.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"eiderwinch/internal/admin"
-	"eiderwinch/internal/bundle"
-	"eiderwinch/internal/change"
+	"eiderwinch/internal/configuration/bundle"
+	"eiderwinch/internal/configuration/change"
 )
 
 // Proposal asks for a configuration to be staged. Parts that are empty stay as
--- a/internal/signature/signature.go
+++ b/internal/configuration/signature/signature.go
@@ -19,7 +19,7 @@
 
 	"github.com/zeebo/blake3"
 
-	"eiderwinch/internal/xmlform"
+	"eiderwinch/internal/format/xmlform"
 )
 
 // Namespace names the form of key files.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"eiderwinch"
-	"eiderwinch/internal/bundle"
-	"eiderwinch/internal/change"
-	"eiderwinch/internal/config"
+	"eiderwinch/internal/configuration/bundle"
+	"eiderwinch/internal/configuration/change"
+	"eiderwinch/internal/format/config"
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/netio"
--- a/internal/config/config.go
+++ b/internal/format/config/config.go
@@ -12,7 +12,7 @@
 	"reflect"
 	"strconv"
 
-	"eiderwinch/internal/catalog"
+	"eiderwinch/internal/format/catalog"
 )
 
 // Config is all that a gatherer is told at its start.
--- a/internal/settings/settings.go
+++ b/internal/format/settings/settings.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"eiderwinch"
-	"eiderwinch/internal/config"
-	"eiderwinch/internal/guard"
-	"eiderwinch/internal/reshard"
-	"eiderwinch/internal/xmlform"
+	"eiderwinch/internal/configuration/guard"
+	"eiderwinch/internal/format/config"
+	"eiderwinch/internal/format/xmlform"
+	"eiderwinch/internal/layout/reshard"
 )
 
 // Namespace names the form of these files.
--- a/internal/settings/settings_test.go
+++ b/internal/format/settings/settings_test.go
@@ -57,7 +57,7 @@
 
 // The file under deploy/ names nothing: all is off on the platform.
 func TestTheFilesUnderDeploy(t *testing.T) {
-	text, err := os.ReadFile("../../deploy/eiderwinch.xml")
+	text, err := os.ReadFile("../../../deploy/eiderwinch.xml")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,7 +68,7 @@
 	if err := form.Check(); err != nil {
 		t.Error(err)
 	}
-	schema, err := os.ReadFile("../../deploy/eiderwinch.xsd")
+	schema, err := os.ReadFile("../../../deploy/eiderwinch.xsd")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/wire/wire.go
+++ b/internal/format/wire/wire.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"eiderwinch"
-	"eiderwinch/internal/config"
+	"eiderwinch/internal/format/config"
 )
 
 // Batch is one batch of the simulator: the clock and, in order, the news of
--- a/internal/coordinator/coordinator.go
+++ b/internal/layout/coordinator/coordinator.go
@@ -17,11 +17,11 @@
 	"time"
 
 	"eiderwinch/internal/admin"
-	"eiderwinch/internal/custody"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/layoutfile"
-	"eiderwinch/internal/migrate"
-	"eiderwinch/internal/reshard"
+	"eiderwinch/internal/layout/custody"
+	"eiderwinch/internal/layout/layoutfile"
+	"eiderwinch/internal/layout/migrate"
+	"eiderwinch/internal/layout/reshard"
 	"eiderwinch/internal/service"
 )
 
--- a/internal/coordinator/serve.go
+++ b/internal/layout/coordinator/serve.go
@@ -10,8 +10,8 @@
 
 	"eiderwinch/internal/admin"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/migrate"
-	"eiderwinch/internal/reshard"
+	"eiderwinch/internal/layout/migrate"
+	"eiderwinch/internal/layout/reshard"
 )
 
 // Handler answers on the coordinator's admin socket.
--- a/internal/custody/custody.go
+++ b/internal/layout/custody/custody.go
@@ -21,7 +21,7 @@
 	"time"
 
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/reshard"
+	"eiderwinch/internal/layout/reshard"
 )
 
 // Order is all that is wanted of a searcher. Drops come before Fills.
--- a/internal/custody/custody_test.go
+++ b/internal/layout/custody/custody_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/reshard"
-	"eiderwinch/internal/steady"
+	"eiderwinch/internal/layout/reshard"
+	"eiderwinch/internal/trial/steady"
 )
 
 func TestMain(m *testing.M) { steady.Main(m) }
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"eiderwinch/internal/steady"
+	"eiderwinch/internal/trial/steady"
 )
 
 func TestMain(m *testing.M) { steady.Main(m) }
--- a/internal/layoutfile/layoutfile_test.go
+++ b/internal/layout/layoutfile/layoutfile_test.go
@@ -11,9 +11,9 @@
 
 	"pgregory.net/rapid"
 
+	"eiderwinch/internal/format/xmlform"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/steady"
-	"eiderwinch/internal/xmlform"
+	"eiderwinch/internal/trial/steady"
 )
 
 func TestMain(m *testing.M) { steady.Main(m) }
@@ -105,7 +105,7 @@
 	if err := form.Check(); err != nil {
 		t.Error(err)
 	}
-	text, err := os.ReadFile("../../deploy/layout.xsd")
+	text, err := os.ReadFile("../../../deploy/layout.xsd")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/layoutfile/read.go
+++ b/internal/layout/layoutfile/read.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"io"
 
+	"eiderwinch/internal/format/xmlform"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/xmlform"
 )
 
 // Namespace names the form of these files.
--- a/internal/migrate/driver.go
+++ b/internal/layout/migrate/driver.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/reshard"
-	"eiderwinch/internal/reshardlog"
+	"eiderwinch/internal/layout/reshard"
+	"eiderwinch/internal/layout/reshardlog"
 )
 
 // Peers carries out effects at the gatherers and searchers. Its methods must not
--- a/internal/migrate/driver_test.go
+++ b/internal/layout/migrate/driver_test.go
@@ -11,8 +11,8 @@
 	"go.etcd.io/bbolt"
 
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/reshard"
-	"eiderwinch/internal/reshardlog"
+	"eiderwinch/internal/layout/reshard"
+	"eiderwinch/internal/layout/reshardlog"
 )
 
 // peers book what they are told, and answer as a searcher would that copies at once.
--- a/internal/reshard/reshard_test.go
+++ b/internal/layout/reshard/reshard_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/steady"
+	"eiderwinch/internal/trial/steady"
 )
 
 func TestMain(m *testing.M) { steady.Main(m) }
--- a/internal/reshardlog/log.go
+++ b/internal/layout/reshardlog/log.go
@@ -3,7 +3,7 @@
 // and on disk when Append returns.
 //
 // Form, version 1. Bucket "meta" holds "version" (one byte, 1), "base" (the
-// layout and fleet that the records begin at, as internal/layoutfile writes
+// layout and fleet that the records begin at, as internal/layout/layoutfile writes
 // them) and "at" (two numbers of 8 bytes, most significant first: the number of
 // the last record before the base, and of the last job given out) "term" (8
 // bytes: how often the log was opened) and "id" (8 random bytes). Bucket
@@ -25,10 +25,10 @@
 
 	"go.etcd.io/bbolt"
 
+	"eiderwinch/internal/format/sealed"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/layoutfile"
-	"eiderwinch/internal/reshard"
-	"eiderwinch/internal/sealed"
+	"eiderwinch/internal/layout/layoutfile"
+	"eiderwinch/internal/layout/reshard"
 )
 
 const (
--- a/internal/reshardlog/log_test.go
+++ b/internal/layout/reshardlog/log_test.go
@@ -12,7 +12,7 @@
 	"go.etcd.io/bbolt"
 
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/reshard"
+	"eiderwinch/internal/layout/reshard"
 )
 
 var fleet = layout.Fleet{Replicas: 1, Zones: map[string]string{"a": "x", "b": "x", "c": "x"}}
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -11,8 +11,8 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"eiderwinch/internal/format/http1"
 	"eiderwinch/internal/gatherer"
-	"eiderwinch/internal/http1"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/limit"
 )
--- a/internal/netio/crowd_test.go
+++ b/internal/netio/crowd_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"eiderwinch/internal/limit"
-	"eiderwinch/internal/testpeer"
+	"eiderwinch/internal/trial/testpeer"
 )
 
 const health = "GET /_health HTTP/1.1\r\n\r\n"
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -13,11 +13,11 @@
 	"time"
 
 	"eiderwinch"
-	"eiderwinch/internal/catalog"
+	"eiderwinch/internal/format/catalog"
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/limit"
 	"eiderwinch/internal/stats"
-	"eiderwinch/internal/testpeer"
+	"eiderwinch/internal/trial/testpeer"
 )
 
 // rig is a node on loopback sockets between a searcher, discovery and clients. The searcher "s" is known from the start.
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -16,7 +16,7 @@
 	gneterrors "github.com/panjf2000/gnet/v2/pkg/errors"
 
 	"eiderwinch"
-	"eiderwinch/internal/catalog"
+	"eiderwinch/internal/format/catalog"
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/limit"
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -10,7 +10,7 @@
 
 	"eiderwinch"
 	"eiderwinch/internal/due"
-	"eiderwinch/internal/frame"
+	"eiderwinch/internal/format/frame"
 	"eiderwinch/internal/gatherer"
 )
 
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -10,8 +10,8 @@
 
 	"eiderwinch"
 	"eiderwinch/internal/backoff"
-	"eiderwinch/internal/catalog"
-	"eiderwinch/internal/http1"
+	"eiderwinch/internal/format/catalog"
+	"eiderwinch/internal/format/http1"
 )
 
 const (
--- a/internal/emulator/file.go
+++ b/internal/trial/emulator/file.go
@@ -4,7 +4,7 @@
 	"io"
 	"slices"
 
-	"eiderwinch/internal/xmlform"
+	"eiderwinch/internal/format/xmlform"
 )
 
 // Namespace names the form of scenario files.
--- a/internal/experiment/experiment.go
+++ b/internal/trial/experiment/experiment.go
@@ -16,7 +16,7 @@
 	"strconv"
 	"sync"
 
-	"eiderwinch/internal/emulator"
+	"eiderwinch/internal/trial/emulator"
 )
 
 // Row is how one class fared in one run.
--- a/internal/experiment/experiment_test.go
+++ b/internal/trial/experiment/experiment_test.go
@@ -11,7 +11,7 @@
 	"strings"
 	"testing"
 
-	"eiderwinch/internal/emulator"
+	"eiderwinch/internal/trial/emulator"
 )
 
 const text = `<experiment xmlns="urn:eiderwinch:scenario:1" seeds="2">
@@ -101,7 +101,7 @@
 			t.Errorf("%s: have %v, want %s", to, err, want)
 		}
 	}
-	schema, err := os.ReadFile("../../deploy/scenario.xsd")
+	schema, err := os.ReadFile("../../../deploy/scenario.xsd")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -109,7 +109,7 @@
 	if err := errors.Join(emulator.Form().Check(), emulator.Form().Schema(&b)); err != nil || b.String() != string(schema) {
 		t.Errorf("deploy/scenario.xsd is not what the form says: %v", err)
 	}
-	files, _ := filepath.Glob("../../experiments/*.xml")
+	files, _ := filepath.Glob("../../../experiments/*.xml")
 	for _, path := range files {
 		f, err := os.Open(path)
 		if err != nil {
--- a/internal/load/load.go
+++ b/internal/trial/load/load.go
@@ -15,7 +15,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"eiderwinch/internal/ask"
+	"eiderwinch/internal/trial/ask"
 )
 
 // Class is one class of queries.
--- a/internal/soak/audit.go
+++ b/internal/trial/soak/audit.go
@@ -10,8 +10,8 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"eiderwinch/internal/ask"
 	"eiderwinch/internal/layout"
+	"eiderwinch/internal/trial/ask"
 )
 
 // audit judges answers by what must be true of them, whatever the gatherers
--- a/internal/soak/config.go
+++ b/internal/trial/soak/config.go
@@ -19,16 +19,16 @@
 	"time"
 
 	"eiderwinch/internal/admin"
-	"eiderwinch/internal/bundle"
-	"eiderwinch/internal/change"
+	"eiderwinch/internal/configuration/bundle"
+	"eiderwinch/internal/configuration/change"
+	"eiderwinch/internal/configuration/history"
+	"eiderwinch/internal/configuration/keeper"
 	"eiderwinch/internal/daemon"
-	"eiderwinch/internal/history"
-	"eiderwinch/internal/keeper"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/layoutfile"
+	"eiderwinch/internal/layout/layoutfile"
 	"eiderwinch/internal/netio"
-	"eiderwinch/internal/standin"
 	"eiderwinch/internal/stats"
+	"eiderwinch/internal/trial/standin"
 )
 
 // ConfigOptions is how the configuration of a gatherer is changed under load.
--- a/internal/soak/soak.go
+++ b/internal/trial/soak/soak.go
@@ -23,15 +23,15 @@
 	"github.com/anishathalye/porcupine"
 
 	"eiderwinch/internal/admin"
-	"eiderwinch/internal/ask"
-	"eiderwinch/internal/config"
-	"eiderwinch/internal/coordinator"
 	"eiderwinch/internal/daemon"
+	"eiderwinch/internal/format/config"
 	"eiderwinch/internal/layout"
+	"eiderwinch/internal/layout/coordinator"
+	"eiderwinch/internal/layout/reshard"
 	"eiderwinch/internal/netio"
-	"eiderwinch/internal/reshard"
-	"eiderwinch/internal/standin"
 	"eiderwinch/internal/stats"
+	"eiderwinch/internal/trial/ask"
+	"eiderwinch/internal/trial/standin"
 )
 
 // Options is what is run.
--- a/internal/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"eiderwinch/internal/ask"
 	"eiderwinch/internal/layout"
+	"eiderwinch/internal/trial/ask"
 )
 
 // TestChangesUnderLoad is the short form of `eiderwinch layout soak`.
--- a/internal/testpeer/testpeer.go
+++ b/internal/trial/testpeer/testpeer.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"eiderwinch/internal/standin"
+	"eiderwinch/internal/trial/standin"
 )
 
 // Patience is how long a test waits for what must come; only a failing test uses it up.
--- a/state.go
+++ b/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"sort"
 	"time"
@@ -435,3 +436,16 @@
 		a.forgetHolders()
 	}
 }
+
+// hash orders servers alike at all aggregators, and otherwise by chance.
+func hash(key, id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(key + "\x00" + id))
+	return h.Sum64()
+}
+
+// forgettable tells that a server is gone for good: nothing is out there, and no drain to be kept.
+func forgettable(s *server) bool { return !s.listed && len(s.out) == 0 && s.State != Draining }
+
+// easy tells that calls for a class take well under its aim: what is late then is not for load.
+func (c *class) easy() bool { return c.usual > 0 && c.usual < float64(c.Aim)/targetShare }
