Give one name to a server that has answered nothing since, and mend stale pointers

Read again: silent() and freeDead each spelt out that a server has answered nothing since an attempt was sent, the latter under the name of the former; both ask attempt.unheard now, and freeDead's two reasons stand side by side. class.easy is back beside its type, CloseIdle and muteAfter point to where connections are judged now.

--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -106,7 +106,7 @@
 
 	flushing map[*client]time.Time // ending ones whose answer has not left, and until when it may
 
-	muteAfter  time.Duration // see pool.Abandon
+	muteAfter  time.Duration // see pool.patience
 	acceptFor  time.Duration // how long new connections may come once it drains
 	serveFor   time.Duration // how long kept ones are served then
 	draining   bool
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -247,7 +247,7 @@
 }
 
 // CloseIdle implements gatherer.Searchers. It closes those that may be cut off, see
-// Abandon. The aggregator judges connections by calls that took too long at any
+// quiet. The aggregator judges connections by calls that took too long at any
 // searcher; what is known here is each connection's own. Where calls are few, nearly
 // all come on an idle one: to open that again before each costs a large fleet's
 // searchers a handshake for every call.
--- a/judge.go
+++ b/judge.go
@@ -59,9 +59,9 @@
 
 // silent tells that an attempt is not likely to be answered. A server that answers what it was sent before
 // is slow or crowded and will come to it; a second copy would be work on top, which a cancel need not stop,
-// just when there is too much of it.
+// just when there is too much of it: hence far later.
 func (a *Aggregator) silent(t *attempt) bool {
-	return a.waited(t) >= a.patience(t.part.query.class, copyTimes) && (t.server.lastOK <= t.sent || a.far(t))
+	return a.waited(t) >= a.patience(t.part.query.class, copyTimes) && (t.unheard() || a.far(t))
 }
 
 // waited is for how long nothing has told that an attempt will be answered: since its server's last answer,
@@ -98,12 +98,13 @@
 	}
 	other := func(o *server) bool { return o != s && a.sound(o) && o.pace < deadSlow }
 	patience := deadTimes * min(max(s.pace, 1), deadSlow) // a slow one takes its time for each
-	sure := !a.set.SecondCopies                           // else copies go, and a cancel may stop nothing
+	alone := !a.set.SecondCopies                          // else copies go, and a cancel may stop nothing
 	for _, t := range s.out {
-		c, silent := t.part.query.class, s.lastOK <= t.sent
+		c := t.part.query.class
 		if c.Effect == Safe && !t.recalled && c.usual > 0 && float64(a.waited(t)) >= patience*c.usual &&
-			(a.dead >= 1 && silent || c.easy() && (sure && silent || a.far(t))) && a.mayAgain(t.part) &&
-			a.spot(t.part.Part).share >= 1 && slices.ContainsFunc(a.holding(t.part), other) {
+			(t.unheard() && (a.dead >= 1 || alone && c.easy()) || a.far(t) && c.easy()) &&
+			a.mayAgain(t.part) && a.spot(t.part.Part).share >= 1 &&
+			slices.ContainsFunc(a.holding(t.part), other) {
 			t.recalled = true
 			a.do(Cancel{t.part.ID, t.number})
 		}
--- a/plan.go
+++ b/plan.go
@@ -1,8 +1,6 @@
 package eiderwinch
 
-import (
-	"time"
-)
+import "time"
 
 // Giving the parts to the fewest servers that can take them, one call each.
 
--- a/state.go
+++ b/state.go
@@ -247,6 +247,9 @@
 	recalled bool // cancelled, though its part may still be wanted
 }
 
+// unheard tells that its server has answered nothing since it was sent.
+func (t *attempt) unheard() bool { return t.server.lastOK <= t.sent }
+
 type part struct {
 	Part
 	query    *query
@@ -325,6 +328,9 @@
 	whole float64       // usual time of a query in ns, from its first call on
 }
 
+// easy tells that calls for a class take well under its aim: what is late then is not for load.
+func (c *class) easy() bool { return c.usual > 0 && c.usual < float64(c.Aim)/targetShare }
+
 // release takes an attempt off its server's books.
 func (a *Aggregator) release(t *attempt) {
 	s := t.server
@@ -446,6 +452,3 @@
 
 // forgettable tells that a server is gone for good: nothing is out there, and no drain to be kept.
 func forgettable(s *server) bool { return !s.listed && len(s.out) == 0 && s.State != Draining }
-
-// easy tells that calls for a class take well under its aim: what is late then is not for load.
-func (c *class) easy() bool { return c.usual > 0 && c.usual < float64(c.Aim)/targetShare }
