Tell the module the tick that there is, and check settings with found and wanted

Cause: settings without a tick gave the core its default of 5 ms and the module 0. The module then asks to be woken at once in every turn, and an aim under a tick is not seen to be over.

Settings that can't be (negative spans and counts, shares beyond 1, a class twice) are refused with key, found and wanted; before, a class twice meant the last of them and shares were taken as they came.

--- a/internal/format/config/config_test.go
+++ b/internal/format/config/config_test.go
@@ -46,7 +46,7 @@
 	if c.Settings.Limits != want {
 		t.Errorf("limits %+v", c.Settings.Limits)
 	}
-	if m := c.Settings.Module; m.Seed != 0x8c1f30d27a5be964 || m.Shards != 2 || m.Classes[0].Fetch != 3 || m.Classes[0].Need != 1 {
+	if m := c.Settings.Module; m.Tick != want.Tick || m.Seed != 0x8c1f30d27a5be964 || m.Shards != 2 || m.Classes[0].Fetch != 3 || m.Classes[0].Need != 1 {
 		t.Errorf("module %+v", m)
 	}
 }
@@ -61,7 +61,7 @@
 	}
 	want := Limits{Tick: defaultTick, Multiplex: defaultMultiplex, ConnectTimeout: defaultConnectTimeout,
 		ConnIdle: defaultConnIdle, DrainGrace: defaultDrainGrace, AnswerSlack: defaultAnswerSlack}
-	if c.Settings.Limits != want || c.Memory != defaultMemoryMB<<20 || c.Sockets != defaultSockets {
+	if c.Settings.Limits != want || c.Settings.Module.Tick != defaultTick || c.Memory != defaultMemoryMB<<20 || c.Sockets != defaultSockets {
 		t.Errorf("have %+v", c)
 	}
 }
@@ -128,6 +128,13 @@
 		{`"name":"a"`, `"name":""`, "classes[0].name"},
 		{`"keyed"`, `"odd"`, "classes[0].effect"},
 		{`"aim":1`, `"aim":0`, "classes[0]"},
+		{`"aim":1`, `"repeat_window":-1,"aim":1`, `classes[0].repeat_window: found -1 for class "a", want 0 or more`},
+		{`"effect":"keyed"}`, `"effect":"keyed"},{"name":"a","aim":1,"deadline":2,"effect":"safe"}`, `classes[1].name: found "a" twice, want each class once`},
+		{`"class_fetch":[3]`, `"class_fetch":[0,-3]`, "domain.class_fetch[1]: found -3, want 0 or more"},
+		{`"class_fetch":[3]`, `"whole_at":[1.5]`, "domain.whole_at[0]: found 1.5, want a share from 0 to 1"},
+		{`"class_fetch":[3]`, `"floor_by_class":[-0.1]`, "domain.floor_by_class[0]: found -0.1, want a share from 0 to 1"},
+		{`"drain_grace":400000000`, `"cold":-1`, "rules.cold is negative: found -1, want 0 or more"},
+		{`"tick":5000000`, `"balancers":-3`, "balancers is negative: found -3, want 0 or more"},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
 		if _, err := parse([]byte(text), env(), false); err == nil || !strings.Contains(err.Error(), c.want) {
--- a/internal/format/config/settings.go
+++ b/internal/format/config/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
@@ -128,15 +127,17 @@
 	if err := e.check(); err != nil {
 		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
-	return Settings{Module: e.module(), Limits: e.limits()}, nil
+	s := Settings{Module: e.module(), Limits: e.limits()}
+	s.Module.Tick = s.Limits.Tick // the module goes by the ticks that there are
+	return s, nil
 }
 
 func (e *settings) check() error {
 	switch {
 	case e.Domain.Cells < 1 || e.Domain.Reach < 1 || e.Domain.Shards < 1:
-		return errors.New("domain.shards, domain.places and domain.in_a_row must be above 0")
+		return fmt.Errorf("domain.shards, domain.places and domain.in_a_row must be above 0, found %d, %d and %d", e.Domain.Shards, e.Domain.Cells, e.Domain.Reach)
 	case e.ListMode != "on_request" && e.ListMode != "pushed":
-		return fmt.Errorf("unknown membership_mode %q", e.ListMode)
+		return fmt.Errorf("unknown membership_mode %q, want on_request or pushed", e.ListMode)
 	case e.ValueBy != "" && e.ValueBy != byWork && e.ValueBy != "request":
 		return fmt.Errorf("value_by: found %q, want work or request", e.ValueBy)
 	}
@@ -153,21 +154,49 @@
 		{"policy_limits.attempts_cap", int64(e.Limits.Attempts)},
 		{"rules.drain_grace", e.Rules.DrainGrace},
 		{"rules.answer_slack", e.Rules.AnswerSlack},
+		{"rules.ask_within", e.Rules.AskWithin},
+		{"rules.counted_over", e.Rules.BudgetWindow},
+		{"rules.cold", e.Rules.ColdFor},
+		{"rules.overload_for", e.Rules.Overload},
+		{"domain.call_cost", e.Domain.CallCost},
+		{"policy_limits.max_retry_after", e.Limits.MaxRetry},
+		{"balancers", int64(e.Brokers)},
+		{"my_number", int64(e.Number)},
 	} {
 		if at.value < 0 {
-			return fmt.Errorf("%s is negative", at.key)
+			return fmt.Errorf("%s is negative: found %d, want 0 or more", at.key, at.value)
 		}
 	}
+	for key, shares := range map[string][]float64{
+		"domain.whole_at": e.Domain.Need, "domain.floor_by_class": e.Domain.Floor, "domain.class_partial": e.Domain.Partial,
+	} {
+		for i, share := range shares {
+			if !(share >= 0 && share <= 1) {
+				return fmt.Errorf("%s[%d]: found %v, want a share from 0 to 1", key, i, share)
+			}
+		}
+	}
+	for i, n := range e.Domain.Fetch {
+		if n < 0 {
+			return fmt.Errorf("domain.class_fetch[%d]: found %d, want 0 or more", i, n)
+		}
+	}
+	names := make(map[string]bool)
 	for i, c := range e.Classes {
 		_, ok := effects[c.Effect]
 		switch {
 		case c.Name == "":
 			return fmt.Errorf("classes[%d].name is missing", i)
+		case names[c.Name]:
+			return fmt.Errorf("classes[%d].name: found %q twice, want each class once", i, c.Name)
+		case c.Window < 0:
+			return fmt.Errorf("classes[%d].repeat_window: found %d for class %q, want 0 or more", i, c.Window, c.Name)
 		case !ok:
-			return fmt.Errorf("classes[%d].effect: class %q has unknown effect %q", i, c.Name, c.Effect)
+			return fmt.Errorf("classes[%d].effect: class %q has unknown effect %q, want safe, keyed or unsafe", i, c.Name, c.Effect)
 		case c.Aim <= 0 || c.Deadline <= 0:
-			return fmt.Errorf("classes[%d]: class %q needs an aim and a deadline above 0", i, c.Name)
+			return fmt.Errorf("classes[%d]: class %q needs an aim and a deadline above 0, found %d and %d", i, c.Name, c.Aim, c.Deadline)
 		}
+		names[c.Name] = true
 	}
 	return nil
 }
