Let no reload, and no number of signals, hold up the end of the process

Cause: all signals shared one channel of eight places and one goroutine. A SIGTERM that came while a reload read its file waited for it, and one behind eight others was thrown away: the kill then found requests unanswered. Ruled out: the loop itself, which takes a drain at once.

Each kind has a channel of one place, where one that waits stands for all behind it, and a goroutine.

--- a/cmd/eiderwinch/main.go
+++ b/cmd/eiderwinch/main.go
@@ -48,7 +48,9 @@
 type environment struct {
 	getenv         func(string) string
 	stdout, stderr io.Writer
-	signals        <-chan os.Signal
+	signals        <-chan os.Signal // that end the process
+	reloads        <-chan os.Signal // SIGHUP
+	reports        <-chan os.Signal // SIGUSR1
 	stdin          io.Reader
 }
 
@@ -59,6 +61,8 @@
 		select {
 		case <-e.signals:
 			stop()
+		case <-e.reloads:
+			stop()
 		case <-ctx.Done():
 		}
 	}()
@@ -67,9 +71,19 @@
 
 func main() {
 	// Before all else: until then SIGHUP would end the process.
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
-	os.Exit(run(os.Args[1:], environment{os.Getenv, os.Stdout, os.Stderr, signals, os.Stdin}))
+	e := environment{
+		getenv: os.Getenv, stdout: os.Stdout, stderr: os.Stderr, stdin: os.Stdin,
+		signals: catch(syscall.SIGTERM, syscall.SIGINT), reloads: catch(syscall.SIGHUP), reports: catch(syscall.SIGUSR1),
+	}
+	os.Exit(run(os.Args[1:], e))
+}
+
+// catch returns a channel of its own for signals that mean one thing. One that waits there stands
+// for all that come behind it, and those of other kinds, however many, take no place from it.
+func catch(kind ...os.Signal) <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, kind...)
+	return c
 }
 
 // newParser returns the parser of the command line, which fills c.
--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"os"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"eiderwinch/internal/admin"
@@ -54,21 +54,18 @@
 	})
 }
 
-// runNode runs a gatherer, and calls reload at SIGHUP.
+// runNode runs a gatherer, and calls reload at SIGHUP. A reload reads files, which may take its
+// time: it must hold up neither an end nor a report, so each kind of signal has a goroutine.
 func runNode(e environment, node *netio.Node, counters *stats.Counters, log *slog.Logger, reload func()) error {
-	go func() {
-		<-node.Started()
-		for s := range e.signals {
-			switch s {
-			case syscall.SIGUSR1:
-				node.Report()
-			case syscall.SIGHUP:
-				reload()
-			default:
-				node.Drain()
-			}
+	follow := func(signals <-chan os.Signal, do func()) {
+		<-node.Started() // what came before waits for it
+		for range signals {
+			do()
 		}
-	}()
+	}
+	go follow(e.signals, node.Drain)
+	go follow(e.reloads, reload)
+	go follow(e.reports, node.Report)
 	err := node.Run()
 	log.Info("counters", "counters", counters)
 	if err != nil {
