Ask a shared discovery again in 6 s, and keep out whom a whole list left out

Two causes, both read in the code and then played in virtual time.

Waits after calls to a shared discovery grew to 16 s in a large fleet, and a change counts 6 s after discovery had it and could be reached, whatever became of the calls before. Now the wait is what is left of that beside the call's own 2 s. Taken out, the test finds 16.9 s (refused) and 20.9 s (given up) at the worst, with 300 gatherers.

A searcher that a whole list leaves out is gone as surely as one that is told to leave, but only the latter was kept from being had back by an older list, of another address after a reload or of a lower revision. Taken out, TestAnOlderListDoesNotHaveBackWhoWasLeftOut finds it Ready in all three cases. An empty list still says nothing.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -37,8 +37,14 @@
 	callWait  = 2 * time.Second
 	shareLife = callWait + time.Second
 	// silentCounts is when what a silent watch has missed counts as told, and how late what
-	// discovery has to tell counts as told at the latest.
+	// discovery has to tell counts as told at the latest: so long after it could be reached,
+	// whatever became of the calls before.
 	silentCounts = 6 * time.Second
+	// The next call may wait so long after one that was refused or has ended, and after one that
+	// was given up: it may then take its whole callWait, and the rest is for the way and the loop.
+	refusedWait = silentCounts - callWait - spareTime
+	givenUpWait = refusedWait - shareLife
+	spareTime   = 500 * time.Millisecond
 )
 
 // Settings are what a Follower keeps to.
@@ -150,7 +156,7 @@
 // pace is how long after one ask the next may follow.
 func (f *Follower) pace() time.Duration {
 	if !f.set.Pushed {
-		return shareLife + f.wait.Next()
+		return shareLife + f.wait.NextWithin(givenUpWait)
 	}
 	most := min(max(2*f.set.Grace/paceShare, time.Millisecond), paceLongest)
 	return most/2 + time.Duration(f.rng.Int64N(int64(most/2)+1))
@@ -195,14 +201,22 @@
 	if alive && f.lost.IsZero() && !f.alive(now) {
 		f.lost = now
 		if !f.set.Pushed {
-			f.next = now.Add(f.wait.NextWithin(f.set.Within / 2))
+			f.next = now.Add(f.wait.NextWithin(f.within()))
 		}
 	}
 	if !f.set.Pushed && len(f.asks) == 0 && !alive {
-		f.next = now.Add(f.wait.Next()) // the service has answered that it can't, or can't be reached
+		f.next = now.Add(f.wait.NextWithin(f.within())) // the service has answered that it can't, or can't be reached
 	}
 }
 
+// within is how long the next call to a shared service may wait after one that has ended.
+func (f *Follower) within() time.Duration {
+	if f.set.Within > 0 {
+		return min(f.set.Within/2, refusedWait)
+	}
+	return refusedWait
+}
+
 func (f *Follower) find(id Ask) int {
 	return slices.IndexFunc(f.asks, func(a ask) bool { return a.id == id })
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -234,6 +234,91 @@
 	}
 }
 
+// Whatever became of the calls before, a change counts 6 s after a shared service had it and could be reached.
+// It may then need its whole time for the call that brings it.
+func TestASharedServiceIsAskedAgainBeforeItsNewsCounts(t *testing.T) {
+	for _, clients := range []int{1, 3, 300, 1024} {
+		for name, c := range map[string]struct {
+			fail func(f *Follower, id Ask, now time.Time) (reached time.Time) // of a call that began now
+		}{
+			"refused": {func(f *Follower, id Ask, now time.Time) time.Time { f.Lost(id, now); return now }},
+			"failed after its wait": {func(f *Follower, id Ask, now time.Time) time.Time {
+				f.Lost(id, now.Add(callWait))
+				return now.Add(callWait)
+			}},
+			"given up": {func(_ *Follower, _ Ask, now time.Time) time.Time { return now }},
+			"a watch that ends": {func(f *Follower, id Ask, now time.Time) time.Time {
+				f.Brought(id, now)
+				f.Lost(id, now)
+				return now
+			}},
+		} {
+			worst := time.Duration(0)
+			for seed := range uint64(60) {
+				within := []time.Duration{0, 10 * time.Second, 40 * time.Second}[seed%3]
+				f := New(Settings{Grace: grace, Within: within, Clients: clients, Seed: seed}, began)
+				reached := began // since the call before failed
+				for range 12 {
+					now := f.Due()
+					id, _ := f.Run(now)
+					for id == 0 {
+						now = f.Due()
+						id, _ = f.Run(now)
+					}
+					worst = max(worst, now.Add(callWait).Sub(reached))
+					reached = c.fail(f, id, now)
+				}
+			}
+			if worst >= silentCounts {
+				t.Errorf("%d gatherers, %s: in after %v at the worst", clients, name, worst)
+			}
+		}
+	}
+}
+
+// A whole list tells of who leaves by leaving them out; an older list must not have them back either.
+func TestAnOlderListDoesNotHaveBackWhoWasLeftOut(t *testing.T) {
+	ready := func(id string, started int64) catalog.Member {
+		return catalog.Member{ID: id, HostPort: "h:1", Phase: catalog.Ready, UpSinceMS: started}
+	}
+	list := func(revision int64, complete bool, m ...catalog.Member) catalog.Update {
+		return catalog.Update{Revision: revision, Complete: complete, Members: m}
+	}
+	for name, c := range map[string]struct {
+		source string
+		after  time.Duration
+		u      catalog.Update
+		want   catalog.Phase
+	}{
+		"a lower revision":             {"a", 0, list(41, true, ready("s", 7), ready("o", 1)), catalog.Terminating},
+		"another address":              {"b", 0, list(99, true, ready("s", 7), ready("o", 1)), catalog.Terminating},
+		"changes from there":           {"b", 0, list(99, false, ready("s", 7)), catalog.Terminating},
+		"a higher revision: it serves": {"a", 0, list(43, true, ready("s", 7)), catalog.Ready},
+		"a new start":                  {"b", 0, list(1, true, ready("s", 8)), catalog.Ready},
+		"no list is so old":            {"b", doubt, list(1, true, ready("s", 7)), catalog.Ready},
+	} {
+		var r Roster
+		r.Take(began, "a", list(41, true, ready("s", 7), ready("o", 1)))
+		r.Take(began, "a", list(42, true, ready("o", 1)))
+		if got := r.Take(began.Add(c.after), c.source, c.u); got[0].Phase != c.want {
+			t.Errorf("%s: have %s, want %s", name, got[0].Phase, c.want)
+		}
+	}
+	var r Roster
+	r.Take(began, "a", list(41, true, ready("s", 7)))
+	r.Take(began, "a", list(42, true)) // discovery that has lost its memory
+	if got := r.Take(began, "b", list(1, true, ready("s", 7))); got[0].Phase != catalog.Ready {
+		t.Errorf("after an empty list: have %s", got[0].Phase)
+	}
+	for i := range int64(100) { // new ones come under new ids all day
+		r.Take(began.Add(time.Duration(i)*time.Second), "b", list(2+i, true, ready(string(rune('a'+i)), 1)))
+		r.Review(began.Add(time.Duration(i) * time.Second))
+	}
+	if len(r.serving) != 1 || len(r.leaving) > 10 {
+		t.Errorf("%d and %d are held", len(r.serving), len(r.leaving))
+	}
+}
+
 func TestAnOlderListDoesNotHaveALeavingSearcherBack(t *testing.T) {
 	member := func(phase catalog.Phase, started int64) catalog.Member {
 		return catalog.Member{ID: "s", HostPort: "h:1", Phase: phase, UpSinceMS: started}
--- a/internal/follow/roster.go
+++ b/internal/follow/roster.go
@@ -24,16 +24,22 @@
 // Roster keeps which searchers were told to leave, so that no older list has them back:
 // one of another address, whose revisions do not compare, or one whose revision is lower
 // than that of the news. Such a list is believed once it can't be old any more.
+//
+// Who is left out of a whole list has left as surely as who is told to leave.
 type Roster struct {
 	leaving map[string]*leaving
-	Doubted int // members of lists that were not believed
+	serving map[string]int64 // the starts of those that were told to be ready, by id
+	Doubted int              // members of lists that were not believed
 }
 
 // Take takes in a list, or changes to one, and returns its members as they are to be
 // believed. Nothing in it is changed in place.
 func (r *Roster) Take(now time.Time, source string, u catalog.Update) []catalog.Member {
 	if r.leaving == nil {
-		r.leaving = make(map[string]*leaving)
+		r.leaving, r.serving = make(map[string]*leaving), make(map[string]int64)
+	}
+	if u.Complete && len(u.Members) > 0 { // an empty one is no list, see gatherer.Core.List
+		r.omitted(now, source, u)
 	}
 	out := slices.Clone(u.Members)
 	for i, m := range out {
@@ -45,9 +51,12 @@
 				l.told = old.told
 			}
 			r.leaving[m.ID] = l
+			delete(r.serving, m.ID)
 		case old == nil:
+			r.serving[m.ID] = m.UpSinceMS
 		case m.UpSinceMS > old.started, source == old.source && u.Revision > old.revision, now.Sub(old.told) >= doubt:
 			delete(r.leaving, m.ID)
+			r.serving[m.ID] = m.UpSinceMS
 		default:
 			r.Doubted++
 			held := m
@@ -58,6 +67,20 @@
 	return out
 }
 
+// omitted books those as leaving that were ready and that a whole list leaves out.
+func (r *Roster) omitted(now time.Time, source string, u catalog.Update) {
+	named := make(map[string]bool, len(u.Members))
+	for _, m := range u.Members {
+		named[m.ID] = true
+	}
+	for id, started := range r.serving {
+		if !named[id] {
+			r.leaving[id] = &leaving{started: started, told: now, source: source, revision: u.Revision}
+			delete(r.serving, id)
+		}
+	}
+}
+
 // Review returns the searchers that a list had back, which was not believed, and is now,
 // and forgets those that left too long ago for any list to be in doubt. spoke is when the
 // address in use said something last: one that is silent learns nothing, so what it said
@@ -69,6 +92,7 @@
 		}
 		if l.doubted != nil {
 			back = append(back, *l.doubted)
+			r.serving[id] = l.doubted.UpSinceMS
 		}
 		delete(r.leaving, id)
 	}
