Begin nothing for a client that has left, that is late, or past a keyed part's window

- gnet reads 64 KiB of a connection in a round and its end in the next, so a turn between the two sent parts for a client that had left.
The core asks the client, once in a turn, before it begins an attempt, by poll(2), which also tells of an end behind unread bytes.
- A call that waited for its connection was written after its client had gone, until the module had taken it back; where settings allow no cancel, always.
Such a call also counted as a failed connection and set the searcher's record back; it is 'not sent' now.
- A request that waited behind another on its connection began its time anew when its turn came: searchers were told d=59989 with 40 s left.
Its time runs from when its last byte came.
- A further attempt of a keyed part that may have run could wait for a connection past the part's window.
It is kept back then.

Ruled out: the module, which is told of all this in order and decides as before.

--- a/internal/follow/leaving_test.go
+++ b/internal/follow/leaving_test.go
@@ -88,6 +88,7 @@
 func (*world) Abandon(*gatherer.Attempt) {}
 func (*world) CloseIdle(string)          {}
 func (*world) Reply(gatherer.Reply)      {}
+func (*world) Left() bool                { return false }
 
 func (w *world) apply(kind eiderwinch.ListKind, from int, u catalog.Update) {
 	states := map[catalog.Phase]eiderwinch.State{
--- a/internal/gatherer/book.go
+++ b/internal/gatherer/book.go
@@ -22,8 +22,10 @@
 	layout   *layout.Layout // the epoch that it is bound to; nil if there is no layout
 	parts    []*part        // of the present step
 
-	sent       bool // a part of it was sent
-	second     bool // the second step has begun
+	sent       bool      // a part of it was sent
+	left       bool      // its client turned out to have left
+	looked     time.Time // the turn in which that was asked last
+	second     bool      // the second step has begun
 	from       []int
 	firstWhole bool
 }
@@ -52,6 +54,8 @@
 	tries  int        // attempts so far
 	out    []*Attempt // those that are out: one, or two where second copies are allowed
 	over   bool       // nothing comes of it any more
+	first  time.Time  // when its first attempt was decided
+	ran    bool       // one that has ended may have run
 
 	in    bool
 	score int64
@@ -71,7 +75,7 @@
 func (c *Core) book(now time.Time, a Ask, class int, client Client) *query {
 	q := &query{
 		id: c.newID(), trace: a.Trace, class: class, text: a.Text, client: client, live: c.live, layout: c.layout,
-		taken: now, deadline: now.Add(a.Expires),
+		taken: now.Add(-a.Waited), deadline: now.Add(a.Expires - a.Waited),
 	}
 	q.timer.Value = q
 	c.overdue.Set(&q.timer, q.backstop(c.set.Tick))
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -43,9 +43,14 @@
 	CloseIdle(searcher string)
 }
 
-// Client is whoever has asked a query. Reply is called once at the most, with
-// the final answer, and not after Core.Gone.
-type Client interface{ Reply(Reply) }
+// Client is whoever has asked a query.
+type Client interface {
+	// Reply is called once at the most, with the final answer, and not after Core.Gone.
+	Reply(Reply)
+	// Left tells that the client has gone, though Core.Gone was not called yet: its end may
+	// have come and not been read.
+	Left() bool
+}
 
 // Verdict is the kind of a final answer.
 type Verdict int
@@ -111,6 +116,7 @@
 	parts    map[uint64]*part    // of open queries or with an attempt out
 	attempts due.Queue[*Attempt] // that are out, by their deadlines
 	ended    []*Attempt          // that ended in this run
+	left     []*query            // whose client turned out to have left in this turn
 	overdue  due.Queue[*query]   // open queries by their backstops
 	open     int                 // open queries and parts
 	members  map[string]member
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -28,6 +28,7 @@
 	abandoned []*Attempt
 	closed    []string
 	replies   []Reply
+	gone      bool // the client has left, which nobody has read
 }
 
 func (r *rig) Turn(now time.Duration, events []eiderwinch.Event) []eiderwinch.Action {
@@ -42,6 +43,7 @@
 func (r *rig) Abandon(a *Attempt)                    { r.abandoned = append(r.abandoned, a) }
 func (r *rig) CloseIdle(searcher string)             { r.closed = append(r.closed, searcher) }
 func (r *rig) Reply(x Reply)                         { r.replies = append(r.replies, x) }
+func (r *rig) Left() bool                            { return r.gone }
 
 func newRig(t *testing.T) *rig {
 	set := Settings{Tick: 5 * ms, MaxOpen: 20, Module: eiderwinch.Settings{
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -19,6 +19,7 @@
 	About   string        // what the query is about; may be empty
 	Expires time.Duration // how long the client will wait; 0 means as long as its class allows
 	Repeat  bool          // marked as a repeat by the client
+	Waited  time.Duration // for how long it has been here: behind another request of its connection
 	Tenant  string
 	Text    string       // what every part carries
 	Epoch   layout.Epoch // of the layout that the client knew; 0 if it does not say
@@ -41,7 +42,7 @@
 // mostOff is how far the weights of many parts may be from 1 in all.
 const mostOff = 0.01
 
-// Take takes in a query whose last byte came at now, and returns its id. Where
+// Take takes in a query whose last byte came Waited before now, and returns its id. Where
 // it returns an error the query was not taken, and the caller owes the answer.
 func (c *Core) Take(now time.Time, a Ask, client Client) (uint64, error) {
 	class, err := c.check(a)
--- a/internal/gatherer/live_test.go
+++ b/internal/gatherer/live_test.go
@@ -119,6 +119,7 @@
 func (*echo) Abandon(*Attempt) {}
 func (*echo) CloseIdle(string) {}
 func (*echo) Reply(Reply)      {}
+func (*echo) Left() bool       { return false }
 
 // BenchmarkQuery is a query's way through the core, without and with settings
 // that can change and records of how it fared.
--- a/internal/gatherer/relay.go
+++ b/internal/gatherer/relay.go
@@ -20,8 +20,15 @@
 	}
 }
 
-// Unsent tells that an attempt never left: it surely has not run.
-func (c *Core) Unsent(now time.Time, a *Attempt) { c.end(now, a, eiderwinch.NoConnection) }
+// Unsent tells that an attempt never left: it surely has not run. That says something of its
+// searcher only where somebody still waited for it.
+func (c *Core) Unsent(now time.Time, a *Attempt) {
+	status := eiderwinch.NoConnection
+	if !a.over && a.unwanted() {
+		status = eiderwinch.NotSent
+	}
+	c.end(now, a, status)
+}
 
 // Broken tells that an attempt's connection broke when it may have arrived.
 func (c *Core) Broken(now time.Time, a *Attempt) { c.end(now, a, eiderwinch.Reset) }
--- a/internal/gatherer/route.go
+++ b/internal/gatherer/route.go
@@ -45,6 +45,10 @@
 			c.log.Info(x.Text)
 		}
 	}
+	for _, q := range c.left {
+		c.Gone(c.now, q.id)
+	}
+	c.left = c.left[:0]
 	most := max(c.set.Module.Batch, 1)
 	for _, to := range order {
 		for rest := calls[to]; len(rest) > 0; {
--- a/internal/gatherer/send.go
+++ b/internal/gatherer/send.go
@@ -61,9 +61,12 @@
 	}
 	holders := p.query.holders(p.shard)
 	stranger := holders != nil && !slices.Contains(holders, x.Replica)
-	if p.over || len(p.out) > 0 && !c.mayCopy(p, x.Replica) || most > 0 && p.tries >= most || stranger || c.barred(x.Replica) {
-		c.log.Warn("send not let out", "trace", p.query.trace, "shard", p.shard, "searcher", x.Replica)
-		c.stats.NotSent++
+	breaks := p.over || len(p.out) > 0 && !c.mayCopy(p, x.Replica) || most > 0 && p.tries >= most || stranger || c.barred(x.Replica)
+	if breaks || c.hasLeft(p.query) {
+		if breaks {
+			c.log.Warn("send not let out", "trace", p.query.trace, "shard", p.shard, "searcher", x.Replica)
+			c.stats.NotSent++
+		}
 		c.tell(c.now, eiderwinch.Outcome{
 			Part: p.id, Attempt: p.tries, Replica: x.Replica, Status: eiderwinch.NotSent,
 		})
@@ -82,6 +85,9 @@
 		a.From, a.Whole = p.query.from, p.query.firstWhole
 	}
 	p.query.sent = true
+	if p.first.IsZero() {
+		p.first = c.now
+	}
 	if p.tries > 0 {
 		c.stats.Further++
 	}
@@ -130,10 +136,36 @@
 	}
 }
 
+// hasLeft tells, once in a turn, that a query's client has left, though nobody has read that
+// yet: a loop that was late reads what has come after the turn. What begins then is work for nobody.
+func (c *Core) hasLeft(q *query) bool {
+	if !q.left && !q.looked.Equal(c.now) {
+		q.looked = c.now
+		if q.left = q.client.Left(); q.left {
+			c.left = append(c.left, q)
+			c.stats.LeftUnread++
+		}
+	}
+	return q.left
+}
+
 // MaySend tells whether an attempt that has waited for a connection may still
-// be written: somebody waits for it and its searcher takes new work.
+// be written: somebody waits for it, its searcher takes new work, and its window allows it.
 func (c *Core) MaySend(now time.Time, a *Attempt) bool {
-	return !a.over && now.Before(a.Deadline) && !c.barred(a.Searcher)
+	return !a.over && now.Before(a.Deadline) && !c.barred(a.Searcher) && !a.unwanted() && !c.windowOver(now, a)
+}
+
+// unwanted tells that nobody waits for an attempt that is out: its query has ended, and the
+// aggregator has not taken it back yet or may not, or its client has left.
+func (a *Attempt) unwanted() bool { return a.part.over || a.part.query.client.Left() }
+
+// windowOver tells that an attempt of a keyed part, of which another may have run, comes too late
+// for its searchers to know it for a repeat. The aggregator has asked that of the time when it
+// decided; since then the attempt may have waited for a connection for longer than was left.
+func (c *Core) windowOver(now time.Time, a *Attempt) bool {
+	class, p := c.set.Module.Classes[a.part.query.class], a.part
+	others := p.ran || len(p.out) > 1
+	return class.Effect == eiderwinch.Keyed && others && !now.Add(c.set.Tick).Before(p.first.Add(class.RepeatWindow))
 }
 
 // end ends an attempt, once, and tells the aggregator how.
@@ -145,6 +177,7 @@
 	c.attempts.Stop(&a.timer)
 	c.ended = append(c.ended, a)
 	a.part.out = slices.DeleteFunc(a.part.out, func(x *Attempt) bool { return x == a })
+	a.part.ran = a.part.ran || s != eiderwinch.Full && s != eiderwinch.NoConnection && s != eiderwinch.NotSent
 	c.count(s)
 	c.tell(now, eiderwinch.Outcome{
 		Part: a.part.id, Attempt: a.number, Replica: a.Searcher, Status: s, Took: now.Sub(a.sent), Load: a.Load,
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -21,6 +21,7 @@
 	maxLinger  = 64 << 20                      // bytes of a request answered before its end that are read and thrown away: 60 MB come
 	maxAhead   = http1.MaxHead + http1.MaxBody // bytes of requests that wait for an answer before theirs
 	maxUnread  = 1 << 20                       // bytes of answers that a client has not read
+	maxMarks   = 32                            // times kept of when what waits for an answer before it came
 	flushFor   = 10 * time.Second              // for a client to read an answer that its connection ends with: 64 KiB at 6 KiB/s
 	healthPath = "/_health"
 
@@ -36,6 +37,8 @@
 	conn   gnet.Conn
 	parser http1.RequestParser
 	seat   limit.Seat[*client]
+	fed    uint64 // bytes given to the parser
+	marks  []mark // when those came that belong to no request passed on yet
 	spilt  int    // ending: bytes thrown away
 	query  uint64 // the open query; 0 if none
 	busy   bool   // a request waits for its answer
@@ -44,6 +47,12 @@
 	ending bool   // the connection is about to be closed
 }
 
+// mark says when bytes of a client came.
+type mark struct {
+	end uint64 // the last of them is behind so many
+	at  time.Time
+}
+
 func newClient(n *Node) *client {
 	c := &client{n: n}
 	c.seat.Owner = c
@@ -80,6 +89,7 @@
 	if c.deaf {
 		return
 	}
+	c.mark(time.Now(), len(b))
 	c.parser.Feed(b)
 	if c.busy && c.parser.Buffered() > maxAhead {
 		// Nobody needs to send so far ahead. What is open still gets its answer.
@@ -88,6 +98,41 @@
 	c.pump()
 }
 
+// mark books when bytes have come. What has come of a request in hand that is not whole counts as come
+// with the latest. Behind a request that waits, what comes in more pieces than there are marks counts as
+// come with the last that has one: its time may end early, never late.
+func (c *client) mark(now time.Time, bytes int) {
+	c.fed += uint64(bytes)
+	if !c.busy {
+		c.marks = c.marks[:0]
+	}
+	if n := len(c.marks); n == maxMarks {
+		c.marks[n-1].end = c.fed
+		return
+	}
+	c.marks = append(c.marks, mark{c.fed, now})
+}
+
+// waited is how long ago the last byte of the request came that the parser has just passed on. Its
+// client counts from when it sent it, also where it has waited here behind another request.
+func (c *client) waited(now time.Time) time.Duration {
+	end := c.fed - uint64(c.parser.Buffered())
+	for len(c.marks) > 0 && c.marks[0].end < end {
+		c.marks = c.marks[1:]
+	}
+	if len(c.marks) == 0 {
+		return 0
+	}
+	at := c.marks[0].at
+	if c.marks[0].end == end {
+		c.marks = c.marks[1:]
+	}
+	return now.Sub(at)
+}
+
+// Left implements gatherer.Client.
+func (c *client) Left() bool { return c.ending || ended(c.conn.Fd()) }
+
 // pump serves the requests that are in.
 func (c *client) pump() {
 	for !c.busy && !c.ending {
@@ -115,6 +160,9 @@
 // wait books that no whole request is at hand.
 func (c *client) wait() {
 	stage := c.seat.Stage()
+	if c.parser.Idle() {
+		c.marks = nil // a connection that stays open must not keep the room
+	}
 	switch {
 	case c.ending:
 	case stage == limit.Silent:
@@ -155,9 +203,11 @@
 func (c *client) ask(path string, r *http1.Request) {
 	a, err := readAsk(path, r)
 	if err == nil {
-		a.Expires = c.n.cut(time.Now(), a.Expires)
+		now := time.Now()
+		a.Waited = c.waited(now)
+		a.Expires = c.n.cut(now, a.Expires, a.Waited)
 		var id uint64
-		id, err = c.n.core.Take(time.Now(), a, c)
+		id, err = c.n.core.Take(now, a, c)
 		if id != 0 {
 			c.query = id
 			return
@@ -178,12 +228,12 @@
 }
 
 // cut shortens the time of a query that comes late in a drain, so that it is
-// answered before the process may be killed.
-func (n *Node) cut(now time.Time, expires time.Duration) time.Duration {
+// answered before the process may be killed. waited of that time is over.
+func (n *Node) cut(now time.Time, expires, waited time.Duration) time.Duration {
 	if !n.draining || now.Before(n.drainUntil) {
 		return expires
 	}
-	left := max(n.killAt.Add(-killMargin).Sub(now), n.cfg.Gatherer.Tick)
+	left := max(n.killAt.Add(-killMargin).Sub(now), n.cfg.Gatherer.Tick) + waited
 	if expires == 0 {
 		return left
 	}
--- a/internal/netio/socket.go
+++ b/internal/netio/socket.go
@@ -33,6 +33,14 @@
 	return n
 }
 
+// ended tells that the peer has ended a connection, also where that lies behind bytes that were
+// not read yet; false where the system does not tell.
+func ended(fd int) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(p, 0)
+	return err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // shut ends both ways of a connection that is about to be closed.
 func shut(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_RDWR) }
 
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -155,6 +155,7 @@
 type noClient struct{}
 
 func (noClient) Reply(gatherer.Reply) {}
+func (noClient) Left() bool           { return false }
 
 // News that has come and was not read goes before what is to be sent: the loop may have stood still for longer than
 // the grace, and the task that would send may be before the news in its round.
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -22,6 +22,8 @@
 	Overdue int // queries that the core had to end at their deadline
 	Gone    int // queries whose client left
 
+	LeftUnread int // of Gone: found out as they were to be sent on, before the client's end was read
+
 	Turns       int
 	Calls       int // calls given to the searcher connections
 	Sent        int // parts in them
@@ -96,7 +98,7 @@
 			"silent", c.Silent, "spared", c.Spared, "crossed", c.Crossed, "unread", c.Unread),
 		group("evicted", evicted...),
 		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.Full,
-			"late", c.Late, "unsent", c.Unsent, "failed", c.Failed, "overdue", c.Overdue, "gone", c.Gone),
+			"late", c.Late, "unsent", c.Unsent, "failed", c.Failed, "overdue", c.Overdue, "gone", c.Gone, "left_unread", c.LeftUnread),
 		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "further", c.Further, "copies", c.Copies, "cold", c.Cold, "second_steps", c.SecondSteps,
 			"not_sent", c.NotSent, "dialed", c.Dialed, "dial_fails", c.DialFails,
 			"idle_closed", c.IdleClosed, "left", c.Left, "left_out", c.LeftOut,
--- a/internal/trial/emulator/client.go
+++ b/internal/trial/emulator/client.go
@@ -111,6 +111,9 @@
 	c.w.after(c.w.Near, func() { c.heard(r) })
 }
 
+// Left implements gatherer.Client. Who leaves here is told at once.
+func (*client) Left() bool { return false }
+
 // heard is when the answer is there.
 func (c *client) heard(r gatherer.Reply) {
 	switch {
--- a/internal/trial/testpeer/testpeer.go
+++ b/internal/trial/testpeer/testpeer.go
@@ -228,5 +228,11 @@
 // CloseWrite ends the way from the client to the gatherer.
 func (c *Client) CloseWrite() { _ = c.Conn.(*net.TCPConn).CloseWrite() }
 
+// Reset ends the connection as a process that has died does.
+func (c *Client) Reset() {
+	_ = c.Conn.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
 // ReadAhead bounds what waits on the client's side until it is heard.
 func (c *Client) ReadAhead(bytes int) { _ = c.Conn.(*net.TCPConn).SetReadBuffer(bytes) }
