Take the searchers of the given list for just started until discovery has spoken

Cause, known before: a new process takes those for warm that its given list does not know to have started since it was made, for 0.04 to 0.35 s, while what its agent has counts as told from its first moment on. They now count as started at its own start, so the module gives each no more than its share of a cold one, until discovery brings a list, changes or an empty line; or, where it stays silent, until the drain grace is over, the time in which news has to be here. A silent discovery must not keep a fleet that starts anew cold for good.

--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -120,6 +120,7 @@
 	overdue  due.Queue[*query]   // open queries by their backstops
 	open     int                 // open queries and parts
 	members  map[string]member
+	given    []eiderwinch.Replica // the ready ones of the list it started with, until discovery has spoken
 	live     *Live
 	openOf   []int // open queries by class
 	layout   *layout.Layout
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"eiderwinch"
@@ -18,8 +19,8 @@
 	Key     string        // idempotency key; needed in keyed classes
 	About   string        // what the query is about; may be empty
 	Expires time.Duration // how long the client will wait; 0 means as long as its class allows
-	Repeat  bool          // marked as a repeat by the client
 	Waited  time.Duration // for how long it has been here: behind another request of its connection
+	Repeat  bool          // marked as a repeat by the client
 	Tenant  string
 	Text    string       // what every part carries
 	Epoch   layout.Epoch // of the layout that the client knew; 0 if it does not say
@@ -167,11 +168,16 @@
 	}
 	event := eiderwinch.ListChange{Kind: kind}
 	listed := make(map[string]bool)
+	var given []eiderwinch.Replica // what is left to Believe
 	for _, m := range list {
 		r := eiderwinch.Replica{ID: m.ID, Zone: m.Zone, Cell: m.Cell, State: m.State}
 		if !m.Started.IsZero() {
 			r.Started = c.clock(m.Started)
 		}
+		if kind == eiderwinch.Stale && m.State == eiderwinch.Ready && c.set.Module.ColdFor > 0 {
+			given = append(given, r)
+			r.Started = c.clock(now) // for all that is known it may have started this moment
+		}
 		event.Replicas = append(event.Replicas, r)
 		listed[m.ID] = true
 		c.told(m.ID, m.State, m.Started)
@@ -183,9 +189,24 @@
 			}
 		}
 	}
+	if kind == eiderwinch.Changes {
+		given = slices.DeleteFunc(c.given, func(r eiderwinch.Replica) bool { return listed[r.ID] })
+	}
+	c.given = given
 	c.tell(now, event)
 }
 
+// Believe has the list that a gatherer started with believed as it was given: discovery has said
+// that nothing has changed since, or stays silent. Until then each searcher in it counts as started
+// at this gatherer's own start, since the list does not know which have started since it was made,
+// and discovery's word on that counts as told from the first moment on.
+func (c *Core) Believe(now time.Time) {
+	if len(c.given) > 0 {
+		c.tell(now, eiderwinch.ListChange{Kind: eiderwinch.Changes, Replicas: c.given})
+		c.given = nil
+	}
+}
+
 // Share tells how many parts of the fleet's limits may be used until then; see eiderwinch.Share.
 func (c *Core) Share(now time.Time, slots int, until time.Time) {
 	c.tell(now, eiderwinch.Share{Slots: slots, Until: c.clock(until)})
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -385,6 +385,7 @@
 	n.loop = loop
 	now := time.Now()
 	n.apply(now, eiderwinch.Stale, n.cfg.Discovery, n.cfg.Known)
+	n.pool.timers.Set(&timer{Value: n.core.Believe}, now.Add(n.cfg.DrainGrace)) // an agent answers at once; one that is silent learns nothing
 	n.core.Run(now)
 	n.timer = time.AfterFunc(time.Hour, func() { n.exec(n.wake) })
 	close(n.started)
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -218,6 +218,7 @@
 		w.n.log.Info("discovery gives news again", "discovery", w.addr, "away", now.Sub(w.news), "fails", w.fails, "revision", w.revision)
 	}
 	w.fails, w.last, w.news = 0, "", now
+	w.n.core.Believe(now)
 }
 
 // fail ends an ask for what it has brought.
