Carry no connection over to a searcher's next process, and count those that come up

Read in the code, each with a test that forces the order and fails without its mend:

- A searcher that started anew under its id and address, told with a later up_since_ms, was sent calls on the connections of the process before.
Where that machine went without a word they stay open and silent.
They are closed, and what is out on them ends as may-have-run at once.
- A call that waited for a connection to where its searcher was before stayed there until it was given up.
- A searcher's end that had come and was not read when a turn wrote there made a reset of a part that had not run.
The connection is passed over.
- With fewer parts to a connection than to a call, the rest waited unread on one connection.
- A connection that has come up holds two descriptors until the loop takes it over, and was counted as one: a loop held up by a turn could run out, and gnet ends where accept finds none. 8 dials were let out where 5 have room.
- What a call tells its searcher to wait is reckoned when it is written, not when the turn began.

--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -562,9 +562,12 @@
 		list = append(list, gatherer.Member{
 			ID: m.ID, Zone: m.Locality, Cell: m.Cell, State: states[m.Phase], Started: m.Started(),
 		})
-		n.pool.locate(m.ID, m.HostPort)
+		n.pool.locate(m.ID, m.HostPort, m.Started())
 	}
 	n.core.List(now, kind, list)
+	for _, m := range members {
+		n.pool.relocated(now, m.ID)
+	}
 }
 
 // dial opens a connection for h, whose opened or failed is called on the loop.
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -28,6 +28,7 @@
 	peers   map[string]*peer
 	flights map[*gatherer.Attempt]*link // where attempts were written
 	links   int                         // all connections, those being dialed included
+	dialing int                         // those being dialed, or given up and not heard of since
 	timers  due.Queue[func(now time.Time)]
 	usual   time.Duration // of calls that were answered; 0 while none was
 }
@@ -42,6 +43,7 @@
 // peer is one searcher.
 type peer struct {
 	id, addr string
+	started  time.Time // its last start, as told; zero means long ago
 	links    []*link
 	queue    []*waiting // calls that wait for a connection
 }
@@ -63,6 +65,7 @@
 	spoilt bool      // it carried what can't be used, and is being closed
 	parser frame.Parser
 	out    []flight
+	up     time.Time       // when it came up
 	ghosts map[string]bool // ids of given-up parts that may still be answered
 	given  uint64          // bytes given to gnet
 	idle   time.Time       // when nothing was out here last
@@ -81,22 +84,41 @@
 	end     uint64 // it has left once so many bytes have
 }
 
-// locate books a searcher's address. Connections to another one are not used
-// for new calls.
-func (p *pool) locate(id, addr string) {
+// locate books a searcher's address, and when its process started. Connections to another address
+// are not used for new calls. Those that were up before the start led to a process that is gone: they
+// are closed, though its machine may have gone without a word, and what is out on them may have run.
+func (p *pool) locate(id, addr string, started time.Time) {
 	at := p.peers[id]
 	if at == nil {
 		at = &peer{id: id}
 		p.peers[id] = at
 	}
-	if addr != "" && addr != at.addr {
+	moved := addr != "" && addr != at.addr
+	if moved {
 		at.addr = addr
-		for _, l := range at.links {
+	}
+	fresh := started.After(at.started)
+	if fresh {
+		at.started = started
+	}
+	for _, l := range at.links {
+		switch {
+		case fresh && l.conn != nil && l.up.Before(started):
+			p.n.stats.Outlived++
+			l.close()
+		case moved:
 			l.shut = l.shut || l.addr != addr
 		}
 	}
 }
 
+// relocated has calls go on that waited for a connection to where a searcher was before.
+func (p *pool) relocated(now time.Time, id string) {
+	if at := p.peers[id]; at != nil && len(at.queue) > 0 {
+		p.resume(now, at)
+	}
+}
+
 // Call implements gatherer.Searchers.
 func (p *pool) Call(now time.Time, attempts []*gatherer.Attempt) {
 	at := p.peers[attempts[0].Searcher]
@@ -106,11 +128,15 @@
 		}
 		return
 	}
-	w := &waiting{attempts: attempts}
-	w.timer.Value = func(now time.Time) { at.giveUp(p, now, w) }
-	p.timers.Set(&w.timer, now.Add(p.n.connectWait()))
-	at.queue = append(at.queue, w)
-	p.pump(now, at)
+	for most := p.n.cfg.Multiplex; len(attempts) > 0; { // what is beyond that on one connection waits unread
+		n := min(len(attempts), most)
+		w := &waiting{attempts: attempts[:n:n]}
+		w.timer.Value = func(now time.Time) { at.giveUp(p, now, w) }
+		p.timers.Set(&w.timer, now.Add(p.n.connectWait()))
+		at.queue = append(at.queue, w)
+		attempts = attempts[n:]
+	}
+	p.pump(time.Now(), at) // the turn may have taken its time
 }
 
 // pump writes the calls that wait for a connection, as far as there are any,
@@ -134,7 +160,7 @@
 				break
 			}
 			at.drop(p, w)
-			l.send(now, still)
+			l.send(still)
 			continue
 		}
 		at.drop(p, w)
@@ -177,8 +203,8 @@
 // pick returns a connection with room for a call. One that still may bring an
 // answer to an earlier attempt of a part has none: the frames bear the part's
 // id only, so that answer would be taken for the new attempt's. Nor has one on
-// which half a frame lies, or one that its searcher may be closing as idle: what
-// crosses that is a reset, which may have run.
+// which half a frame lies, or one that its searcher may be closing as idle or has
+// ended: what crosses that is a reset, which may have run.
 func (at *peer) pick(now time.Time, attempts []*gatherer.Attempt, multiplex int, idle time.Duration) *link {
 	for _, l := range at.links {
 		if len(l.out) > 0 {
@@ -189,15 +215,21 @@
 			continue
 		}
 		haunted := func(a *gatherer.Attempt) bool { return l.ghosts[a.PartID()] }
-		if !slices.ContainsFunc(attempts, haunted) {
-			return l
+		if slices.ContainsFunc(attempts, haunted) {
+			continue
+		}
+		if ended(l.conn.Fd()) {
+			l.pool.n.stats.EndUnread++ // the loop reads it next
+			continue
 		}
+		return l
 	}
 	return nil
 }
 
-// dial opens connections for the calls that wait, as far as descriptors allow;
-// each takes two for a moment, when gnet takes it over.
+// dial opens connections for the calls that wait, as far as descriptors allow. Each takes two
+// from when it comes up until the loop has taken it over, which may be busy meanwhile, so each
+// that is being dialed counts as two: gnet ends its loop when accept finds no descriptor.
 func (p *pool) dial(now time.Time, at *peer) {
 	room := 0
 	for _, l := range at.links {
@@ -210,7 +242,7 @@
 		want += len(w.attempts)
 	}
 	for ; want > room; room += p.n.cfg.Multiplex {
-		if p.links >= (p.n.cfg.Sockets-spare)/4 {
+		if p.links+p.dialing+2 > (p.n.cfg.Sockets-spare)/4 {
 			p.dropIdlest()
 			return
 		}
@@ -225,6 +257,7 @@
 		}
 		at.links = append(at.links, l)
 		p.links++
+		p.dialing++
 		p.n.dial(at.addr, p.n.cfg.ConnectTimeout, l, l.failed)
 	}
 }
@@ -343,7 +376,8 @@
 // opened implements handler.
 func (l *link) opened(c gnet.Conn) {
 	now := time.Now()
-	l.conn, l.idle = c, now
+	l.conn, l.idle, l.up = c, now, now
+	l.pool.dialing--
 	l.pool.timers.Stop(&l.dialed)
 	l.pool.n.stats.Dialed++
 	if l.shut {
@@ -357,6 +391,7 @@
 func (l *link) failed(error) {
 	p, now := l.pool, time.Now()
 	p.n.stats.DialFails++
+	p.dialing--
 	l.forget()
 	for _, other := range l.peer.links {
 		if !other.shut {
@@ -377,7 +412,8 @@
 }
 
 // send writes a call as one frame.
-func (l *link) send(now time.Time, attempts []*gatherer.Attempt) {
+func (l *link) send(attempts []*gatherer.Attempt) {
+	now := time.Now() // what they tell the searcher is what is left to their clients
 	parts := make([]frame.Part, len(attempts))
 	for i, a := range attempts {
 		parts[i] = frame.Part{ID: a.PartID(), Shard: a.Shard, Text: a.Text, List: frame.List{
--- /dev/null
+++ b/internal/netio/process_test.go
@@ -0,0 +1,159 @@
+package netio
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"eiderwinch"
+	"eiderwinch/internal/format/catalog"
+	"eiderwinch/internal/limit"
+	"eiderwinch/internal/trial/testpeer"
+)
+
+// A searcher that has started anew under its id and address has none of the connections of the process before:
+// where that one's machine went without a word, they stay open and silent. What is out on them may have run.
+func TestAConnectionIsNotUsedForTheProcessAfter(t *testing.T) {
+	for name, out := range map[string]bool{"idle": false, "with a part out": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, again)
+			w := testpeer.Get(t, r.d.Watches, "a watch")
+			r.ask("search", "t1", time.Minute, 1)
+			old := r.part()
+			if !out {
+				old.Answer("served", 1, "v")
+				r.outcome()
+			}
+			r.until("a later start", func() bool { return time.Now().UnixMilli() > r.pool.peers["s"].links[0].up.UnixMilli() })
+			w.Send(testpeer.List(42, false, testpeer.Member("s", r.s.Addr, "Ready", time.Now().UnixMilli())))
+			r.listed()
+			if out {
+				if got := r.outcome(); got.Status != eiderwinch.Reset {
+					t.Errorf("what was out has ended as %v", got.Status)
+				}
+			} else {
+				r.ask("search", "t2", time.Minute, 1)
+			}
+			p := r.part()
+			if p.Conn == old.Conn {
+				t.Error("the connection to the process before is used")
+			}
+			p.Answer("served", 1, "v")
+			r.outcome()
+			// Told once more, a start closes nothing.
+			w.Send(testpeer.List(43, false, testpeer.Member("s", r.s.Addr, "Ready", time.Now().UnixMilli()-60_000)))
+			r.listed()
+			r.ask("search", "t3", time.Minute, 1)
+			if r.part().Conn != p.Conn {
+				t.Error("the connection to the new process is not used")
+			}
+		})
+	}
+}
+
+// A call that waits for a connection to where its searcher was goes where it is now.
+func TestACallThatWaitsFollowsItsSearcherToAnotherAddress(t *testing.T) {
+	dialed := make(chan bool, 10)
+	moved := testpeer.NewSearcher(t)
+	r := start(t, func(r *rig) {
+		again(r)
+		real := r.dialer
+		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if addr == r.s.Addr {
+				dialed <- true
+				<-ctx.Done() // its machine is gone
+				return nil, ctx.Err()
+			}
+			return real(ctx, network, addr)
+		}
+	})
+	r.ask("search", "t", time.Minute, 1)
+	testpeer.Get(t, dialed, "a dial")
+	testpeer.Get(t, r.d.Watches, "a watch").Send(testpeer.List(42, false, testpeer.Member("s", moved.Addr, "Ready", 0)))
+	if p := testpeer.Get(t, moved.Parts, "the part"); p.ID != "t.0" {
+		t.Errorf("have %s", p.ID)
+	}
+}
+
+// A searcher may end an idle connection just before a turn that would write there: what crosses the end is a
+// reset, which may have run.
+func TestAConnectionWhoseEndIsNotReadIsNotUsed(t *testing.T) {
+	r := start(t, again)
+	client := r.ask("search", "t1", time.Minute, 1)
+	old := r.part()
+	old.Answer("served", 1, "v")
+	client.Hear()
+	r.outcome()
+	r.onLoop(func() {
+		old.Conn.Close()
+		l := r.pool.peers["s"].links[0]
+		r.wait("the end has come", func() bool { return ended(l.conn.Fd()) })
+		r.table.Oldest(limit.Idle).Owner.traffic([]byte(testpeer.Query("search", "t2", time.Minute, 1)))
+		r.turnNow()
+	})
+	p := r.part()
+	if p.Conn == old.Conn {
+		t.Error("it is used")
+	}
+	p.Answer("served", 1, "w")
+	if got := r.outcome(); got.Status != eiderwinch.OK || got.Attempt != 0 {
+		t.Errorf("have %v of attempt %d", got.Status, got.Attempt)
+	}
+}
+
+// Parts beyond what a connection carries wait unread there: they go on others, and no more of them are opened.
+func TestAConnectionCarriesNoMorePartsThanItMay(t *testing.T) {
+	r := start(t, func(r *rig) { r.cfg.Multiplex = 1 })
+	r.ask("search", "t", time.Minute, 2)
+	if p, q := r.part(), r.part(); p.Conn == q.Conn {
+		t.Error("two parts on a connection that carries one")
+	}
+	r.onLoop(func() {
+		if r.pool.links != 2 {
+			t.Errorf("%d connections for two parts", r.pool.links)
+		}
+	})
+}
+
+// Each connection that has come up holds two descriptors until the loop has taken it over. Were they counted as
+// one, a loop that is held up by a turn would have none left to accept with, and end.
+func TestConnectionsThatComeUpWhileTheLoopIsBusyAreCounted(t *testing.T) {
+	const searchers = 40
+	up := make(chan bool)
+	r := start(t, func(r *rig) {
+		r.cfg.Sockets = spare + 4*10
+		real := r.dialer
+		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if addr == r.d.Addr {
+				return real(ctx, network, addr)
+			}
+			<-up
+			return real(ctx, network, addr)
+		}
+		for i := range searchers {
+			r.cfg.Known.Members = append(r.cfg.Known.Members, catalog.Member{ID: fmt.Sprint("s", i), HostPort: r.s.Addr, Phase: catalog.Ready})
+		}
+		n := 0
+		r.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+			if e, ok := e.(eiderwinch.Query); ok {
+				n++
+				return []eiderwinch.Action{eiderwinch.Send{Part: e.Parts[0].ID, Replica: fmt.Sprint("s", n%searchers)}}
+			}
+			return nil
+		}
+	})
+	for i := range 8 {
+		r.ask("search", fmt.Sprint("t", i), time.Minute, 1)
+	}
+	r.until("all are asked", func() bool { return r.stats.Sent == 8 })
+	r.onLoop(func() {
+		if n := r.pool.links; n > 5 {
+			t.Errorf("%d connections are being opened, which may hold %d descriptors of 10", n, 2*n)
+		}
+	})
+	close(up)
+	r.until("none is counted as being opened", func() bool { return r.pool.dialing == 0 && r.stats.Dialed >= 5 })
+}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -61,6 +61,8 @@
 	Muted      int // those set aside since nothing came on them while a part was out
 	Spoilt     int // those closed for what they carried
 	HeldBack   int // those closed since a part was still in their buffer when its searcher was told to leave
+	Outlived   int // those closed since their searcher has started anew since they came up
+	EndUnread  int // those not used since their searcher had ended them, which was not read yet
 	Watches    int // watches opened
 	WatchFails int // those of them that failed or ended
 	Updates    int // lists and changes received
@@ -102,7 +104,8 @@
 		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "further", c.Further, "copies", c.Copies, "cold", c.Cold, "second_steps", c.SecondSteps,
 			"not_sent", c.NotSent, "dialed", c.Dialed, "dial_fails", c.DialFails,
 			"idle_closed", c.IdleClosed, "left", c.Left, "left_out", c.LeftOut,
-			"beside", c.Beside, "muted", c.Muted, "spoilt", c.Spoilt, "held_back", c.HeldBack),
+			"beside", c.Beside, "muted", c.Muted, "spoilt", c.Spoilt, "held_back", c.HeldBack,
+			"outlived", c.Outlived, "end_unread", c.EndUnread),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "reports", c.Reports, "reports_bad", c.ReportsBad),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists,
