End in order with half a request, an unread last answer, or no way to the own listener

- Half a request at the end of a drain was waited for up to a second after the last moment to serve, with a deadline of 100 ms until 0.8 s after the kill may come, and then cut off without a word; its rest would have been a request that nobody answers.
It is refused with 503 while there is time.
- A connection whose last answer was out was closed over what its client had sent on, which resets it and may take the answer along.
The process waits for such clients until 0.2 s before the kill.
- gnet hands out its loop with a connection only, so the process connects to itself.
Where that failed it stayed, served nobody and could not be told to end.
It tries again, and ends with an error after 5 s.

Each test fails without its mend.

--- /dev/null
+++ b/internal/netio/ending_test.go
@@ -0,0 +1,86 @@
+package netio
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"eiderwinch"
+	"eiderwinch/internal/limit"
+	"eiderwinch/internal/stats"
+	"eiderwinch/internal/trial/testpeer"
+)
+
+// Half a request at the end of a drain is refused: were it cut off without a word, its rest would be a request
+// that nobody answers. The process does not wait for it until it is killed.
+func TestHalfARequestIsRefusedBeforeTheKill(t *testing.T) {
+	for name, first := range map[string]string{"the first": "", "a further one": health} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, func(r *rig) { r.serveFor = time.Minute })
+			client := testpeer.NewClient(t, r.Addr())
+			if first != "" {
+				heard(t, client, first)
+			}
+			client.Say("POST /search HTTP/1.1\r\nContent-Length: 10\r\n\r\n")
+			r.until("half a request", func() bool { return r.table.Count(limit.First)+r.table.Count(limit.Further) == 1 })
+			r.Drain()
+			r.onLoop(func() { // all its time is over but what is left for answers
+				r.serveUntil = time.Now()
+				r.killAt = time.Now().Add(killMargin)
+				r.drained(time.Now())
+			})
+			client.Say("0123456789")
+			if resp, _ := client.Hear(); resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+				t.Errorf("have %s, close %v", resp.Status, resp.Close)
+			}
+		})
+	}
+}
+
+// A close over bytes that were not read resets the connection, and the last answer on it may go with it. So a
+// process that drains waits for clients that it has told to go, for as long as it surely lives.
+func TestADrainWaitsForClientsToReadTheirLastAnswer(t *testing.T) {
+	r := start(t, nil)
+	client := testpeer.NewClient(t, r.Addr()).Say("nonsense\r\n\r\n")
+	r.until("the answer", func() bool { return r.table.Count(limit.Ending) == 1 })
+	r.Drain()
+	r.onLoop(func() {
+		client.Say("more of it")
+		if now := time.Now(); r.drained(now) || !r.drained(r.killAt) {
+			t.Errorf("drained: %v before the kill, %v at it", r.drained(now), r.drained(r.killAt))
+		}
+	})
+	if resp, _ := client.Hear(); resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("have %s", resp.Status)
+	}
+	client.Closed()
+}
+
+// gnet hands out its loop with a connection only. Without one the process would serve nobody, and not end.
+func TestAProcessThatCannotReachItselfEnds(t *testing.T) {
+	var tries atomic.Int32
+	start(t, func(r *rig) {
+		real := r.toSelf
+		r.toSelf = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if tries.Add(1) < bootTries {
+				return nil, errors.New("out of luck")
+			}
+			return real(ctx, network, addr)
+		}
+	})
+	r := &rig{t: t, s: testpeer.NewSearcher(t), d: testpeer.NewDiscovery(t), events: make(chan eiderwinch.Event, 1)}
+	n := New(Config{Listen: "127.0.0.1:0", Discovery: r.d.Addr, Sockets: 1024}, r, stats.New(), slog.New(slog.DiscardHandler))
+	n.toSelf = func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("out of luck") }
+	done := make(chan error, 1)
+	go func() { done <- n.Run() }()
+	if err := testpeer.Get(t, done, "the end"); err == nil || !strings.Contains(err.Error(), "out of luck") {
+		t.Errorf("it ended with %v", err)
+	}
+}
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -47,7 +48,9 @@
 	housekeeping = 250 * time.Millisecond // how often idle things are looked at
 	drainAccept  = 600 * time.Millisecond // new connections come for 0.4 s after SIGTERM
 	drainPartial = time.Second            // how much longer a half-sent request is waited for
-	bootTimeout  = 5 * time.Second
+	bootTimeout  = 5 * time.Second        // for the loop to be reached, in so many tries at least
+	bootTries    = 3
+	bootWait     = 10 * time.Millisecond // before the second of them; twice as long before each further one
 
 	// The kill comes no sooner after SIGTERM than the longest deadline, counted
 	// as killMost where it is longer, plus killMore. Until killReserve before it
@@ -101,7 +104,8 @@
 	roster follow.Roster // the searchers that were told to leave
 	held   time.Time     // since when sends wait for news that is to be read; zero while none do
 
-	dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+	dialer dialer          // of searchers and discovery
+	toSelf dialer          // of the own listener
 	ctx    context.Context // of all dials
 	stop   context.CancelFunc
 	loop   gnet.EventLoop // nil until the first connection shows it
@@ -127,6 +131,9 @@
 	bootFail error
 }
 
+// dialer opens a connection.
+type dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // New returns a Node that is to be started with Run.
 func New(cfg Config, d gatherer.Decider, counters *stats.Counters, log *slog.Logger) *Node {
 	if cfg.Clients == (limit.Bounds{}) {
@@ -137,7 +144,7 @@
 		table:    limit.New[*client](cfg.Clients),
 		flushing: make(map[*client]time.Time),
 		started:  make(chan struct{}), acceptFor: drainAccept, muteAfter: cfg.ConnectTimeout,
-		dialer: new(net.Dialer).DialContext,
+		dialer: new(net.Dialer).DialContext, toSelf: new(net.Dialer).DialContext,
 	}
 	n.serveFor = max(cfg.killAfter()-killReserve, drainAccept)
 	n.ctx, n.stop = context.WithCancel(context.Background())
@@ -369,9 +376,10 @@
 		return gnet.Shutdown
 	}
 	go func() {
-		c, err := net.DialTimeout("tcp", n.bound, bootTimeout)
+		c, err := n.reachSelf()
 		if err != nil {
-			n.log.Error("can't reach the own listener", "err", err)
+			n.bootFail = fmt.Errorf("reaching the own listener: %w", err)
+			_ = e.Stop(n.ctx) // its only other error is that it has ended
 			return
 		}
 		<-n.started
@@ -380,6 +388,20 @@
 	return gnet.None
 }
 
+// reachSelf opens a connection to the own listener. What fails at first is tried again: a process
+// that stays without a loop serves nobody and can't be told to end.
+func (n *Node) reachSelf() (c net.Conn, err error) {
+	for wait, end := bootWait, time.Now().Add(bootTimeout); ; wait *= 2 {
+		ctx, cancel := context.WithTimeout(n.ctx, bootTimeout/bootTries)
+		c, err = n.toSelf(ctx, "tcp", n.bound)
+		cancel()
+		if err == nil || time.Now().Add(wait).After(end) {
+			return c, err
+		}
+		time.Sleep(wait)
+	}
+}
+
 // boot starts all that needs the loop. It runs on it.
 func (n *Node) boot(loop gnet.EventLoop) {
 	n.loop = loop
@@ -496,9 +518,25 @@
 		return false
 	}
 	closed := n.closeIdleClients()
+	last := n.killAt.Add(-killMargin) // answers must be out by then
+	if until := n.serveUntil.Add(drainPartial); !now.Before(until) || !now.Before(last) {
+		n.refuseHalf()
+	}
 	half := n.table.Count(limit.First)+n.table.Count(limit.Further) > 0
-	half = half && now.Before(n.serveUntil.Add(drainPartial))
-	return closed && !half && n.core.Open() == 0 && n.table.Count(limit.Busy) == 0
+	// A close over what a client has sent on would reset the connection and take its last answer along.
+	unheard := n.table.Count(limit.Ending) > 0 && now.Before(last)
+	return closed && !half && !unheard && n.core.Open() == 0 && n.table.Count(limit.Busy) == 0
+}
+
+// refuseHalf refuses the requests that have begun and are not whole: their rest may come after the
+// end of the process, and would be a request that nobody answers.
+func (n *Node) refuseHalf() {
+	for _, stage := range [...]limit.Stage{limit.First, limit.Further} {
+		for s := n.table.Oldest(stage); s != nil; s = n.table.Oldest(stage) {
+			s.Owner.last = true
+			s.Owner.respond(http.StatusServiceUnavailable, nil)
+		}
+	}
 }
 
 // watches returns those that are followed: the one in use and the one to take its place.
