Take a whole list that comes without a length

Cause: an answer of discovery may have no length and be reset behind its last byte, and the whole list, asked for after a reload, was taken only where a length or the last chunk said that it was over. The watch would have stayed at the old address for good. An object is whole at its last brace. Without the mend the test waits in vain for the list.

--- a/internal/format/http1/response.go
+++ b/internal/format/http1/response.go
@@ -35,6 +35,9 @@
 // Done tells that the response has ended.
 func (p *ResponseParser) Done() bool { return p.head != nil && p.body.state == done }
 
+// Endless tells that the response has no end but that of its connection, which may also break.
+func (p *ResponseParser) Endless() bool { return p.head != nil && p.body.state == endless }
+
 func (p *ResponseParser) parseHead() error {
 	read, rest, err := readHead(p.buf)
 	if read == nil || err != nil {
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -58,6 +58,7 @@
 	headed  bool // the answer's head has come
 	came    bool // something has come since
 	whole   bool // news has
+	spent   bool // the whole list was all that can come on this connection
 }
 
 // newWatch returns a watch of the list after a revision.
@@ -151,7 +152,7 @@
 		return
 	case err == nil && r != nil && r.Status != 200:
 		err = fmt.Errorf("%w: status %d, want 200", errWatch, r.Status)
-	case err == nil && t.parser.Done() && t.fresh:
+	case err == nil && t.fresh && (t.parser.Done() || t.parser.Endless() && t.list != nil): // an object is whole without an end behind it
 		err = t.listed(now)
 	case err == nil && t.parser.Done():
 		err = errWatch
@@ -162,6 +163,10 @@
 	case t.whole, t.came && !t.objects.Inside(): // an object that does not end is no sign of life
 		t.whole, t.came = false, false
 		t.w.brought(now, t)
+		if t.spent {
+			t.w.follow.Lost(t.id, now)
+			t.end()
+		}
 	case r != nil && !t.headed:
 		t.headed = true
 		t.w.follow.Heard(t.id, now)
@@ -202,8 +207,10 @@
 	w.fresh, w.revision = false, u.Revision
 	w.n.succeed(w)
 	w.n.apply(now, eiderwinch.Whole, w.addr, u)
-	t.fresh, t.headed, t.whole = false, false, true
-	t.ask()
+	t.fresh, t.headed, t.whole, t.spent = false, false, true, t.parser.Endless()
+	if !t.spent {
+		t.ask()
+	}
 	return nil
 }
 
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -208,3 +208,47 @@
 		})
 	}
 }
+
+// An answer of discovery may have no length: its list is whole when its last brace has come, and the end behind
+// it may be a reset, which says nothing. Without that a reload would never move.
+func TestAWholeListWithoutALength(t *testing.T) {
+	asked := make(chan string, 100)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	r := start(t, nil)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				b := make([]byte, 1000)
+				n, _ := conn.Read(b)
+				target := strings.Split(string(b[:n])+"  ", " ")[1]
+				asked <- target
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+				if target == listPath {
+					fmt.Fprint(conn, testpeer.List(7, true, testpeer.Member("s", r.s.Addr, "Ready", 0)))
+					_ = conn.(*net.TCPConn).SetLinger(0)
+					conn.Close()
+					return
+				}
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+		}
+	}()
+	testpeer.Get(t, r.d.Watches, "a watch")
+	r.Reload(l.Addr().String())
+	if got := r.listed(); got.Kind != eiderwinch.Whole || len(got.Replicas) != 1 {
+		t.Errorf("have %+v", got)
+	}
+	for _, want := range []string{listPath, watchPath + "7"} {
+		if got := testpeer.Get(t, asked, want); got != want {
+			t.Errorf("asked for %s, want %s", got, want)
+		}
+	}
+}
