Let the times of a drain follow the longest deadline

Cause: connections kept by clients were closed 1 s before the kill whatever the deadlines, so with one of 0.5 s they were served for 0.6 s of the 1.2 s there are. What is kept free is the longest deadline where that is shorter, and twice the margin of the answers at least.

--- a/internal/netio/ending_test.go
+++ b/internal/netio/ending_test.go
@@ -107,3 +107,20 @@
 		t.Errorf("have %s", resp.Status)
 	}
 }
+
+// The times of a drain come from the settings: whatever the deadlines, all is over before the kill.
+func TestTheTimesOfADrainFitAnyDeadline(t *testing.T) {
+	for _, c := range []struct{ deadline, serve, kill time.Duration }{
+		{100 * time.Millisecond, 600 * time.Millisecond, 800 * time.Millisecond},
+		{500 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond},
+		{time.Second, 700 * time.Millisecond, 1700 * time.Millisecond},
+		{2 * time.Second, 1700 * time.Millisecond, 2700 * time.Millisecond},
+		{12 * time.Second, 2700 * time.Millisecond, 3700 * time.Millisecond},
+	} {
+		var cfg Config
+		cfg.Gatherer.Module.Classes = []eiderwinch.Class{{Deadline: c.deadline}, {Deadline: c.deadline / 2}}
+		if serve, kill := cfg.serveFor(), cfg.killAfter(); serve != c.serve || kill != c.kill {
+			t.Errorf("deadline %v: served for %v and killed after %v, want %v and %v", c.deadline, serve, kill, c.serve, c.kill)
+		}
+	}
+}
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -59,17 +59,24 @@
 	// open, and a gatherer that would take them instead may be down as well.
 	killMost    = 3 * time.Second
 	killMore    = 700 * time.Millisecond
-	killReserve = time.Second            // most answers take a small part of it
+	killReserve = time.Second            // most answers take a small part of it; the longest deadline, if that is shorter, but room for some
 	killMargin  = 200 * time.Millisecond // the answers must be out so long before the kill
 )
 
-// killAfter is how long after SIGTERM the process surely lives.
-func (c Config) killAfter() time.Duration {
-	longest := time.Duration(0)
+// longest is the longest deadline.
+func (c Config) longest() (longest time.Duration) {
 	for _, class := range c.Gatherer.Module.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	return min(longest, killMost) + killMore
+	return longest
+}
+
+// killAfter is how long after SIGTERM the process surely lives.
+func (c Config) killAfter() time.Duration { return min(c.longest(), killMost) + killMore }
+
+// serveFor is how long after SIGTERM connections that clients have kept are served.
+func (c Config) serveFor() time.Duration {
+	return max(c.killAfter()-max(min(c.longest(), killReserve), 2*killMargin), drainAccept)
 }
 
 // waitShare is the part of the shortest aim (1/3) that a call may wait for a connection: a
@@ -149,7 +156,7 @@
 		started:  make(chan struct{}), acceptFor: drainAccept, muteAfter: cfg.ConnectTimeout,
 		dialer: new(net.Dialer).DialContext, toSelf: new(net.Dialer).DialContext,
 	}
-	n.serveFor = max(cfg.killAfter()-killReserve, drainAccept)
+	n.serveFor = cfg.serveFor()
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.pool = newPool(n)
 	n.watch = newWatch(n, cfg.Discovery, cfg.Known.Revision)
