--- a/internal/netio/ending_test.go
+++ b/internal/netio/ending_test.go
@@ -124,3 +124,46 @@
 		}
 	}
 }
+
+// An answer that is half flushed is flushed to its end, also past the moment of the kill: that may come late.
+func TestADrainFlushesAnswers(t *testing.T) {
+	r := start(t, nil)
+	client := testpeer.NewClient(t, r.Addr())
+	client.ReadAhead(16 << 10)
+	client.Say(testpeer.Query("search", "t", time.Minute, 4))
+	parts := []testpeer.Part{r.part(), r.part(), r.part(), r.part()}
+	r.onLoop(func() { _ = r.table.Oldest(limit.Busy).Owner.conn.SetWriteBuffer(16 << 10) })
+	r.Drain()
+	r.onLoop(func() { r.serveUntil, r.killAt = time.Now(), time.Now() })
+	value := strings.Repeat("v", 60_000)
+	for _, p := range parts {
+		p.Answer("served", 1, value)
+	}
+	r.until("an answer in the buffer", func() bool { return len(r.flushing) == 1 })
+	r.onLoop(func() {
+		if r.drained(time.Now()) {
+			t.Error("it ends over half an answer")
+		}
+	})
+	if resp, body := client.Hear(); resp.StatusCode != http.StatusOK || strings.Count(body, value) != 4 {
+		t.Errorf("have %s and %d bytes", resp.Status, len(body))
+	}
+	client.Closed()
+}
+
+// What is read once the way out is shut is no request: sent on, it would be answered by nobody.
+func TestNothingIsTakenOnceTheWayOutIsShut(t *testing.T) {
+	r := start(t, nil)
+	client := testpeer.NewClient(t, r.Addr())
+	heard(t, client, "GET /_health HTTP/1.1\r\n\r\n")
+	r.until("it rests", func() bool { return r.table.Count(limit.Idle) == 1 })
+	r.onLoop(func() { r.table.Oldest(limit.Idle).Owner.end() })
+	client.Say(testpeer.Query("search", "t", time.Minute, 1))
+	r.until("it is read", func() bool { return r.table.Oldest(limit.Ending).Owner.spilt > 0 })
+	r.onLoop(func() {
+		if r.stats.Taken != 0 {
+			t.Error("it is taken")
+		}
+	})
+	client.Closed()
+}
--- a/internal/netio/gone_test.go
+++ b/internal/netio/gone_test.go
@@ -254,3 +254,57 @@
 		})
 	}
 }
+
+// A client may leave between the two steps of its query: the second one is not begun.
+func TestNoSecondStepBeginsForAClientWhoseEndIsNotRead(t *testing.T) {
+	r := start(t, func(r *rig) {
+		var query uint64
+		r.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+			switch e := e.(type) {
+			case eiderwinch.Query:
+				query = e.ID
+				return []eiderwinch.Action{eiderwinch.Send{Part: e.Parts[0].ID, Replica: "s"}}
+			case eiderwinch.Outcome:
+				if e.Status == eiderwinch.OK {
+					return []eiderwinch.Action{eiderwinch.Answer{Query: query, Whole: true}}
+				}
+			case eiderwinch.SecondStep:
+				return []eiderwinch.Action{eiderwinch.Send{Part: e.Parts[0].ID, Replica: "s"}}
+			}
+			return nil
+		}
+	})
+	client := r.ask("report", "t", time.Minute, 1)
+	r.part()
+	r.onLoop(func() {
+		own := r.table.Oldest(limit.Busy).Owner
+		client.Close()
+		r.wait("the end has come", func() bool { return ended(own.conn.Fd()) })
+		r.pool.peers["s"].links[0].traffic(frameOf("at.0 served 1 -\nv"))
+		r.turnNow()
+		r.turnNow()
+	})
+	r.until("the end is read", func() bool { return r.stats.Gone == 1 && r.stats.LeftUnread == 1 })
+	r.nothingBefore("next")
+}
+
+// What a searcher is told to wait is what is left to the client when the call is written, not when it was decided.
+func TestACallThatHasWaitedForItsConnectionTellsWhatIsLeft(t *testing.T) {
+	const waits = 300 * time.Millisecond
+	r := start(t, func(r *rig) {
+		again(r)
+		real := r.dialer
+		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if addr == r.s.Addr {
+				time.Sleep(waits) // the query came before this dial began
+			}
+			return real(ctx, network, addr)
+		}
+	})
+	r.ask("search", "t", 10*time.Second, 1)
+	var told int64
+	p := r.part()
+	if _, err := fmt.Sscanf(p.List, "d=%d", &told); err != nil || told > (10*time.Second-waits).Milliseconds() {
+		t.Errorf("told %s after %v of 10 s", p.List, waits)
+	}
+}
--- a/internal/netio/process_test.go
+++ b/internal/netio/process_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -157,3 +158,80 @@
 	close(up)
 	r.until("none is counted as being opened", func() bool { return r.pool.dialing == 0 && r.stats.Dialed >= 5 })
 }
+
+// A connection that comes up after its call was given up brings that call no attempt, and serves the next.
+func TestAConnectionThatComesUpTooLateServesTheNextCall(t *testing.T) {
+	up := make(chan bool)
+	r := start(t, func(r *rig) {
+		r.cfg.Gatherer.Module.Classes[0].Aim = 150 * time.Millisecond // a call waits for a third of it
+		r.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+			if e, ok := e.(eiderwinch.Query); ok {
+				return []eiderwinch.Action{eiderwinch.Send{Part: e.Parts[0].ID, Replica: "s"}}
+			}
+			return nil
+		}
+		real := r.dialer
+		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if addr == r.s.Addr {
+				<-up
+			}
+			return real(ctx, network, addr)
+		}
+	})
+	r.ask("search", "t", time.Minute, 1)
+	if got := r.outcome(); got.Status != eiderwinch.NoConnection {
+		t.Errorf("have %v", got.Status)
+	}
+	close(up)
+	r.until("it is up", func() bool { return r.stats.Dialed == 1 })
+	r.nothingBefore("next")
+	r.onLoop(func() {
+		if r.stats.Dialed+r.stats.DialFails+r.pool.dialing != 1 {
+			t.Error("another one was opened")
+		}
+	})
+}
+
+// Of what comes in one read, an answer counts though the end of its connection is right behind it, and what is
+// asked next goes elsewhere.
+func TestAnAnswerCountsThoughItsConnectionEndsBehindIt(t *testing.T) {
+	for name, end := range map[string]func(net.Conn){
+		"closed": func(c net.Conn) { c.Close() },
+		"reset":  func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, again)
+			client := r.ask("search", "t", time.Minute, 1)
+			p := r.part()
+			r.onLoop(func() {
+				fd := r.pool.peers["s"].links[0].conn.Fd()
+				p.Answer("served", 1, "v")
+				r.wait("the answer has come", func() bool { return pending(fd) > 0 })
+				end(p.Conn)
+				r.wait("the end has come", func() bool { return ended(fd) })
+			})
+			if resp, body := client.Hear(); resp.StatusCode != 200 || r.outcome().Status != eiderwinch.OK {
+				t.Errorf("have %s %s", resp.Status, body)
+			}
+			client.Say(testpeer.Query("search", "u", time.Minute, 1))
+			if r.part().Conn == p.Conn {
+				t.Error("the connection that has ended is used")
+			}
+		})
+	}
+}
+
+// An answer may come in pieces of a byte each.
+func TestAnAnswerInPieces(t *testing.T) {
+	r := start(t, again)
+	client := r.ask("search", "t", time.Minute, 1)
+	p := r.part()
+	for _, b := range frameOf("at.0 served 1 -\nvalue") {
+		p.Raw(string(rune(b)))
+		r.onLoop(func() {})
+	}
+	if resp, body := client.Hear(); resp.StatusCode != 200 || !strings.Contains(body, `"value"`) {
+		t.Errorf("have %s %s", resp.Status, body)
+	}
+}
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -252,3 +254,70 @@
 		}
 	}
 }
+
+// Who is left out of a whole list is gone, also where it still answers; what waits for a connection there is kept back.
+func TestWhoIsLeftOutOfAWholeListIsSentNothing(t *testing.T) {
+	up, dialed := make(chan bool), make(chan bool, 10)
+	r := start(t, func(r *rig) {
+		again(r)
+		real := r.dialer
+		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if addr == r.s.Addr {
+				dialed <- true
+				<-up
+			}
+			return real(ctx, network, addr)
+		}
+	})
+	w := testpeer.Get(t, r.d.Watches, "a watch")
+	r.ask("search", "t", time.Minute, 1)
+	testpeer.Get(t, dialed, "a dial")
+	w.Send(testpeer.List(42, true, testpeer.Member("other", "127.0.0.1:1", "Ready", 0)))
+	r.listed()
+	close(up)
+	if got := r.outcome(); got.Status != eiderwinch.NoConnection {
+		t.Errorf("have %v", got.Status)
+	}
+	r.ask("search", "u", time.Minute, 1)
+	if got := r.outcome(); got.Status != eiderwinch.NotSent || len(r.s.Parts) > 0 {
+		t.Errorf("have %v, %d parts sent", got.Status, len(r.s.Parts))
+	}
+}
+
+// A watch that can't be opened for want of descriptors is opened when there are some, and the loop goes on.
+func TestAWatchIsOpenedOnceThereAreDescriptors(t *testing.T) {
+	var refused atomic.Int32
+	r := start(t, func(r *rig) {
+		real := r.dialer
+		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if addr == r.d.Addr && refused.Add(1) <= 3 {
+				return nil, &net.OpError{Op: "dial", Err: syscall.EMFILE}
+			}
+			return real(ctx, network, addr)
+		}
+	})
+	testpeer.Get(t, r.d.Watches, "a watch")
+	r.onLoop(func() {
+		if r.stats.WatchFails < 3 {
+			t.Errorf("%d failed", r.stats.WatchFails)
+		}
+	})
+}
+
+// Where both the address in use and that of a reload are silent, whichever speaks first is heard, and the move is
+// made once the new one has.
+func TestAReloadWhileBothAddressesAreSilent(t *testing.T) {
+	r, moved := start(t, nil), testpeer.NewDiscovery(t)
+	old := testpeer.Get(t, r.d.Watches, "a watch")
+	r.Reload(moved.Addr)
+	r.until("the old watch is silent", func() bool { return r.watch.follow.Due().Sub(time.Now()) < time.Second })
+	old.Send(testpeer.List(42, false, testpeer.Member("s", r.s.Addr, "Terminating", 0)))
+	if got := r.listed(); got.Replicas[0].State != eiderwinch.Draining {
+		t.Errorf("the old one's news is %+v", got)
+	}
+	moved.Tell(testpeer.List(7, true, testpeer.Member("s", r.s.Addr, "Ready", 0), testpeer.Member("x", "127.0.0.1:1", "Ready", 0)))
+	if got := r.listed(); got.Kind != eiderwinch.Whole || got.Replicas[0].State != eiderwinch.Draining || len(got.Replicas) != 2 {
+		t.Errorf("the new one's list is %+v", got)
+	}
+	testpeer.Get(t, moved.Watches, "a watch there")
+}
