Give up a part that goes again by a close where its connection is full

A probe on a scratch copy showed each such part cancelled on a connection that carried as many as it may, and sent elsewhere some milliseconds later. What is written on a full connection waits unread, the frame that gives a part up too, so the first attempt was still out. With 32 parts on a connection it does not show.

At fault: pool.Abandon, which took its frame for read. A part that may go again is given up by closing the connection where that is full or the system takes no more; what else is out there may have run. Where the part's query is over the frame is enough, and room is reckoned without it until an answer has made some.

Calls travel whole again.

--- a/internal/gatherer/send.go
+++ b/internal/gatherer/send.go
@@ -35,6 +35,9 @@
 // Decided is when the aggregator's turn was in which it was sent.
 func (a *Attempt) Decided() time.Time { return a.sent }
 
+// MayGoAgain tells that its part may be sent again: nothing of that has come, and its query goes on.
+func (a *Attempt) MayGoAgain() bool { return !a.part.over && !a.part.in }
+
 // PartID names its part to the searchers: by the query's trace, the shard, and ".b" in a
 // second step. All attempts of a part bear the same.
 func (a *Attempt) PartID() string {
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -66,6 +66,7 @@
 	parser frame.Parser
 	out    []flight
 	up     time.Time       // when it came up
+	unread map[string]bool // of the given-up parts: those whose frame that says so waits unread
 	ghosts map[string]bool // ids of given-up parts that may still be answered
 	given  uint64          // bytes given to gnet
 	idle   time.Time       // when nothing was out here last
@@ -128,14 +129,10 @@
 		}
 		return
 	}
-	for most := p.n.cfg.Multiplex; len(attempts) > 0; { // what is beyond that on one connection waits unread
-		n := min(len(attempts), most)
-		w := &waiting{attempts: attempts[:n:n]}
-		w.timer.Value = func(now time.Time) { at.giveUp(p, now, w) }
-		p.timers.Set(&w.timer, now.Add(p.n.connectWait()))
-		at.queue = append(at.queue, w)
-		attempts = attempts[n:]
-	}
+	w := &waiting{attempts: attempts}
+	w.timer.Value = func(now time.Time) { at.giveUp(p, now, w) }
+	p.timers.Set(&w.timer, now.Add(p.n.connectWait()))
+	at.queue = append(at.queue, w)
 	p.pump(time.Now(), at) // the turn may have taken its time
 }
 
@@ -210,7 +207,7 @@
 		if len(l.out) > 0 {
 			l.quiet(now, l.out[0].sent)
 		}
-		if l.conn == nil || l.shut || l.mute || l.frame.Set() || now.Sub(l.idle) >= idle && len(l.out) == 0 || len(l.out) > 0 && len(l.out)+len(attempts) > multiplex ||
+		if l.conn == nil || l.shut || l.mute || l.frame.Set() || now.Sub(l.idle) >= idle && len(l.out) == 0 || len(l.out)+len(l.unread) > 0 && len(l.out)+len(l.unread)+len(attempts) > multiplex ||
 			len(l.ghosts) >= maxGhosts || l.conn.OutboundBuffered() > 0 {
 			continue
 		}
@@ -239,7 +236,7 @@
 	}
 	want := 0
 	for _, w := range at.queue {
-		want += len(w.attempts)
+		want += min(len(w.attempts), p.n.cfg.Multiplex) // a call travels whole: what is beyond that waits unread
 	}
 	for ; want > room; room += p.n.cfg.Multiplex {
 		if p.links+p.dialing+2 > (p.n.cfg.Sockets-spare)/4 {
@@ -247,7 +244,7 @@
 			return
 		}
 		l := &link{
-			pool: p, peer: at, addr: at.addr, ghosts: make(map[string]bool),
+			pool: p, peer: at, addr: at.addr, ghosts: make(map[string]bool), unread: make(map[string]bool),
 		}
 		l.dialed.Value = func(time.Time) { l.shut = true } // its dialer gives up by itself
 		l.frame.Value = func(time.Time) { l.spoil("frame that does not end", l.parser.Buffered()) }
@@ -284,12 +281,32 @@
 	if l == nil {
 		return // it waits for a connection, and is dropped there
 	}
-	id := a.PartID()
+	id, full := a.PartID(), l.full() || l.conn.OutboundBuffered() > 0
 	l.quiet(time.Now(), l.land(a))
+	if full && a.MayGoAgain() {
+		l.pool.n.stats.GivenUp++
+		l.close()
+		return
+	}
+	if full {
+		l.unread[id] = true
+	}
 	l.ghosts[id] = true
 	l.write(frame.AppendCancel(nil, id))
 }
 
+// full tells that a connection carries as many parts as it may. What is written on it then waits unread,
+// also the frame that gives a part up, as it does where the system takes no more: until an answer has come,
+// only closing the connection gives a part up.
+func (l *link) full() bool { return len(l.out)+len(l.unread) >= l.pool.n.cfg.Multiplex }
+
+// readOn books, when an answer has come, that the searcher has read all there is, if it has room again.
+func (l *link) readOn() {
+	if !l.full() {
+		clear(l.unread)
+	}
+}
+
 // quiet marks a connection as mute on which nothing has come for far longer than calls take, though an attempt
 // has been out on it since then: it may be cut off. TCP does not tell, and what is sent there hangs until its
 // query ends. It gets nothing new until something comes on it again. The next call opens another, which a
@@ -518,7 +535,8 @@
 		return err
 	}
 	i := slices.IndexFunc(l.out, func(f flight) bool { return f.id == r.ID })
-	if i < 0 {
+	if delete(l.unread, r.ID); i < 0 {
+		l.readOn()
 		if l.ghosts[r.ID] || r.ID == l.last {
 			delete(l.ghosts, r.ID) // nobody waits for it any more, or it is a second copy
 			return nil
@@ -531,6 +549,7 @@
 	} else {
 		l.pool.usual += time.Duration(muteLearn * float64(took-l.pool.usual))
 	}
+	l.readOn()
 	l.last = r.ID
 	switch {
 	case r.Report.Given:
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -62,6 +62,7 @@
 	Spoilt     int // those closed for what they carried
 	HeldBack   int // those closed since a part was still in their buffer when its searcher was told to leave
 	Outlived   int // those closed since their searcher has started anew since they came up
+	GivenUp    int // those closed to give a part up, since they carried as many as they may
 	EndUnread  int // those not used since their searcher had ended them, which was not read yet
 	Watches    int // watches opened
 	WatchFails int // those of them that failed or ended
@@ -105,7 +106,7 @@
 			"not_sent", c.NotSent, "dialed", c.Dialed, "dial_fails", c.DialFails,
 			"idle_closed", c.IdleClosed, "left", c.Left, "left_out", c.LeftOut,
 			"beside", c.Beside, "muted", c.Muted, "spoilt", c.Spoilt, "held_back", c.HeldBack,
-			"outlived", c.Outlived, "end_unread", c.EndUnread),
+			"outlived", c.Outlived, "end_unread", c.EndUnread, "given_up", c.GivenUp),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "reports", c.Reports, "reports_bad", c.ReportsBad),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists,
