Call connections that fell silent half-open, and given-up parts abandoned

The field's terms in place of ours, in the files that the mends touched: half-open connections (were mute), abandoned parts (were ghosts), frames blocked behind others, a peer that has closed. No logic changes.

--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -131,7 +131,7 @@
 }
 
 // Left implements gatherer.Client.
-func (c *client) Left() bool { return c.ending || ended(c.conn.Fd()) }
+func (c *client) Left() bool { return c.ending || peerClosed(c.conn.Fd()) }
 
 // pump serves the requests that are in.
 func (c *client) pump() {
--- a/internal/netio/gone_test.go
+++ b/internal/netio/gone_test.go
@@ -102,7 +102,7 @@
 				}
 				client.Say(c.before)
 				c.leave(client)
-				r.wait("the end has come", func() bool { return ended(own.conn.Fd()) })
+				r.wait("the end has come", func() bool { return peerClosed(own.conn.Fd()) })
 				if c.further {
 					r.pool.peers["s"].links[0].traffic(frameOf("at.0 broke 0 -\n"))
 				}
@@ -279,7 +279,7 @@
 	r.onLoop(func() {
 		own := r.table.Oldest(limit.Busy).Owner
 		client.Close()
-		r.wait("the end has come", func() bool { return ended(own.conn.Fd()) })
+		r.wait("the end has come", func() bool { return peerClosed(own.conn.Fd()) })
 		r.pool.peers["s"].links[0].traffic(frameOf("at.0 served 1 -\nv"))
 		r.turnNow()
 		r.turnNow()
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -347,9 +347,9 @@
 }
 
 // What is sent on a connection that is cut off hangs until its query ends, so that one must not be used again and again.
-func TestAMuteConnectionIsNotUsedAgain(t *testing.T) {
+func TestAHalfOpenConnectionIsNotUsedAgain(t *testing.T) {
 	r := start(t, func(r *rig) {
-		r.muteAfter = 0
+		r.halfOpenAfter = 0
 		r.decide = func(e eiderwinch.Event) []eiderwinch.Action {
 			if e, ok := e.(eiderwinch.Query); ok {
 				return []eiderwinch.Action{eiderwinch.Send{Part: e.Parts[0].ID, Replica: "s", TimeOut: 300 * time.Millisecond}}
@@ -358,11 +358,11 @@
 		}
 	})
 	r.ask("search", "t1", time.Minute, 1)
-	mute := r.part()
+	halfOpen := r.part()
 	testpeer.Get(t, r.s.Cancels, "a cancel")
 	r.ask("search", "t2", time.Minute, 1)
-	if p := r.part(); p.Conn == mute.Conn {
-		t.Error("the mute connection is used")
+	if p := r.part(); p.Conn == halfOpen.Conn {
+		t.Error("the half-open connection is used")
 	}
 }
 
@@ -405,10 +405,10 @@
 }
 
 // The aggregator has connections closed by what it saw of other searchers. Of a large fleet that costs
-// a handshake for every call, so one that answers stays open, and one that is mute does not.
-func TestOnlyMuteConnectionsAreClosedOnDemand(t *testing.T) {
+// a handshake for every call, so one that answers stays open, and one that is half-open does not.
+func TestOnlyHalfOpenConnectionsAreClosedOnDemand(t *testing.T) {
 	r := start(t, func(r *rig) {
-		r.muteAfter = 0
+		r.halfOpenAfter = 0
 		r.decide = func(e eiderwinch.Event) []eiderwinch.Action {
 			if e, ok := e.(eiderwinch.Query); ok {
 				return []eiderwinch.Action{
@@ -431,7 +431,7 @@
 	testpeer.Get(t, r.s.Cancels, "a cancel")
 	r.ask("search", "t3", time.Minute, 1)
 	if r.part().Conn == second.Conn {
-		t.Error("the mute connection is used")
+		t.Error("the half-open connection is used")
 	}
 }
 
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -125,14 +125,14 @@
 
 	flushing map[*client]time.Time // ending ones whose answer has not left, and until when it may
 
-	muteAfter  time.Duration // see pool.patience
-	acceptFor  time.Duration // how long new connections may come once it drains
-	serveFor   time.Duration // how long kept ones are served then
-	draining   bool
-	drainUntil time.Time // the end of acceptFor
-	serveUntil time.Time // the end of serveFor
-	killAt     time.Time // the process may be killed from then on
-	closing    bool      // the loop is about to end
+	halfOpenAfter time.Duration // see pool.patience
+	acceptFor     time.Duration // how long new connections may come once it drains
+	serveFor      time.Duration // how long kept ones are served then
+	draining      bool
+	drainUntil    time.Time // the end of acceptFor
+	serveUntil    time.Time // the end of serveFor
+	killAt        time.Time // the process may be killed from then on
+	closing       bool      // the loop is about to end
 
 	started  chan struct{} // closed once queries are taken
 	bound    string        // the address listened on
@@ -153,7 +153,7 @@
 		table:    limit.New[*client](cfg.Clients),
 		flushing: make(map[*client]time.Time),
 		listener: -1,
-		started:  make(chan struct{}), acceptFor: drainAccept, muteAfter: cfg.ConnectTimeout,
+		started:  make(chan struct{}), acceptFor: drainAccept, halfOpenAfter: cfg.ConnectTimeout,
 		dialer: new(net.Dialer).DialContext, toSelf: new(net.Dialer).DialContext,
 	}
 	n.serveFor = cfg.serveFor()
@@ -310,7 +310,7 @@
 	_, ok := wait(ctx, n, func() struct{} {
 		n.core.Apply(l.Core)
 		n.cfg.Multiplex, n.cfg.ConnectTimeout, n.cfg.ConnIdle = l.Multiplex, l.ConnectTimeout, l.ConnIdle
-		n.muteAfter = l.ConnectTimeout
+		n.halfOpenAfter = l.ConnectTimeout
 		if l.Layout != nil && l.Layout.Epoch() > n.core.Epoch() {
 			n.core.Adopt(l.Layout)
 		}
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	idleMargin = 2 * time.Second // idle connections are closed so long before the searcher does
-	muteTimes  = 8               // a connection is mute when nothing comes for so many usual times of calls
-	muteLearn  = 0.05            // weight of one call in their usual time
-	maxGhosts  = 256             // given-up parts without an answer; then a connection is not used again
+	idleMargin    = 2 * time.Second // idle connections are closed so long before the searcher does
+	halfOpenTimes = 8               // a connection is taken for half-open when nothing comes for so many usual times of calls
+	halfOpenLearn = 0.05            // weight of one call in their usual time
+	maxAbandoned  = 256             // given-up parts without an answer; then a connection is not used again
 )
 
 // pool holds the connections to the searchers. It implements gatherer.Searchers.
@@ -56,24 +56,24 @@
 
 // link is one connection to a searcher.
 type link struct {
-	pool   *pool
-	peer   *peer
-	addr   string
-	conn   gnet.Conn // nil while it is being dialed
-	dialed timer     // being dialed: when that is given up
-	shut   bool      // not to be used any more
-	spoilt bool      // it carried what can't be used, and is being closed
-	parser frame.Parser
-	out    []flight
-	up     time.Time       // when it came up
-	unread map[string]bool // of the given-up parts: those whose frame that says so waits unread
-	ghosts map[string]bool // ids of given-up parts that may still be answered
-	given  uint64          // bytes given to gnet
-	idle   time.Time       // when nothing was out here last
-	heard  time.Time       // when anything came last
-	frame  timer           // set while a frame is coming: when it must have ended
-	last   string          // the id that was answered last
-	mute   bool            // it may be cut off: see quiet
+	pool      *pool
+	peer      *peer
+	addr      string
+	conn      gnet.Conn // nil while it is being dialed
+	dialed    timer     // being dialed: when that is given up
+	shut      bool      // not to be used any more
+	spoilt    bool      // it carried what can't be used, and is being closed
+	parser    frame.Parser
+	out       []flight
+	up        time.Time       // when it came up
+	blocked   map[string]bool // of the given-up parts: those whose frame that says so waits unread
+	abandoned map[string]bool // ids of given-up parts that may still be answered
+	given     uint64          // bytes given to gnet
+	idle      time.Time       // when nothing was out here last
+	heard     time.Time       // when anything came last
+	frame     timer           // set while a frame is coming: when it must have ended
+	last      string          // the id that was answered last
+	halfOpen  bool            // it may be cut off: see quiet
 }
 
 // flight is an attempt that is out on a connection.
@@ -207,15 +207,15 @@
 		if len(l.out) > 0 {
 			l.quiet(now, l.out[0].sent)
 		}
-		if l.conn == nil || l.shut || l.mute || l.frame.Set() || now.Sub(l.idle) >= idle && len(l.out) == 0 || len(l.out)+len(l.unread) > 0 && len(l.out)+len(l.unread)+len(attempts) > multiplex ||
-			len(l.ghosts) >= maxGhosts || l.conn.OutboundBuffered() > 0 {
+		if l.conn == nil || l.shut || l.halfOpen || l.frame.Set() || now.Sub(l.idle) >= idle && len(l.out) == 0 || len(l.out)+len(l.blocked) > 0 && len(l.out)+len(l.blocked)+len(attempts) > multiplex ||
+			len(l.abandoned) >= maxAbandoned || l.conn.OutboundBuffered() > 0 {
 			continue
 		}
-		haunted := func(a *gatherer.Attempt) bool { return l.ghosts[a.PartID()] }
-		if slices.ContainsFunc(attempts, haunted) {
+		awaited := func(a *gatherer.Attempt) bool { return l.abandoned[a.PartID()] }
+		if slices.ContainsFunc(attempts, awaited) {
 			continue
 		}
-		if ended(l.conn.Fd()) {
+		if peerClosed(l.conn.Fd()) {
 			l.pool.n.stats.EndUnread++ // the loop reads it next
 			continue
 		}
@@ -244,7 +244,7 @@
 			return
 		}
 		l := &link{
-			pool: p, peer: at, addr: at.addr, ghosts: make(map[string]bool), unread: make(map[string]bool),
+			pool: p, peer: at, addr: at.addr, abandoned: make(map[string]bool), blocked: make(map[string]bool),
 		}
 		l.dialed.Value = func(time.Time) { l.shut = true } // its dialer gives up by itself
 		l.frame.Value = func(time.Time) { l.spoil("frame that does not end", l.parser.Buffered()) }
@@ -289,25 +289,25 @@
 		return
 	}
 	if full {
-		l.unread[id] = true
+		l.blocked[id] = true
 	}
-	l.ghosts[id] = true
+	l.abandoned[id] = true
 	l.write(frame.AppendCancel(nil, id))
 }
 
 // full tells that a connection carries as many parts as it may. What is written on it then waits unread,
 // also the frame that gives a part up, as it does where the system takes no more: until an answer has come,
 // only closing the connection gives a part up.
-func (l *link) full() bool { return len(l.out)+len(l.unread) >= l.pool.n.cfg.Multiplex }
+func (l *link) full() bool { return len(l.out)+len(l.blocked) >= l.pool.n.cfg.Multiplex }
 
 // readOn books, when an answer has come, that the searcher has read all there is, if it has room again.
 func (l *link) readOn() {
 	if !l.full() {
-		clear(l.unread)
+		clear(l.blocked)
 	}
 }
 
-// quiet marks a connection as mute on which nothing has come for far longer than calls take, though an attempt
+// quiet marks a connection as half-open on which nothing has come for far longer than calls take, though an attempt
 // has been out on it since then: it may be cut off. TCP does not tell, and what is sent there hangs until its
 // query ends. It gets nothing new until something comes on it again. The next call opens another, which a
 // searcher that is cut off does not take: then the call surely has not run, and can go elsewhere.
@@ -316,18 +316,18 @@
 	if since.Before(sent) {
 		since = sent
 	}
-	if !l.mute && now.Sub(since) >= l.pool.patience() {
-		l.mute = true
-		l.pool.n.stats.Muted++
+	if !l.halfOpen && now.Sub(since) >= l.pool.patience() {
+		l.halfOpen = true
+		l.pool.n.stats.HalfOpen++
 	}
 }
 
 // patience is how long a connection may bring nothing while something is out on it.
 func (p *pool) patience() time.Duration {
 	if p.usual == 0 {
-		return p.n.muteAfter
+		return p.n.halfOpenAfter
 	}
-	return min(p.n.muteAfter, max(muteTimes*p.usual, muteTimes*p.n.cfg.Gatherer.Tick))
+	return min(p.n.halfOpenAfter, max(halfOpenTimes*p.usual, halfOpenTimes*p.n.cfg.Gatherer.Tick))
 }
 
 // CloseIdle implements gatherer.Searchers. It closes those that may be cut off, see
@@ -338,7 +338,7 @@
 func (p *pool) CloseIdle(searcher string) {
 	if at := p.peers[searcher]; at != nil {
 		for _, l := range at.links {
-			if l.conn != nil && len(l.out) == 0 && l.mute {
+			if l.conn != nil && len(l.out) == 0 && l.halfOpen {
 				l.close()
 			}
 		}
@@ -484,7 +484,7 @@
 		return // it is being closed
 	}
 	now := time.Now()
-	l.heard, l.mute = now, false
+	l.heard, l.halfOpen = now, false
 	l.parser.Feed(b)
 	for {
 		f, ok, err := l.parser.Next()
@@ -535,10 +535,10 @@
 		return err
 	}
 	i := slices.IndexFunc(l.out, func(f flight) bool { return f.id == r.ID })
-	if delete(l.unread, r.ID); i < 0 {
+	if delete(l.blocked, r.ID); i < 0 {
 		l.readOn()
-		if l.ghosts[r.ID] || r.ID == l.last {
-			delete(l.ghosts, r.ID) // nobody waits for it any more, or it is a second copy
+		if l.abandoned[r.ID] || r.ID == l.last {
+			delete(l.abandoned, r.ID) // nobody waits for it any more, or it is a second copy
 			return nil
 		}
 		return l.unasked(f.Letter)
@@ -547,7 +547,7 @@
 	if took := now.Sub(l.land(a)); l.pool.usual == 0 {
 		l.pool.usual = took
 	} else {
-		l.pool.usual += time.Duration(muteLearn * float64(took-l.pool.usual))
+		l.pool.usual += time.Duration(halfOpenLearn * float64(took-l.pool.usual))
 	}
 	l.readOn()
 	l.last = r.ID
--- a/internal/netio/process_test.go
+++ b/internal/netio/process_test.go
@@ -91,7 +91,7 @@
 	r.onLoop(func() {
 		old.Conn.Close()
 		l := r.pool.peers["s"].links[0]
-		r.wait("the end has come", func() bool { return ended(l.conn.Fd()) })
+		r.wait("the end has come", func() bool { return peerClosed(l.conn.Fd()) })
 		r.table.Oldest(limit.Idle).Owner.traffic([]byte(testpeer.Query("search", "t2", time.Minute, 1)))
 		r.turnNow()
 	})
@@ -218,7 +218,7 @@
 	}
 	p.Answer("served", 1, "late")
 	r.until("the answer is read", func() bool {
-		return r.pool.peers["s"].links[0].last == "" && len(r.pool.peers["s"].links[0].unread) == 0
+		return r.pool.peers["s"].links[0].last == "" && len(r.pool.peers["s"].links[0].blocked) == 0
 	})
 	r.ask("search", "v", time.Minute, 1)
 	if r.part().Conn != p.Conn {
@@ -316,7 +316,7 @@
 				p.Answer("served", 1, "v")
 				r.wait("the answer has come", func() bool { return pending(fd) > 0 })
 				end(p.Conn)
-				r.wait("the end has come", func() bool { return ended(fd) })
+				r.wait("the end has come", func() bool { return peerClosed(fd) })
 			})
 			if resp, body := client.Hear(); resp.StatusCode != 200 || r.outcome().Status != eiderwinch.OK {
 				t.Errorf("have %s %s", resp.Status, body)
--- a/internal/netio/socket.go
+++ b/internal/netio/socket.go
@@ -35,7 +35,7 @@
 
 // ended tells that the peer has ended a connection, also where that lies behind bytes that were
 // not read yet; false where the system does not tell.
-func ended(fd int) bool {
+func peerClosed(fd int) bool {
 	return poll(fd, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -58,7 +58,7 @@
 	Left       int // those that their searchers ended
 	LeftOut    int // of Left: with parts out
 	Beside     int // of Dialed and DialFails: dialed while another to the same searcher was open
-	Muted      int // those set aside since nothing came on them while a part was out
+	HalfOpen   int // those set aside since nothing came on them while a part was out
 	Spoilt     int // those closed for what they carried
 	HeldBack   int // those closed since a part was still in their buffer when its searcher was told to leave
 	Outlived   int // those closed since their searcher has started anew since they came up
@@ -105,7 +105,7 @@
 		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "further", c.Further, "copies", c.Copies, "cold", c.Cold, "second_steps", c.SecondSteps,
 			"not_sent", c.NotSent, "dialed", c.Dialed, "dial_fails", c.DialFails,
 			"idle_closed", c.IdleClosed, "left", c.Left, "left_out", c.LeftOut,
-			"beside", c.Beside, "muted", c.Muted, "spoilt", c.Spoilt, "held_back", c.HeldBack,
+			"beside", c.Beside, "half_open", c.HalfOpen, "spoilt", c.Spoilt, "held_back", c.HeldBack,
 			"outlived", c.Outlived, "end_unread", c.EndUnread, "given_up", c.GivenUp),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "reports", c.Reports, "reports_bad", c.ReportsBad),
