--- a/internal/netio/gone_test.go
+++ b/internal/netio/gone_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -120,14 +119,11 @@
 	up, dialed := make(chan bool), make(chan bool, 10)
 	r := start(t, func(r *rig) {
 		again(r)
-		real := r.dialer
-		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if addr == r.s.Addr {
-				dialed <- true
-				<-up
-			}
-			return real(ctx, network, addr)
-		}
+		r.beforeDial(r.s.Addr, func(context.Context) error {
+			dialed <- true
+			<-up
+			return nil
+		})
 	})
 	client := r.ask("search", "t", time.Minute, 1)
 	testpeer.Get(t, dialed, "a dial")
@@ -230,13 +226,12 @@
 			r := start(t, func(r *rig) {
 				again(r)
 				r.cfg.Gatherer.Module.Classes[1].RepeatWindow = window
-				real := r.dialer
-				r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-					if addr == r.s.Addr && dials.Add(1) == 2 {
+				r.beforeDial(r.s.Addr, func(context.Context) error {
+					if dials.Add(1) == 2 {
 						time.Sleep(window) // the first was sent before this dial began
 					}
-					return real(ctx, network, addr)
-				}
+					return nil
+				})
 			})
 			r.ask("reserve", "t", time.Minute, 1)
 			first := r.part()
@@ -293,13 +288,10 @@
 	const waits = 300 * time.Millisecond
 	r := start(t, func(r *rig) {
 		again(r)
-		real := r.dialer
-		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if addr == r.s.Addr {
-				time.Sleep(waits) // the query came before this dial began
-			}
-			return real(ctx, network, addr)
-		}
+		r.beforeDial(r.s.Addr, func(context.Context) error {
+			time.Sleep(waits) // the query came before this dial began
+			return nil
+		})
 	})
 	r.ask("search", "t", 10*time.Second, 1)
 	var told int64
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -116,6 +116,19 @@
 	}
 }
 
+// beforeDial has each dial to an address do something first; where that returns an error, the dial ends with it.
+func (r *rig) beforeDial(to string, first func(context.Context) error) {
+	real := r.dialer
+	r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if addr == to {
+			if err := first(ctx); err != nil {
+				return nil, err
+			}
+		}
+		return real(ctx, network, addr)
+	}
+}
+
 // outcome returns the next outcome that the aggregator is told.
 func (r *rig) outcome() eiderwinch.Outcome {
 	r.t.Helper()
@@ -440,14 +453,11 @@
 	dialed, up := make(chan bool, 1), make(chan bool)
 	r := start(t, func(r *rig) {
 		sendAll(r)
-		real := r.dialer
-		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if addr == r.s.Addr {
-				dialed <- true
-				<-up
-			}
-			return real(ctx, network, addr)
-		}
+		r.beforeDial(r.s.Addr, func(context.Context) error {
+			dialed <- true
+			<-up
+			return nil
+		})
 	})
 	watch := testpeer.Get(t, r.d.Watches, "a watch")
 	r.ask("search", "t", time.Minute, 1)
--- a/internal/netio/process_test.go
+++ b/internal/netio/process_test.go
@@ -61,15 +61,11 @@
 	moved := testpeer.NewSearcher(t)
 	r := start(t, func(r *rig) {
 		again(r)
-		real := r.dialer
-		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if addr == r.s.Addr {
-				dialed <- true
-				<-ctx.Done() // its machine is gone
-				return nil, ctx.Err()
-			}
-			return real(ctx, network, addr)
-		}
+		r.beforeDial(r.s.Addr, func(ctx context.Context) error {
+			dialed <- true
+			<-ctx.Done() // its machine is gone
+			return ctx.Err()
+		})
 	})
 	r.ask("search", "t", time.Minute, 1)
 	testpeer.Get(t, dialed, "a dial")
@@ -277,13 +273,10 @@
 			}
 			return nil
 		}
-		real := r.dialer
-		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if addr == r.s.Addr {
-				<-up
-			}
-			return real(ctx, network, addr)
-		}
+		r.beforeDial(r.s.Addr, func(context.Context) error {
+			<-up
+			return nil
+		})
 	})
 	r.ask("search", "t", time.Minute, 1)
 	if got := r.outcome(); got.Status != eiderwinch.NoConnection {
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -168,13 +168,12 @@
 			up := make(chan bool)
 			r := start(t, func(r *rig) {
 				sendAll(r)
-				real := r.dialer
-				r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-					if addr == r.s.Addr && c.waiting {
+				r.beforeDial(r.s.Addr, func(context.Context) error {
+					if c.waiting {
 						<-up
 					}
-					return real(ctx, network, addr)
-				}
+					return nil
+				})
 			})
 			watch := testpeer.Get(t, r.d.Watches, "a watch")
 			watch.Send(testpeer.List(42, false, testpeer.Member("s", r.s.Addr, "Ready", 0)))
@@ -260,14 +259,11 @@
 	up, dialed := make(chan bool), make(chan bool, 10)
 	r := start(t, func(r *rig) {
 		again(r)
-		real := r.dialer
-		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if addr == r.s.Addr {
-				dialed <- true
-				<-up
-			}
-			return real(ctx, network, addr)
-		}
+		r.beforeDial(r.s.Addr, func(context.Context) error {
+			dialed <- true
+			<-up
+			return nil
+		})
 	})
 	w := testpeer.Get(t, r.d.Watches, "a watch")
 	r.ask("search", "t", time.Minute, 1)
@@ -288,13 +284,12 @@
 func TestAWatchIsOpenedOnceThereAreDescriptors(t *testing.T) {
 	var refused atomic.Int32
 	r := start(t, func(r *rig) {
-		real := r.dialer
-		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if addr == r.d.Addr && refused.Add(1) <= 3 {
-				return nil, &net.OpError{Op: "dial", Err: syscall.EMFILE}
+		r.beforeDial(r.d.Addr, func(context.Context) error {
+			if refused.Add(1) <= 3 {
+				return &net.OpError{Op: "dial", Err: syscall.EMFILE}
 			}
-			return real(ctx, network, addr)
-		}
+			return nil
+		})
 	})
 	testpeer.Get(t, r.d.Watches, "a watch")
 	r.onLoop(func() {
