--- a/internal/netio/gone_test.go
+++ b/internal/netio/gone_test.go
@@ -119,11 +119,7 @@
 	up, dialed := make(chan bool), make(chan bool, 10)
 	r := start(t, func(r *rig) {
 		again(r)
-		r.beforeDial(r.s.Addr, func(context.Context) error {
-			dialed <- true
-			<-up
-			return nil
-		})
+		r.holdDials(dialed, up)
 	})
 	client := r.ask("search", "t", time.Minute, 1)
 	testpeer.Get(t, dialed, "a dial")
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -129,6 +129,15 @@
 	}
 }
 
+// holdDials tells of each dial to the searcher, and holds it until up is closed.
+func (r *rig) holdDials(dialed chan<- bool, up <-chan bool) {
+	r.beforeDial(r.s.Addr, func(context.Context) error {
+		dialed <- true
+		<-up
+		return nil
+	})
+}
+
 // outcome returns the next outcome that the aggregator is told.
 func (r *rig) outcome() eiderwinch.Outcome {
 	r.t.Helper()
@@ -453,11 +462,7 @@
 	dialed, up := make(chan bool, 1), make(chan bool)
 	r := start(t, func(r *rig) {
 		sendAll(r)
-		r.beforeDial(r.s.Addr, func(context.Context) error {
-			dialed <- true
-			<-up
-			return nil
-		})
+		r.holdDials(dialed, up)
 	})
 	watch := testpeer.Get(t, r.d.Watches, "a watch")
 	r.ask("search", "t", time.Minute, 1)
--- a/internal/netio/socket.go
+++ b/internal/netio/socket.go
@@ -33,7 +33,7 @@
 	return n
 }
 
-// ended tells that the peer has ended a connection, also where that lies behind bytes that were
+// peerClosed tells that the peer has ended a connection, also where that lies behind bytes that were
 // not read yet; false where the system does not tell.
 func peerClosed(fd int) bool {
 	return poll(fd, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -259,11 +259,7 @@
 	up, dialed := make(chan bool), make(chan bool, 10)
 	r := start(t, func(r *rig) {
 		again(r)
-		r.beforeDial(r.s.Addr, func(context.Context) error {
-			dialed <- true
-			<-up
-			return nil
-		})
+		r.holdDials(dialed, up)
 	})
 	w := testpeer.Get(t, r.d.Watches, "a watch")
 	r.ask("search", "t", time.Minute, 1)
