Let the aggregator end a query that is taken after its time, not the backstop

Cause: a request that waits behind another is taken inside the turn that answers the first. Where its time had been over for 10 ms by then, the same Run's endOverdue found its backstop due and failed it before the aggregator was told of it: 504 promises nothing, though nothing had run. Ruled out: the test's clock (the marks are set back on the loop) and the module (never told). The lines: Core.book set the backstop by the deadline alone. Change: where the deadline has passed already, the backstop counts from when the query is taken.

--- a/internal/gatherer/book.go
+++ b/internal/gatherer/book.go
@@ -78,7 +78,11 @@
 		taken: now.Add(-a.Waited), deadline: now.Add(a.Expires - a.Waited),
 	}
 	q.timer.Value = q
-	c.overdue.Set(&q.timer, q.backstop(c.set.Tick))
+	backstop := q.backstop(c.set.Tick)
+	if q.deadline.Before(now) {
+		backstop = now.Add(2 * c.set.Tick) // its time is over already: the aggregator has a turn to end it all the same
+	}
+	c.overdue.Set(&q.timer, backstop)
 	c.bound[q.epoch()]++
 	c.openOf[class]++
 	if c.set.Module.Classes[class].Effect == eiderwinch.Keyed {
--- a/internal/netio/gone_test.go
+++ b/internal/netio/gone_test.go
@@ -138,7 +138,11 @@
 	for name, c := range map[string]struct {
 		waited time.Duration
 		most   int // ms that its searcher may be told; 0: it is not sent
-	}{"some of its time": {20 * time.Second, 40_000}, "all of it": {time.Minute, 0}} {
+	}{
+		"some of its time":    {20 * time.Second, 40_000},
+		"all of it":           {time.Minute, 0},
+		"all of it, long ago": {time.Minute + time.Second, 0},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := start(t, nil)
