Answer what has come behind a request before its connection is ended

Found by reading client.respond: it ended a connection, for many idle ones or at the end of a drain, whether or not more requests had come on it. Ruled out: a client's own Connection: close, after which nothing counts, and what can't be read. Change: such a connection ends with the answer behind which nothing has come; in a drain until the kill. Measured: TestARequestBehindTheLastAnswerIsServed, four rows; without the mend each says 'the connection ends over it' and the second request's part never comes.

--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -189,7 +189,7 @@
 		status := http.StatusOK
 		if c.n.draining {
 			status = http.StatusServiceUnavailable
-			c.last = c.last || c.seat.Asked() == 0 // those who keep a connection need the place: they can open no new one
+			c.last = c.last || c.seat.Asked() == 0 && !c.more() // those who keep a connection need the place: they can open no new one
 		}
 		c.respond(status, nil)
 	case r.Method != "POST":
@@ -402,12 +402,27 @@
 	c.respond(status, []byte(reason+"\n"), http1.Field{Name: "Content-Type", Value: "text/plain"})
 }
 
+// more tells that something has come behind the request in hand. To end the connection with this
+// one's answer would leave the next, which may be whole, without any.
+func (c *client) more() bool { return !c.parser.Idle() || pending(c.conn.Fd()) > 0 }
+
+// mayEnd tells that the answer that is about to be given may be a connection's last, though its
+// client has not asked for that: it is told with the answer, so that nothing crosses the end.
+func (c *client) mayEnd(now time.Time) bool {
+	if c.n.draining { // no new one could be opened: it is kept for as long as there is time
+		return !now.Before(c.n.serveUntil) && (!now.Before(c.n.killAt) || !c.more())
+	}
+	return c.n.table.Notice(&c.seat) && !c.more()
+}
+
 // respond writes an answer whole and closes the connection if it was the last.
 func (c *client) respond(status int, body []byte, fields ...http1.Field) {
-	end := c.last || c.n.draining && !time.Now().Before(c.n.serveUntil)
-	if !end && !c.n.draining && c.n.table.Notice(&c.seat) { // in a drain no new one could be opened
+	end := c.last
+	if !end && c.mayEnd(time.Now()) {
 		end = true
-		c.n.stats.Noticed++
+		if !c.n.draining {
+			c.n.stats.Noticed++
+		}
 	}
 	c.busy = false
 	c.move(limit.Busy) // a request that did not come in whole is answered as well
--- a/internal/netio/crowd_test.go
+++ b/internal/netio/crowd_test.go
@@ -223,6 +223,49 @@
 	b.Closed()
 }
 
+// A request that has come behind the one in hand is answered, though its connection is to end: for many idle
+// ones, or at the end of a drain.
+func TestARequestBehindTheLastAnswerIsServed(t *testing.T) {
+	for name, c := range map[string]struct{ drain, unread bool }{
+		"many idle ones, read": {false, false}, "many idle ones, unread": {false, true},
+		"a drain, read": {true, false}, "a drain, unread": {true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := bounded(t, 1, 1, 100)
+			if !c.drain {
+				heard(t, testpeer.NewClient(t, r.Addr()), health)
+			}
+			client := testpeer.NewClient(t, r.Addr()).Say(testpeer.Query("search", "t", time.Minute, 1))
+			first := r.part()
+			next := testpeer.Query("search", "u", time.Minute, 1)
+			r.onLoop(func() {
+				own := r.table.Oldest(limit.Busy).Owner
+				if c.drain {
+					now := time.Now()
+					r.draining, r.drainUntil, r.serveUntil, r.killAt = true, now, now, now.Add(time.Minute)
+				}
+				if c.unread {
+					client.Say(next)
+					r.wait("it has come", func() bool { return pending(own.conn.Fd()) == len(next) })
+				} else {
+					own.traffic([]byte(next))
+				}
+				r.pool.peers["s"].links[0].traffic(frameOf("at.0 served 1 -\nv"))
+				r.turnNow()
+			})
+			if resp, _ := client.Hear(); resp.Close {
+				t.Error("the connection ends over it")
+			}
+			first.Conn.Close()
+			r.part().Answer("served", 1, "w")
+			if resp, body := client.Hear(); resp.StatusCode != 200 || !strings.Contains(body, `"w"`) || !resp.Close {
+				t.Errorf("have %s %s, close %v", resp.Status, body, resp.Close)
+			}
+		})
+	}
+}
+
 // An answer that ends a connection reaches a client that reads slowly, and one
 // that never reads does not hold its place for good.
 func TestALastAnswerIsReadSlowlyOrGivenUp(t *testing.T) {
