Close the connection that makes room between two rounds of the loop, and a new one unread

Found by reading Node.evict: it chose the connection that is missed least inside the accept of another and had gnet close it in the loop's next round. What was read on it until then was thrown away: a request answered by nobody, whose client is told that it was read. The same for a new connection that found no room. Closing at once inside accept would not do: an event of the same round could hit the descriptor's next owner. Change: room is made between two rounds, where nothing is read between the look at a connection and its close; a new one without room is closed by OnOpen's own action, before anything of it is read. At most 8 are held beyond the bound meanwhile. TestARequestThatHasComeIsNotCutOff asks makeRoom now, with the same expectations. Measured: TestAConnectionThatIsToMakeRoomMayComeToUse (without the mend the request's part never comes) and TestANewConnectionWithoutRoomIsNotRead (without: an end in place of a reset, 'it was read').

--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -473,21 +473,49 @@
 // yet, or that its answer has not left: closing it would hit a client.
 func (c *client) unread() bool { return c.conn.OutboundBuffered() > 0 || pending(c.conn.Fd()) > 0 }
 
-// evict closes the connection that is missed least, so that descriptors are
-// never used up: gnet ends its loop when accept finds none.
+// maxOver is how many connections may be held beyond the hard bound until the loop's next round.
+const maxOver = 8
+
+// evict makes room for a connection that is being opened, so that descriptors are never used up: gnet
+// ends its loop when accept finds none. Where all others are in use it is the new one that goes, unread.
 func (n *Node) evict(newest *client) {
-	seat, rank := n.table.Victim(time.Now(), &newest.seat, func(s *limit.Seat[*client]) bool {
+	if _, rank := n.victim(&newest.seat); rank == limit.RankNewest || n.table.Held() > n.table.Bounds().Hard+maxOver {
+		n.stats.Evicted[limit.RankNewest.String()]++
+		newest.ending = true // OnOpen has gnet close it
+		newest.leave()
+		return
+	}
+	n.exec(func() error {
+		n.makeRoom(newest)
+		return nil
+	})
+}
+
+// makeRoom closes the connections that are missed least, but not the newest. It runs between two rounds of the loop, so that
+// nothing is read between the look at a connection and its close: what was would be thrown away.
+func (n *Node) makeRoom(newest *client) {
+	for n.table.Over() {
+		seat, rank := n.victim(&newest.seat)
+		if rank == limit.RankNewest {
+			return // all others have come to use; each further one is closed as long as they are
+		}
+		n.stats.Evicted[rank.String()]++
+		if rank != limit.RankEnding && seat.Owner.unread() {
+			n.stats.Crossed++
+		}
+		seat.Owner.closeNow()
+	}
+}
+
+// victim chooses the connection that is missed least, and tells by which rank.
+func (n *Node) victim(newest *limit.Seat[*client]) (*limit.Seat[*client], limit.Rank) {
+	return n.table.Victim(time.Now(), newest, func(s *limit.Seat[*client]) bool {
 		unread := s.Owner.unread()
 		if unread {
 			n.stats.Spared++
 		}
 		return unread
 	})
-	n.stats.Evicted[rank.String()]++
-	if rank != limit.RankEnding && seat.Owner.unread() {
-		n.stats.Crossed++
-	}
-	seat.Owner.drop()
 }
 
 // dismiss closes a connection between requests, whose client could not be told, and tells
@@ -499,11 +527,16 @@
 		c.n.stats.Spared++
 		return false
 	}
+	c.closeNow()
+	return true
+}
+
+// closeNow closes the connection at once: Close of the connection itself waits for the loop's next round,
+// which may read first.
+func (c *client) closeNow() {
 	c.ending = true
 	c.leave()
-	// Close of the connection itself waits for the loop's next round, which may read first.
 	_ = c.conn.EventLoop().Close(c.conn)
-	return true
 }
 
 // closeIdleClients closes the connections that are between requests, and tells whether
--- a/internal/netio/crowd_test.go
+++ b/internal/netio/crowd_test.go
@@ -1,7 +1,10 @@
 package netio
 
 import (
+	"errors"
+	"io"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -211,8 +214,15 @@
 		a.Say(health)
 		for end := time.Now().Add(testpeer.Patience); pending(oldest.conn.Fd()) == 0 && time.Now().Before(end); {
 		}
-		newest := newClient(r.Node)
-		r.evict(newest)
+		var more [2]limit.Seat[*client]
+		for i := range more {
+			r.table.Enter(time.Now(), &more[i])
+			r.table.Move(time.Now(), &more[i], limit.Busy)
+		}
+		r.makeRoom(newClient(r.Node))
+		for i := range more {
+			r.table.Leave(&more[i])
+		}
 		if r.stats.Spared != 1 || r.stats.Evicted["once_new"] != 1 || r.stats.Crossed != 0 {
 			t.Errorf("spared %d, evicted %v, crossed %d", r.stats.Spared, r.stats.Evicted, r.stats.Crossed)
 		}
@@ -223,6 +233,51 @@
 	b.Closed()
 }
 
+// A request may be read between the choice of a connection that has to make room and its close. It is served,
+// and another one makes room.
+func TestAConnectionThatIsToMakeRoomMayComeToUse(t *testing.T) {
+	r := bounded(t, 100, 100, 2)
+	a := testpeer.NewClient(t, r.Addr())
+	heard(t, a, health)
+	b := testpeer.NewClient(t, r.Addr())
+	r.until("both", func() bool { return r.table.Count(limit.Idle) == 1 && r.table.Count(limit.Silent) == 1 })
+	newest := newClient(r.Node)
+	r.onLoop(func() {
+		chosen := r.table.Oldest(limit.Idle).Owner
+		r.table.Enter(time.Now(), &newest.seat)
+		r.table.Move(time.Now(), &newest.seat, limit.Busy)
+		r.evict(newest)
+		chosen.traffic([]byte(testpeer.Query("search", "t", time.Minute, 1)))
+	})
+	r.part().Answer("served", 1, "v")
+	if resp, _ := a.Hear(); resp.StatusCode != 200 {
+		t.Errorf("have %s", resp.Status)
+	}
+	b.Closed()
+	r.onLoop(func() { r.table.Leave(&newest.seat) })
+}
+
+// Where all others are in use, the new connection goes: at once, so that nothing on it is read.
+func TestANewConnectionWithoutRoomIsNotRead(t *testing.T) {
+	r := bounded(t, 100, 100, 1)
+	a := testpeer.NewClient(t, r.Addr()).Say(testpeer.Query("search", "t", time.Minute, 1))
+	p := r.part()
+	var b *testpeer.Client
+	r.onLoop(func() { b = testpeer.NewClient(t, r.Addr()).Say(health) })
+	if b, err := io.ReadAll(b); len(b) > 0 || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("have %q, %v: it was read", b, err)
+	}
+	p.Answer("served", 1, "v")
+	if resp, _ := a.Hear(); resp.StatusCode != 200 {
+		t.Errorf("have %s", resp.Status)
+	}
+	r.onLoop(func() {
+		if r.stats.Evicted["newest"] != 1 || r.table.Held() != 1 {
+			t.Errorf("evicted %v, %d held", r.stats.Evicted, r.table.Held())
+		}
+	})
+}
+
 // A request that has come behind the one in hand is answered, though its connection is to end: for many idle
 // ones, or at the end of a drain.
 func TestARequestBehindTheLastAnswerIsServed(t *testing.T) {
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -447,14 +447,19 @@
 	if n.loop == nil {
 		n.boot(c.EventLoop())
 	}
-	h, ok := c.Context().(handler)
-	if !ok { // accepted from the listener, not enrolled by dial
-		h = newClient(n)
-		c.SetContext(h)
+	action := gnet.None
+	if h, ok := c.Context().(handler); ok { // enrolled by dial
+		h.opened(c)
+	} else {
+		own := newClient(n)
+		c.SetContext(own)
+		own.opened(c)
+		if own.ending { // there is no room for it
+			action = gnet.Close
+		}
 	}
-	h.opened(c)
 	n.arm()
-	return nil, gnet.None
+	return nil, action
 }
 
 // OnTraffic implements gnet.EventHandler.
