--- a/internal/format/config/config.go
+++ b/internal/format/config/config.go
@@ -123,9 +123,9 @@
 	c.Known.Once()
 	switch l := f.Limits; {
 	case l.MemoryMB < 0:
-		return nil, errors.New("limits.memory_mb is negative")
+		return nil, fmt.Errorf("limits.memory_mb is negative: found %d, want 0 or more", l.MemoryMB)
 	case l.Sockets < 0 || l.Sockets > 0 && l.Sockets < minSockets:
-		return nil, fmt.Errorf("limits.sockets is %d, at least %d are needed", l.Sockets, minSockets)
+		return nil, fmt.Errorf("limits.sockets: found %d, want 0, which means %d, or at least %d", l.Sockets, defaultSockets, minSockets)
 	}
 	c.Memory, c.Sockets = f.Limits.MemoryMB<<20, f.Limits.Sockets
 	if c.Memory == 0 {
@@ -135,7 +135,7 @@
 		c.Sockets = defaultSockets
 	}
 	if len(f.Settings) == 0 {
-		return nil, errors.New("settings is missing")
+		return nil, errors.New("settings is missing: want the object that the platform hands to its instances")
 	}
 	var err error
 	if c.Settings, err = ParseSettings(f.Settings); err != nil {
@@ -143,7 +143,7 @@
 	}
 	if f.Seed != "" {
 		if c.Settings.Module.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
-			return nil, fmt.Errorf("seed: want 16 hex digits, have %q", f.Seed)
+			return nil, fmt.Errorf("seed: found %q, want 16 hex digits", f.Seed)
 		}
 	}
 	return c, nil
