Hold back what waits in a buffer for searchers that a whole list leaves out, or that moved

Found by reading Node.apply and pool.leave: what has not left for a searcher is thrown away when it is told to leave, but only of members that a list names, and not on connections to an address that it has left. Who is left out of a whole list has left as well: a frame in gnet's buffer would leave whenever the system takes more, long after the grace. Ruled out: calls that wait for a connection (MaySend drops them). Change: after a whole list all that are not ready are gone through; connections to an old address as well. Measured: TestAFrameThatWaitsDoesNotLeaveForWhoHasLeft, three rows; without the mend 'left out' and 'elsewhere' wait for 20 s.

--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -604,6 +604,13 @@
 			n.pool.leave(now, m.ID)
 		}
 	}
+	if u.Complete { // who is left out of it has left as well
+		for id := range n.pool.peers {
+			if !n.core.Ready(id) {
+				n.pool.leave(now, id)
+			}
+		}
+	}
 }
 
 // review has back the searchers of which a list said so that could have been an old one, and can't be now.
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -185,7 +185,7 @@
 	}
 	p.pump(now, at)
 	for _, l := range at.links {
-		if l.conn == nil || l.shut {
+		if l.conn == nil {
 			continue
 		}
 		left := l.given - uint64(l.conn.OutboundBuffered())
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -276,6 +276,49 @@
 	}
 }
 
+// A frame that the system takes no more of waits in a buffer, and would leave long after its searcher has: it is
+// thrown away, whether its searcher is told to leave or left out of a whole list.
+func TestAFrameThatWaitsDoesNotLeaveForWhoHasLeft(t *testing.T) {
+	for name, list := range map[string]func(*rig) string{
+		"told to leave": func(r *rig) string {
+			return testpeer.List(42, false, testpeer.Member("s", r.s.Addr, "Terminating", 0))
+		},
+		"told to leave elsewhere": func(*rig) string {
+			return testpeer.List(42, false, testpeer.Member("s", "127.0.0.1:1", "Terminating", 0))
+		},
+		"left out of a whole list": func(*rig) string {
+			return testpeer.List(42, true, testpeer.Member("other", "127.0.0.1:1", "Ready", 0))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, sendAll)
+			w := testpeer.Get(t, r.d.Watches, "a watch")
+			r.ask("search", "t", time.Minute, 1)
+			r.part()
+			r.onLoop(func() {
+				l := r.pool.peers["s"].links[0]
+				_ = l.conn.SetWriteBuffer(1)
+				for l.conn.OutboundBuffered() == 0 { // the searcher of this test does not read so fast
+					l.write([]byte("\x00\x01\x00\x01c" + strings.Repeat("x", 1<<16)))
+				}
+				l.out[0].begin = l.given // as if the part's frame were behind these
+				l.out[0].end = l.given + 1
+				w.Send(list(r))
+				r.wait("the list has come", func() bool { return r.behind(time.Now()) })
+			})
+			if got := r.outcome(); got.Status != eiderwinch.NoConnection {
+				t.Errorf("have %v", got.Status)
+			}
+			r.onLoop(func() {
+				if r.stats.HeldBack != 1 {
+					t.Errorf("%d held back", r.stats.HeldBack)
+				}
+			})
+		})
+	}
+}
+
 // A watch that can't be opened for want of descriptors is opened when there are some, and the loop goes on.
 func TestAWatchIsOpenedOnceThereAreDescriptors(t *testing.T) {
 	var refused atomic.Int32
