Keep the latest start of a searcher, and its address, against older lists

Found by reading follow.Roster.Take: it kept who was told to leave against older lists, but not who was told to have started. After a reload the new address may lag: its whole list names a searcher's earlier process, which took the searcher for warm though its start had been told, and sent to the address of the process before. Ruled out: pool.locate keeps the latest start, but the core, the module and the address did not. Change: a start that was told stays told, with its address, unless the same address says otherwise with a higher revision. Measured: TestAnOlderListDoesNotHaveBackTheProcessBefore on sockets (without the mend: the earlier start, and the part goes to the process before) and TestAStartThatWasToldStaysTold, seven rows.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -319,6 +319,38 @@
 	}
 }
 
+func TestAStartThatWasToldStaysTold(t *testing.T) {
+	ready := func(started int64, addr string) catalog.Member {
+		return catalog.Member{ID: "s", HostPort: addr, Phase: catalog.Ready, UpSinceMS: started}
+	}
+	for name, c := range map[string]struct {
+		source   string
+		revision int64
+		after    time.Duration
+		started  int64
+		want     int64
+	}{
+		"a lower revision":                   {"a", 41, 0, 7, 8},
+		"the same revision":                  {"a", 42, 0, 7, 8},
+		"another address":                    {"b", 99, 0, 7, 8},
+		"another address, long after":        {"b", 99, 10 * doubt, 7, 8},
+		"started long ago":                   {"b", 99, 0, 0, 8},
+		"a higher revision: a clock went":    {"a", 43, 0, 7, 7},
+		"a later start, from wherever it is": {"b", 1, 0, 9, 9},
+	} {
+		var r Roster
+		r.Take(began, "a", catalog.Update{Revision: 42, Members: []catalog.Member{ready(8, "new:1")}})
+		addr := "old:1"
+		got := r.Take(began.Add(c.after), c.source, catalog.Update{Revision: c.revision, Members: []catalog.Member{ready(c.started, addr)}})[0]
+		if c.want == 8 {
+			addr = "new:1"
+		}
+		if got != ready(c.want, addr) || (r.Doubted == 1) != (c.want == 8) {
+			t.Errorf("%s: have %+v, doubted %d", name, got, r.Doubted)
+		}
+	}
+}
+
 func TestAnOlderListDoesNotHaveALeavingSearcherBack(t *testing.T) {
 	member := func(phase catalog.Phase, started int64) catalog.Member {
 		return catalog.Member{ID: "s", HostPort: "h:1", Phase: phase, UpSinceMS: started}
--- a/internal/follow/roster.go
+++ b/internal/follow/roster.go
@@ -21,22 +21,32 @@
 	doubted  *catalog.Member // what a list said that was not believed
 }
 
+// serving is a searcher that was told to be ready.
+type serving struct {
+	catalog.Member
+	source   string // the address that said so
+	revision int64
+}
+
 // Roster keeps which searchers were told to leave, so that no older list has them back:
 // one of another address, whose revisions do not compare, or one whose revision is lower
 // than that of the news. Such a list is believed once it can't be old any more.
 //
 // Who is left out of a whole list has left as surely as who is told to leave.
+//
+// It also keeps which process of a searcher is the latest: a list that knows of an earlier start alone is
+// older, and its address may be that of the process before. A start that was told stays told.
 type Roster struct {
 	leaving map[string]*leaving
-	serving map[string]int64 // the starts of those that were told to be ready, by id
-	Doubted int              // members of lists that were not believed
+	serving map[string]serving // by id
+	Doubted int                // members of lists that were not believed
 }
 
 // Take takes in a list, or changes to one, and returns its members as they are to be
 // believed. Nothing in it is changed in place.
 func (r *Roster) Take(now time.Time, source string, u catalog.Update) []catalog.Member {
 	if r.leaving == nil {
-		r.leaving, r.serving = make(map[string]*leaving), make(map[string]int64)
+		r.leaving, r.serving = make(map[string]*leaving), make(map[string]serving)
 	}
 	if u.Complete && len(u.Members) > 0 { // an empty one is no list, see gatherer.Core.List
 		r.omitted(now, source, u)
@@ -53,10 +63,15 @@
 			r.leaving[m.ID] = l
 			delete(r.serving, m.ID)
 		case old == nil:
-			r.serving[m.ID] = m.UpSinceMS
+			if known := r.serving[m.ID]; m.UpSinceMS < known.UpSinceMS && (source != known.source || u.Revision <= known.revision) {
+				r.Doubted++
+				out[i] = known.Member
+				break
+			}
+			r.serving[m.ID] = serving{m, source, u.Revision}
 		case m.UpSinceMS > old.started, source == old.source && u.Revision > old.revision, now.Sub(old.told) >= doubt:
 			delete(r.leaving, m.ID)
-			r.serving[m.ID] = m.UpSinceMS
+			r.serving[m.ID] = serving{m, source, u.Revision}
 		default:
 			r.Doubted++
 			held := m
@@ -73,9 +88,9 @@
 	for _, m := range u.Members {
 		named[m.ID] = true
 	}
-	for id, started := range r.serving {
+	for id, s := range r.serving {
 		if !named[id] {
-			r.leaving[id] = &leaving{started: started, told: now, source: source, revision: u.Revision}
+			r.leaving[id] = &leaving{started: s.UpSinceMS, told: now, source: source, revision: u.Revision}
 			delete(r.serving, id)
 		}
 	}
@@ -92,7 +107,7 @@
 		}
 		if l.doubted != nil {
 			back = append(back, *l.doubted)
-			r.serving[id] = l.doubted.UpSinceMS
+			r.serving[id] = serving{*l.doubted, l.source, l.revision}
 		}
 		delete(r.leaving, id)
 	}
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -319,6 +319,26 @@
 	}
 }
 
+// A list of another address may know of an earlier process of a searcher alone. The later one stays as cold as it is, and
+// what is sent goes to where it is.
+func TestAnOlderListDoesNotHaveBackTheProcessBefore(t *testing.T) {
+	r, moved, later := start(t, sendAll), testpeer.NewDiscovery(t), testpeer.NewSearcher(t)
+	old := testpeer.Get(t, r.d.Watches, "a watch")
+	started := time.Now().UnixMilli()
+	old.Send(testpeer.List(42, false, testpeer.Member("s", later.Addr, "Ready", started)))
+	told := r.listed().Replicas[0].Started
+	r.Reload(moved.Addr)
+	moved.Tell(testpeer.List(7, true, testpeer.Member("s", r.s.Addr, "Ready", started-1000)))
+	if got := r.listed(); got.Kind != eiderwinch.Whole || got.Replicas[0].Started != told {
+		t.Errorf("have %+v, want the start at %v", got, told)
+	}
+	client := r.ask("search", "t", time.Minute, 1)
+	testpeer.Get(t, later.Parts, "a part").Answer("served", 1, "v")
+	if resp, _ := client.Hear(); resp.StatusCode != 200 {
+		t.Errorf("have %s", resp.Status)
+	}
+}
+
 // A watch that can't be opened for want of descriptors is opened when there are some, and the loop goes on.
 func TestAWatchIsOpenedOnceThereAreDescriptors(t *testing.T) {
 	var refused atomic.Int32
