--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -33,18 +33,18 @@
 
 // client is one client's connection. Requests are answered one at a time.
 type client struct {
-	n      *Node
-	conn   gnet.Conn
-	parser http1.RequestParser
-	seat   limit.Seat[*client]
-	fed    uint64 // bytes given to the parser
-	marks  []mark // when those came that belong to no request passed on yet
-	spilt  int    // ending: bytes thrown away
-	query  uint64 // the open query; 0 if none
-	busy   bool   // a request waits for its answer
-	last   bool   // the request in hand is the last one here
-	deaf   bool   // nothing more is taken in; what is open is still answered
-	ending bool   // the connection is about to be closed
+	n         *Node
+	conn      gnet.Conn
+	parser    http1.RequestParser
+	seat      limit.Seat[*client]
+	fed       uint64 // bytes given to the parser
+	marks     []mark // when those came that belong to no request passed on yet
+	discarded int    // ending: bytes thrown away
+	query     uint64 // the open query; 0 if none
+	busy      bool   // a request waits for its answer
+	last      bool   // the request in hand is the last one here
+	readShut  bool   // nothing more is taken in; what is open is still answered
+	ending    bool   // the connection is about to be closed
 }
 
 // mark says when bytes of a client came.
@@ -81,19 +81,19 @@
 func (c *client) traffic(b []byte) {
 	if c.ending {
 		// Closing at once would reset the connection and take the error along.
-		if c.spilt += len(b); c.spilt > maxLinger {
+		if c.discarded += len(b); c.discarded > maxLinger {
 			c.drop()
 		}
 		return
 	}
-	if c.deaf {
+	if c.readShut {
 		return
 	}
 	c.mark(time.Now(), len(b))
 	c.parser.Feed(b)
 	if c.busy && c.parser.Buffered() > maxAhead {
 		// Nobody needs to send so far ahead. What is open still gets its answer.
-		c.deaf, c.last, c.parser = true, true, http1.RequestParser{}
+		c.readShut, c.last, c.parser = true, true, http1.RequestParser{}
 	}
 	c.pump()
 }
--- a/internal/netio/ending_test.go
+++ b/internal/netio/ending_test.go
@@ -159,7 +159,7 @@
 	r.until("it rests", func() bool { return r.table.Count(limit.Idle) == 1 })
 	r.onLoop(func() { r.table.Oldest(limit.Idle).Owner.end() })
 	client.Say(testpeer.Query("search", "t", time.Minute, 1))
-	r.until("it is read", func() bool { return r.table.Oldest(limit.Ending).Owner.spilt > 0 })
+	r.until("it is read", func() bool { return r.table.Oldest(limit.Ending).Owner.discarded > 0 })
 	r.onLoop(func() {
 		if r.stats.Taken != 0 {
 			t.Error("it is taken")
