Hold up final answers for news no longer than they may be late

Found by going through the constants that come from one setting and serve another rule: Node.behind held the whole turn, final answers among it, for a fifth of rules.drain_grace. Ruled out: a turn that is held for one round; only news that comes without end holds it on. Change: three rounds of the loop, in which what had come is read, then rules.answer_slack at the most. netio is told that setting. Measured: TestNewsWithoutEndHoldsUpNoAnswers, three graces; without the mend two of them are held for 100 and 400 ms.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,7 +45,7 @@
 	return netio.New(netio.Config{
 		Listen: cfg.Listen, Discovery: cfg.Discovery, Known: cfg.Known, Memory: cfg.Memory, Sockets: cfg.Sockets,
 		ReportEvery: o.Report, Multiplex: live.Multiplex, ConnectTimeout: live.ConnectTimeout, ConnIdle: live.ConnIdle,
-		DrainGrace: limits.DrainGrace, NoShareUntil: o.Share,
+		DrainGrace: limits.DrainGrace, AnswerSlack: limits.AnswerSlack, NoShareUntil: o.Share,
 		Gatherer: gatherer.Settings{
 			Module: cfg.Settings.Module, Tick: limits.Tick, MaxOpen: limits.MaxOpen,
 			Layout: o.Layout, Live: live.Core, Service: recorder,
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -65,7 +65,7 @@
 	r.module = eiderwinch.New(module)
 	r.Node = New(Config{
 		Listen: "127.0.0.1:0", Discovery: r.d.Addr, Sockets: 1024, Multiplex: 32,
-		ConnectTimeout: testpeer.Patience, ConnIdle: time.Minute, DrainGrace: 500 * time.Millisecond,
+		ConnectTimeout: testpeer.Patience, ConnIdle: time.Minute, DrainGrace: 500 * time.Millisecond, AnswerSlack: 20 * time.Millisecond,
 		Known: catalog.Update{Revision: 41, Members: []catalog.Member{
 			{ID: "s", HostPort: r.s.Addr, Phase: catalog.Ready},
 		}},
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -38,6 +38,7 @@
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration // searchers close connections idle for so long
 	DrainGrace     time.Duration // after the news that a searcher leaves, until which it may be sent something
+	AnswerSlack    time.Duration // a final answer may be so late
 	Clients        limit.Bounds  // of client connections; zero means limit.Defaults for Sockets
 	ReportEvery    time.Duration // the counters are logged so often, to housekeeping's grain; 0 means on request only
 	Gatherer       gatherer.Settings
@@ -110,7 +111,10 @@
 	next  *watch // on its way to take the place of watch; nil if none is
 
 	roster follow.Roster // the searchers that were told to leave
-	held   time.Time     // since when sends wait for news that is to be read; zero while none do
+
+	rounds   int       // how often the loop has come to what is due
+	held     time.Time // since when that waits for news that is to be read; zero while it does not
+	heldFrom int       // the round in which it began to
 
 	dialer dialer          // of searchers and discovery
 	toSelf dialer          // of the own listener
@@ -484,6 +488,7 @@
 // wake does all that is due.
 func (n *Node) wake() error {
 	n.armed = time.Time{}
+	n.rounds++
 	now := time.Now()
 	for _, w := range n.watches() {
 		if !now.Before(w.follow.Due()) {
@@ -569,9 +574,13 @@
 	return []*watch{n.watch, n.next}
 }
 
-// heldShare is the part of the grace (1/5) for which sends wait for news that has come and was not
-// read. The loop reads it in its next round; only discovery that sends without end takes longer.
-const heldShare = 5
+// heldShare is the part of the grace (1/5) for which what is due waits for news that has come and was not
+// read, within the time that a final answer may be late. What came before the first of heldRounds of the loop
+// is read in these; only discovery that sends without end takes longer.
+const (
+	heldShare  = 5
+	heldRounds = 3
+)
 
 // behind tells that news has come which the loop has not read: it may have waited behind clients' traffic, or
 // for the processor, and may say that a searcher leaves. What is sent before it is read may be late for the rule.
@@ -582,10 +591,10 @@
 				continue
 			}
 			if n.held.IsZero() {
-				n.held = now
+				n.held, n.heldFrom = now, n.rounds
 				n.stats.NewsFirst++
 			}
-			return now.Sub(n.held) < n.cfg.DrainGrace/heldShare
+			return n.rounds-n.heldFrom < heldRounds || now.Sub(n.held) < min(n.cfg.DrainGrace/heldShare, n.cfg.AnswerSlack)
 		}
 	}
 	n.held = time.Time{}
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -276,6 +276,35 @@
 	}
 }
 
+// What is due waits for news, but final answers must not: however long a grace the settings name, news that comes without
+// end holds them up for no longer than they may be late.
+func TestNewsWithoutEndHoldsUpNoAnswers(t *testing.T) {
+	for grace, most := range map[time.Duration]time.Duration{
+		50 * time.Millisecond: 10 * time.Millisecond, 500 * time.Millisecond: 20 * time.Millisecond, 2 * time.Second: 20 * time.Millisecond,
+	} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			r := start(t, func(r *rig) { r.cfg.DrainGrace = grace })
+			watch := testpeer.Get(t, r.d.Watches, "a watch")
+			watch.Send("")
+			r.until("the watch is read", func() bool { return len(r.watch.taps) == 1 && !r.behind(time.Now()) })
+			r.onLoop(func() {
+				watch.Send("")
+				now := time.Now()
+				r.wait("news has come", func() bool { return r.behind(now) })
+				held := func(rounds int, after time.Duration) bool {
+					r.rounds = r.heldFrom + rounds
+					return r.behind(now.Add(after))
+				}
+				if !held(heldRounds-1, time.Hour) || !held(heldRounds, most-1) || held(heldRounds, most) {
+					t.Errorf("held by %v, %v and %v, want until round %d and for %v", held(heldRounds-1, time.Hour), held(heldRounds, most-1),
+						held(heldRounds, most), heldRounds, most)
+				}
+			})
+		})
+	}
+}
+
 // A frame that the system takes no more of waits in a buffer, and would leave long after its searcher has: it is
 // thrown away, whether its searcher is told to leave or left out of a whole list.
 func TestAFrameThatWaitsDoesNotLeaveForWhoHasLeft(t *testing.T) {
