Tell clients when to come back only where the settings allow it

Ruled out: the module asks RetryAdvice each time. Measured: rows 'room for nothing, no advice' and 'one attempt, no advice' of TestWhateverTheSettingsSay; without the mend the first is told to come back after 0.500 s.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -76,6 +76,8 @@
 		"keyed without a window":         {replace(effect, `"name":"two","aim":60000000000,"deadline":60000000000,"effect":"keyed"`), "two", time.Minute, 1, fails("broke", 0), 502, ""},
 		"a window shorter than a tick":   {replace(effect, `"name":"two","aim":60000000000,"deadline":60000000000,"repeat_window":1000000,"effect":"keyed"`), "two", time.Minute, 1, fails("broke", 0), 502, ""},
 		"room for nothing":               {replace(`"cancel":true`, `"cancel":true,"max_open":1`), "two", time.Minute, 1, nothing, 503, ""},
+		"room for nothing, no advice":    {replace(`"cancel":true`, `"cancel":true,"max_open":1`, `"retry_after":true`, `"retry_after":false`), "two", time.Minute, 1, nothing, 503, ""},
+		"one attempt, no advice":         {replace(`"attempts_cap":4`, `"attempts_cap":1`, `"retry_after":true`, `"retry_after":false`), "two", time.Minute, 1, fails("broke", 0), 503, ""},
 		"room for one part":              {replace(`"cancel":true`, `"cancel":true,"max_open":2`), "two", time.Minute, 1, served(1), 200, `"full":true`},
 		"a deadline of 100 ms, served":   {replace(`60000000000`, `100000000`), "two", 100 * time.Millisecond, 1, served(1), 200, `"full":true`},
 		"a deadline of 100 ms, silent":   {replace(`60000000000`, `100000000`), "two", 100 * time.Millisecond, 1, silent, 503, ""},
@@ -103,6 +105,9 @@
 			if resp.StatusCode != c.status || !strings.Contains(body, c.whole) {
 				t.Errorf("have %s %s, want %d with %s", resp.Status, body, c.status, c.whole)
 			}
+			if advice := resp.Header.Get("Retry-After"); advice != "" && !strings.Contains(c.settings, `"retry_after":true`) {
+				t.Errorf("told to come back after %s s: clients are not given that", advice)
+			}
 			if len(s.Parts) > 0 {
 				t.Error("more was sent")
 			}
--- a/internal/gatherer/admit.go
+++ b/internal/gatherer/admit.go
@@ -3,7 +3,7 @@
 import "time"
 
 // admit tells whether a query and its parts fit under the limits on open ones, of
-// all and of its class, and, where they do not, when to come back. Such a query must not reach the
+// all and of its class, and, where they do not, when to come back if clients are told that. Such a query must not reach the
 // aggregator: what is held is bounded by that, and so is memory.
 func (c *Core) admit(a Ask, class int) (retryAfter time.Duration, ok bool) {
 	own := c.live.class(class).Open
@@ -15,5 +15,8 @@
 	}
 	c.stats.Refused++
 	c.stats.Full++
+	if !c.set.Module.RetryAdvice {
+		return 0, false
+	}
 	return c.set.Module.MaxRetryAdvice / 2, false
 }
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -47,7 +47,7 @@
 
 func newRig(t *testing.T) *rig {
 	set := Settings{Tick: 5 * ms, MaxOpen: 20, Module: eiderwinch.Settings{
-		Shards: 12, Batch: 2, MaxAttempts: 2, MaxRetryAdvice: time.Second,
+		Shards: 12, Batch: 2, MaxAttempts: 2, RetryAdvice: true, MaxRetryAdvice: time.Second,
 		Classes: []eiderwinch.Class{
 			{Name: "search", Deadline: time.Second, Need: 1, Floor: 1},
 			{Name: "reserve", Deadline: time.Second, Need: 1, Floor: 1, Effect: eiderwinch.Keyed},
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -28,7 +28,7 @@
 	epochField = "x-layout-epoch" // of requests and answers, where there is a layout
 
 	generationField = "x-config-generation" // of answers, where the settings can change
-	aheadRetry      = "1"                   // seconds: gatherers learn an epoch within seconds of each other
+	aheadRetry      = time.Second           // gatherers learn an epoch within seconds of each other
 )
 
 // client is one client's connection. Requests are answered one at a time.
@@ -216,8 +216,11 @@
 	switch {
 	case err == nil: // refused; Reply has been called
 	case errors.Is(err, gatherer.ErrAhead):
-		c.respond(http.StatusServiceUnavailable, []byte(err.Error()+"\n"),
-			http1.Field{Name: "Content-Type", Value: "text/plain"}, http1.Field{Name: "Retry-After", Value: aheadRetry})
+		fields := []http1.Field{{Name: "Content-Type", Value: "text/plain"}}
+		if m := c.n.cfg.Gatherer.Module; m.RetryAdvice {
+			fields = append(fields, retryAfter(min(aheadRetry, m.MaxRetryAdvice)))
+		}
+		c.respond(http.StatusServiceUnavailable, []byte(err.Error()+"\n"), fields...)
 	case errors.Is(err, gatherer.ErrUnknownClass):
 		c.reject(http.StatusNotFound, err.Error(), false)
 	case errors.Is(err, gatherer.ErrDuplicate):
@@ -382,9 +385,7 @@
 		}
 		c.respond(http.StatusOK, text, fields...)
 	case r.Verdict == gatherer.Refused && r.RetryAfter > 0:
-		c.respond(http.StatusServiceUnavailable, nil, append(fields, http1.Field{
-			Name: "Retry-After", Value: strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64),
-		})...)
+		c.respond(http.StatusServiceUnavailable, nil, append(fields, retryAfter(r.RetryAfter))...)
 	case r.Verdict == gatherer.Refused:
 		c.respond(http.StatusServiceUnavailable, nil, fields...)
 	case r.Overdue:
@@ -395,6 +396,11 @@
 	c.pump()
 }
 
+// retryAfter tells a client when to come back.
+func retryAfter(wait time.Duration) http1.Field {
+	return http1.Field{Name: "Retry-After", Value: strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}
+}
+
 // reject answers a request that is no query; with end, what follows it can't be read.
 func (c *client) reject(status int, reason string, end bool) {
 	c.n.stats.Malformed++
