Answer in a drain what would outlive the process, before the kill may come

Ruled out: what comes later in a drain (cut tells it less time); deadlines up to 3 s (the kill comes after them). Change: at the drain's begin the core is told by when all is to be ended (EndBy), killMargin before the kill. What is still open then is refused where a repeat does no harm (safe, or never sent), else failed; counted as answered.cut_short. The module is not told less time: that would look like a client's repeat.

--- a/internal/gatherer/admit.go
+++ b/internal/gatherer/admit.go
@@ -15,8 +15,13 @@
 	}
 	c.stats.Refused++
 	c.stats.Full++
+	return c.advice(), false
+}
+
+// advice is when a client that the core refuses is to come back; 0 where clients are not told.
+func (c *Core) advice() time.Duration {
 	if !c.set.Module.RetryAdvice {
-		return 0, false
+		return 0
 	}
-	return c.set.Module.MaxRetryAdvice / 2, false
+	return c.set.Module.MaxRetryAdvice / 2
 }
--- a/internal/gatherer/book.go
+++ b/internal/gatherer/book.go
@@ -79,8 +79,11 @@
 	}
 	q.timer.Value = q
 	backstop := q.backstop(c.set.Tick)
-	if q.deadline.Before(now) {
-		backstop = now.Add(2 * c.set.Tick) // its time is over already: the aggregator has a turn to end it all the same
+	if !c.endBy.IsZero() && c.endBy.Before(backstop) {
+		backstop = c.endBy
+	}
+	if turn := now.Add(2 * c.set.Tick); backstop.Before(turn) {
+		backstop = turn // its time is over already: the aggregator has a turn to end it all the same
 	}
 	c.overdue.Set(&q.timer, backstop)
 	c.bound[q.epoch()]++
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -118,6 +118,7 @@
 	ended    []*Attempt          // that ended in this run
 	left     []*query            // whose client turned out to have left in this turn
 	overdue  due.Queue[*query]   // open queries by their backstops
+	endBy    time.Time           // when all queries are to be ended at the latest; zero while that is not known
 	open     int                 // open queries and parts
 	members  map[string]member
 	given    []eiderwinch.Replica // the ready ones of the list it started with, until discovery has spoken
--- a/internal/gatherer/relay.go
+++ b/internal/gatherer/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -104,6 +105,10 @@
 func (c *Core) endOverdue() {
 	for t := c.overdue.Pop(c.now); t != nil; t = c.overdue.Pop(c.now) {
 		q := t.Value
+		if c.now.Before(q.deadline) {
+			c.cutShort(q)
+			continue
+		}
 		c.log.Error("query not ended by its deadline", "trace", q.trace)
 		c.stats.Overdue++
 		c.tell(c.now, eiderwinch.Gone{Query: q.id})
@@ -111,6 +116,28 @@
 	}
 }
 
+// EndBy has all queries ended by then, those that are open and those that are still to come: the process
+// may be gone afterwards, and its clients would wait for nobody.
+func (c *Core) EndBy(at time.Time) {
+	c.endBy = at
+	for _, id := range slices.Sorted(maps.Keys(c.queries)) {
+		if q := c.queries[id]; at.Before(q.timer.At()) {
+			c.overdue.Set(&q.timer, at)
+		}
+	}
+}
+
+// cutShort ends a query before its time, by a refusal where a repeat does no harm.
+func (c *Core) cutShort(q *query) {
+	c.stats.CutShort++
+	c.tell(c.now, eiderwinch.Gone{Query: q.id})
+	r := Reply{Verdict: Failed}
+	if !q.sent || c.set.Module.Classes[q.class].Effect == eiderwinch.Safe {
+		r = Reply{Verdict: Refused, RetryAfter: c.advice()}
+	}
+	c.conclude(q, r)
+}
+
 // conclude gives a query's final answer.
 func (c *Core) conclude(q *query, r Reply) {
 	switch {
--- a/internal/netio/ending_test.go
+++ b/internal/netio/ending_test.go
@@ -125,6 +125,52 @@
 	}
 }
 
+// What was taken before a drain may have longer to go than the process: it is answered before the kill may come, by a refusal
+// where a repeat does no harm.
+func TestADrainAnswersWhatWouldOutliveTheProcess(t *testing.T) {
+	nothing := func(r *rig) { r.decide = func(eiderwinch.Event) []eiderwinch.Action { return nil } }
+	for name, c := range map[string]struct {
+		set          func(*rig)
+		class        string
+		sent, during bool
+		want         int
+	}{
+		"safe, sent to a searcher that hangs":  {sendAll, "search", true, false, http.StatusServiceUnavailable},
+		"keyed, sent to a searcher that hangs": {sendAll, "reserve", true, false, http.StatusBadGateway},
+		"keyed, never sent":                    {nothing, "reserve", false, false, http.StatusServiceUnavailable},
+		"safe, taken in the drain":             {sendAll, "search", true, true, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, func(r *rig) {
+				c.set(r)
+				r.acceptFor = time.Minute // no shorter time is told to what comes in the drain
+			})
+			if c.during {
+				r.Drain()
+			}
+			client := r.ask(c.class, "t", time.Minute, 1)
+			if c.sent {
+				r.part()
+			} else {
+				testpeer.Get(t, r.events, "the list")
+				testpeer.Get(t, r.events, "the query")
+			}
+			r.Drain()
+			resp, _ := client.Hear()
+			if resp.StatusCode != c.want || (resp.Header.Get("Retry-After") != "") != (c.want == http.StatusServiceUnavailable) {
+				t.Errorf("have %s %v", resp.Status, resp.Header)
+			}
+			r.onLoop(func() {
+				r.drainUntil = time.Now()
+				if r.stats.CutShort != 1 || r.stats.Overdue != 0 {
+					t.Errorf("cut short %d, overdue %d", r.stats.CutShort, r.stats.Overdue)
+				}
+			})
+		})
+	}
+}
+
 // An answer that is half flushed is flushed to its end, also past the moment of the kill: that may come late.
 func TestADrainFlushesAnswers(t *testing.T) {
 	r := start(t, nil)
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -209,6 +209,7 @@
 			now := time.Now()
 			n.draining, n.drainUntil, n.serveUntil = true, now.Add(n.acceptFor), now.Add(n.serveFor)
 			n.killAt = now.Add(n.cfg.killAfter())
+			n.core.EndBy(n.killAt.Add(-killMargin))
 		}
 		return nil
 	})
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -12,15 +12,16 @@
 	Taken     int // queries taken from clients
 	Malformed int // requests answered with a 4xx or 5xx for their form
 
-	Whole   int // answers marked whole
-	Partial int // other answers
-	Refused int // refusals, those at the limit included
-	Full    int // refusals since as many were open as may be
-	Failed  int // failures, overdue ones included
-	Late    int // answers after their class's aim
-	Unsent  int // refusals and failures of queries of which no part was ever sent, those for want of room aside
-	Overdue int // queries that the core had to end at their deadline
-	Gone    int // queries whose client left
+	Whole    int // answers marked whole
+	Partial  int // other answers
+	Refused  int // refusals, those at the limit included
+	Full     int // refusals since as many were open as may be
+	Failed   int // failures, overdue ones included
+	Late     int // answers after their class's aim
+	Unsent   int // refusals and failures of queries of which no part was ever sent, those for want of room aside
+	Overdue  int // queries that the core had to end at their deadline
+	CutShort int // those that it ended before, for the end of the process
+	Gone     int // queries whose client left
 
 	LeftUnread int // of Gone: found out as they were to be sent on, before the client's end was read
 
@@ -101,7 +102,7 @@
 			"silent", c.Silent, "spared", c.Spared, "crossed", c.Crossed, "unread", c.Unread),
 		group("evicted", evicted...),
 		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.Full,
-			"late", c.Late, "unsent", c.Unsent, "failed", c.Failed, "overdue", c.Overdue, "gone", c.Gone, "left_unread", c.LeftUnread),
+			"late", c.Late, "unsent", c.Unsent, "failed", c.Failed, "overdue", c.Overdue, "cut_short", c.CutShort, "gone", c.Gone, "left_unread", c.LeftUnread),
 		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "further", c.Further, "copies", c.Copies, "cold", c.Cold, "second_steps", c.SecondSteps,
 			"not_sent", c.NotSent, "dialed", c.Dialed, "dial_fails", c.DialFails,
 			"idle_closed", c.IdleClosed, "left", c.Left, "left_out", c.LeftOut,
