Give what is in where a query is cut short at the end of a process

Need: classes may be answered in part (floor_by_class below whole_at); a query cut short for the end of the process was refused though enough of it was in. Change: it is answered with that, not marked whole, unless a second step is to come. What may be given is told by one function for the aggregator's answers and for these. Measured: row 'half of it is in, which may be given' of TestADrainAnswersWhatWouldOutliveTheProcess; TestAnswersAreHonest as before.

--- a/internal/gatherer/relay.go
+++ b/internal/gatherer/relay.go
@@ -45,14 +45,10 @@
 	class := c.set.Module.Classes[q.class]
 	in, weight := q.in()
 	whole := x.Whole && weight >= class.Need-slack
-	least := class.Floor
 	if q.second {
 		whole = x.Whole && q.firstWhole && len(in) == len(q.parts)
-		if class.Floor >= class.Need {
-			least = 1
-		}
 	}
-	if len(in) == 0 || weight < least-slack {
+	if !c.answerable(q) {
 		c.log.Error("answer from too little", "trace", q.trace, "weight", weight)
 		c.conclude(q, Reply{Verdict: Failed})
 		return
@@ -68,6 +64,17 @@
 	c.conclude(q, r)
 }
 
+// answerable tells that enough of a query's present step is in to be given.
+func (c *Core) answerable(q *query) bool {
+	class := c.set.Module.Classes[q.class]
+	least := class.Floor
+	if q.second && class.Floor >= class.Need {
+		least = 1
+	}
+	in, weight := q.in()
+	return len(in) > 0 && weight >= least-slack
+}
+
 // secondStep replaces a query's parts by n at the shards with the highest scores.
 func (c *Core) secondStep(q *query, in []*part, n int, whole bool) {
 	c.stats.SecondSteps++
@@ -127,15 +134,20 @@
 	}
 }
 
-// cutShort ends a query before its time, by a refusal where a repeat does no harm.
+// cutShort ends a query before its time, with what is in where that may be given, else by a refusal where a
+// repeat does no harm.
 func (c *Core) cutShort(q *query) {
 	c.stats.CutShort++
 	c.tell(c.now, eiderwinch.Gone{Query: q.id})
-	r := Reply{Verdict: Failed}
-	if !q.sent || c.set.Module.Classes[q.class].Effect == eiderwinch.Safe {
-		r = Reply{Verdict: Refused, RetryAfter: c.advice()}
+	class := c.set.Module.Classes[q.class]
+	switch {
+	case c.answerable(q) && (q.second || class.Fetch == 0): // else there is a step to come
+		c.answer(eiderwinch.Answer{Query: q.id})
+	case !q.sent || class.Effect == eiderwinch.Safe:
+		c.conclude(q, Reply{Verdict: Refused, RetryAfter: c.advice()})
+	default:
+		c.conclude(q, Reply{Verdict: Failed})
 	}
-	c.conclude(q, r)
 }
 
 // conclude gives a query's final answer.
--- a/internal/netio/ending_test.go
+++ b/internal/netio/ending_test.go
@@ -139,6 +139,11 @@
 		"keyed, sent to a searcher that hangs": {sendAll, "reserve", true, false, http.StatusBadGateway},
 		"keyed, never sent":                    {nothing, "reserve", false, false, http.StatusServiceUnavailable},
 		"safe, taken in the drain":             {sendAll, "search", true, true, http.StatusServiceUnavailable},
+		"half of it is in, which may be given": {func(r *rig) {
+			r.cfg.Gatherer.Module.Classes[0].Floor = 0.5
+			r.remake()
+			sendAll(r)
+		}, "search", true, false, http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -149,8 +154,15 @@
 			if c.during {
 				r.Drain()
 			}
-			client := r.ask(c.class, "t", time.Minute, 1)
+			parts := 1
+			if c.want == http.StatusOK {
+				parts = 2
+			}
+			client := r.ask(c.class, "t", time.Minute, parts)
 			if c.sent {
+				for range parts - 1 {
+					r.part().Answer("served", 1, "v")
+				}
 				r.part()
 			} else {
 				testpeer.Get(t, r.events, "the list")
