Send calls that wait for descriptors once there are some, and size the searchers' pool by need

Followed: pool.dial found no room and closed the connection that was idle for longest; when that was closed, only its own searcher's calls were resumed. Those that had waited for it stood until they were given up, and their searchers were blamed for it. Ruled out: refused dials (dial_fails 0), searchers' limits. Cause: pool.dial and link.closed, which speak of it ('the calls wait for it, see closed') and do not do it; and a bound below the number of searchers. Change: who waits for descriptors waits in line, and goes on when a connection has come up, failed, closed or come to rest. Searchers may take half of the descriptors as far as clients leave them, a quarter in any case; clients and searchers together seven eighths. TestConnectionsThatComeUpWhileTheLoopIsBusyAreCounted asks for 16 in place of 8 now and holds both bounds. Measured: TestACallThatWaitsForDescriptorsIsSent (without the mend a part does not come within 20 s), TestClientsAndSearchersShareThe- Descriptors.

--- a/internal/limit/table.go
+++ b/internal/limit/table.go
@@ -94,7 +94,7 @@
 const (
 	softShare = 16
 	firmShare = 8
-	hardShare = 5. / 8 // the searchers' pool takes a quarter, twice that while it dials
+	hardShare = 5. / 8 // the searchers' pool may take a quarter in any case, and a half of them where clients leave it
 
 	silentFor = 500 * time.Millisecond // a usual client asks at once
 	keptFor   = 2 * time.Second        // what the platform's page allows
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -64,7 +64,7 @@
 	c.conn = conn
 	n.stats.Clients++
 	n.table.Enter(time.Now(), &c.seat)
-	if n.table.Over() {
+	if n.excess() > 0 {
 		n.evict(c)
 	}
 }
@@ -479,13 +479,22 @@
 // yet, or that its answer has not left: closing it would hit a client.
 func (c *client) unread() bool { return c.conn.OutboundBuffered() > 0 || pending(c.conn.Fd()) > 0 }
 
+// usable is how many descriptors clients and searchers may take together. The rest is for discovery, and for
+// what one round of the loop accepts.
+func (n *Node) usable() int { return (n.cfg.Sockets - spare) * 7 / 8 }
+
+// excess is how many clients are beyond their bound, or beyond what the connections to searchers leave them.
+func (n *Node) excess() int {
+	return max(n.table.Held()-n.table.Bounds().Hard, n.table.Held()+n.pool.links+n.pool.dialing-n.usable())
+}
+
 // maxOver is how many connections may be held beyond the hard bound until the loop's next round.
 const maxOver = 8
 
 // evict makes room for a connection that is being opened, so that descriptors are never used up: gnet
 // ends its loop when accept finds none. Where all others are in use it is the new one that goes, unread.
 func (n *Node) evict(newest *client) {
-	if _, rank := n.victim(&newest.seat); rank == limit.RankNewest || n.table.Held() > n.table.Bounds().Hard+maxOver {
+	if _, rank := n.victim(&newest.seat); rank == limit.RankNewest || n.excess() > maxOver {
 		n.stats.Evicted[limit.RankNewest.String()]++
 		newest.ending = true // OnOpen has gnet close it
 		newest.leave()
@@ -500,7 +509,7 @@
 // makeRoom closes the connections that are missed least, but not the newest. It runs between two rounds of the loop, so that
 // nothing is read between the look at a connection and its close: what was would be thrown away.
 func (n *Node) makeRoom(newest *client) {
-	for n.table.Over() {
+	for n.excess() > 0 {
 		seat, rank := n.victim(&newest.seat)
 		if rank == limit.RankNewest {
 			return // all others have come to use; each further one is closed as long as they are
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -29,6 +29,7 @@
 	flights map[*gatherer.Attempt]*link // where attempts were written
 	links   int                         // all connections, those being dialed included
 	dialing int                         // those being dialed, or given up and not heard of since
+	short   []*peer                     // those whose calls wait for descriptors, the one that has waited for longest first
 	timers  due.Queue[func(now time.Time)]
 	usual   time.Duration // of calls that were answered; 0 while none was
 }
@@ -46,6 +47,7 @@
 	started  time.Time // its last start, as told; zero means long ago
 	links    []*link
 	queue    []*waiting // calls that wait for a connection
+	short    bool       // it is among pool.short
 }
 
 // waiting is a call that waits for a connection.
@@ -239,8 +241,14 @@
 		want += min(len(w.attempts), p.n.cfg.Multiplex) // a call travels whole: what is beyond that waits unread
 	}
 	for ; want > room; room += p.n.cfg.Multiplex {
-		if p.links+p.dialing+2 > (p.n.cfg.Sockets-spare)/4 {
-			p.dropIdlest()
+		if p.links+p.dialing+2 > p.most() {
+			if !at.short {
+				at.short = true
+				p.short = append(p.short, at)
+			}
+			if p.links+2 > p.most() { // else those that are being dialed take less once they are up
+				p.dropIdlest()
+			}
 			return
 		}
 		l := &link{
@@ -259,8 +267,29 @@
 	}
 }
 
+// most is how many descriptors connections to searchers may take, those that are being dialed twice: half, as
+// far as clients leave them, and a quarter in any case. A gatherer calls hundreds of searchers, and one without
+// a connection has to be opened for each call.
+func (p *pool) most() int {
+	all := p.n.cfg.Sockets - spare
+	return max(all/4, min(all/2, p.n.usable()-p.n.table.Held()))
+}
+
+// freed has calls go on that wait for descriptors, when there may be some, or a connection that can be closed for them.
+func (p *pool) freed(now time.Time) {
+	for range len(p.short) {
+		at := p.short[0]
+		p.short, at.short = p.short[1:], false
+		p.resume(now, at)
+		if at.short { // nor is there room for those behind it: it stays before them
+			p.short = slices.Insert(p.short[:len(p.short)-1], 0, at)
+			return
+		}
+	}
+}
+
 // dropIdlest closes the connection that has been idle for longest. That is
-// done later in the loop; the calls wait for it, see closed.
+// done later in the loop; the calls wait for it, see freed.
 func (p *pool) dropIdlest() {
 	var idlest *link
 	for _, at := range p.peers {
@@ -402,6 +431,7 @@
 		return
 	}
 	l.pool.resume(now, l.peer)
+	l.pool.freed(now)
 }
 
 // failed tells that the connection did not come up.
@@ -410,6 +440,7 @@
 	p.n.stats.DialFails++
 	p.dialing--
 	l.forget()
+	defer p.freed(now)
 	for _, other := range l.peer.links {
 		if !other.shut {
 			return // the calls can still go there
@@ -504,6 +535,9 @@
 		l.pool.timers.Set(&l.frame, now.Add(l.pool.n.cfg.ConnectTimeout))
 	}
 	l.pool.resume(now, l.peer)
+	if len(l.out) == 0 {
+		l.pool.freed(now) // it can be closed for others
+	}
 }
 
 // spoil gives up a connection that carried what can't be read, was not asked
@@ -607,4 +641,5 @@
 		}
 	}
 	l.pool.resume(now, l.peer)
+	l.pool.freed(now)
 }
--- a/internal/netio/process_test.go
+++ b/internal/netio/process_test.go
@@ -225,10 +225,10 @@
 // Each connection that has come up holds two descriptors until the loop has taken it over. Were they counted as
 // one, a loop that is held up by a turn would have none left to accept with, and end.
 func TestConnectionsThatComeUpWhileTheLoopIsBusyAreCounted(t *testing.T) {
-	const searchers = 40
+	const searchers, queries, descriptors = 40, 16, 40
 	up := make(chan bool)
 	r := start(t, func(r *rig) {
-		r.cfg.Sockets = spare + 4*10
+		r.cfg.Sockets = spare + descriptors
 		real := r.dialer
 		r.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
 			if addr == r.d.Addr {
@@ -248,20 +248,86 @@
 			}
 			return nil
 		}
+		r.cfg.Gatherer.MaxOpen = 2 * queries
+		r.remake()
 	})
-	for i := range 8 {
+	for i := range queries {
 		r.ask("search", fmt.Sprint("t", i), time.Minute, 1)
 	}
-	r.until("all are asked", func() bool { return r.stats.Sent == 8 })
+	r.until("all are asked", func() bool { return r.stats.Sent == queries })
 	r.onLoop(func() {
-		if n := r.pool.links; n > 5 {
-			t.Errorf("%d connections are being opened, which may hold %d descriptors of 10", n, 2*n)
+		if n, held := r.pool.links, r.table.Held(); n < 5 || 2*n > descriptors/2 || 2*n+held > descriptors*7/8 {
+			t.Errorf("%d connections are being opened, which may hold %d descriptors of %d, beside %d clients", n, 2*n, descriptors, held)
 		}
 	})
 	close(up)
 	r.until("none is counted as being opened", func() bool { return r.pool.dialing == 0 && r.stats.Dialed >= 5 })
 }
 
+// A call that finds no descriptor for its connection gets one once there is room, whichever searcher's connection has
+// made it: one that has come up, or one that has come to rest and is closed for it.
+func TestACallThatWaitsForDescriptorsIsSent(t *testing.T) {
+	const searchers, descriptors = 24, 40 // 20 for searchers
+	r := start(t, func(r *rig) {
+		r.cfg.Sockets = spare + descriptors
+		for i := range searchers {
+			r.cfg.Known.Members = append(r.cfg.Known.Members, catalog.Member{ID: fmt.Sprint("s", i), HostPort: r.s.Addr, Phase: catalog.Ready})
+		}
+		n := 0
+		r.decide = func(e eiderwinch.Event) (out []eiderwinch.Action) {
+			if e, ok := e.(eiderwinch.Query); ok {
+				for _, p := range e.Parts {
+					out = append(out, eiderwinch.Send{Part: p.ID, Replica: fmt.Sprint("s", n)})
+					n++
+				}
+			}
+			return out
+		}
+		r.cfg.Gatherer.MaxOpen = 100
+		r.remake()
+	})
+	for i := range searchers / 4 {
+		r.ask("search", fmt.Sprint("t", i), time.Minute, 4)
+	}
+	for range searchers { // ten are dialed at first, 19 are up in the end, and the last five need those of others
+		r.part().Answer("served", 1, "v")
+	}
+	r.onLoop(func() {
+		if r.stats.Sent != searchers || r.stats.Unconnected > 0 {
+			t.Errorf("%d parts, %d not sent for want of a connection", r.stats.Sent, r.stats.Unconnected)
+		}
+	})
+}
+
+// The clients that there are and the searchers that are called share the descriptors: a quarter is the searchers' in any
+// case, half of them where clients leave it, and what they have clients do not get.
+func TestClientsAndSearchersShareTheDescriptors(t *testing.T) {
+	r := start(t, func(r *rig) {
+		r.cfg.Sockets = spare + 400
+		r.table = limit.New[*client](limit.Defaults(400))
+	})
+	r.until("the own connection is over", func() bool { return r.table.Held() == 0 })
+	for _, c := range []struct{ held, links, most, excess int }{
+		{0, 0, 200, -250}, {100, 0, 200, -150}, {200, 100, 150, -50}, {250, 100, 100, 0}, {251, 100, 100, 1}, {150, 200, 200, 0}, {151, 200, 199, 1},
+	} {
+		r.onLoop(func() {
+			held := make([]limit.Seat[*client], c.held)
+			for i := range held {
+				r.table.Enter(time.Now(), &held[i])
+			}
+			r.pool.links = c.links
+			if most, excess := r.pool.most(), r.excess(); most != c.most || excess != c.excess {
+				t.Errorf("%d clients and %d connections to searchers: at most %d of these, %d clients too many; want %d and %d",
+					c.held, c.links, most, excess, c.most, c.excess)
+			}
+			r.pool.links = 0
+			for i := range held {
+				r.table.Leave(&held[i])
+			}
+		})
+	}
+}
+
 // A connection that comes up after its call was given up brings that call no attempt, and serves the next.
 func TestAConnectionThatComesUpTooLateServesTheNextCall(t *testing.T) {
 	up := make(chan bool)
