Name when a draining node's answers must be out, and weigh what is in once for an answer

Found on a second reading: the moment before the kill by which answers must be out was worked out in three places (cut, Drain, drained), and an answer went through its query's parts twice, once for itself and once to see whether they may be given. Change: answersBy, and answerable returns what it has found. No logic changes.

--- a/internal/gatherer/relay.go
+++ b/internal/gatherer/relay.go
@@ -43,12 +43,12 @@
 		return
 	}
 	class := c.set.Module.Classes[q.class]
-	in, weight := q.in()
+	in, weight, ok := c.answerable(q)
 	whole := x.Whole && weight >= class.Need-slack
 	if q.second {
 		whole = x.Whole && q.firstWhole && len(in) == len(q.parts)
 	}
-	if !c.answerable(q) {
+	if !ok {
 		c.log.Error("answer from too little", "trace", q.trace, "weight", weight)
 		c.conclude(q, Reply{Verdict: Failed})
 		return
@@ -64,15 +64,16 @@
 	c.conclude(q, r)
 }
 
-// answerable tells that enough of a query's present step is in to be given.
-func (c *Core) answerable(q *query) bool {
+// answerable returns the parts of a query's present step that are in, their weight, and whether that is
+// enough to be given.
+func (c *Core) answerable(q *query) (in []*part, weight float64, ok bool) {
 	class := c.set.Module.Classes[q.class]
 	least := class.Floor
 	if q.second && class.Floor >= class.Need {
 		least = 1
 	}
-	in, weight := q.in()
-	return len(in) > 0 && weight >= least-slack
+	in, weight = q.in()
+	return in, weight, len(in) > 0 && weight >= least-slack
 }
 
 // secondStep replaces a query's parts by n at the shards with the highest scores.
@@ -140,8 +141,8 @@
 	c.stats.CutShort++
 	c.tell(c.now, eiderwinch.Gone{Query: q.id})
 	class := c.set.Module.Classes[q.class]
-	switch {
-	case c.answerable(q) && (q.second || class.Fetch == 0): // else there is a step to come
+	switch _, _, ok := c.answerable(q); {
+	case ok && (q.second || class.Fetch == 0): // else there is a step to come
 		c.answer(eiderwinch.Answer{Query: q.id})
 	case !q.sent || class.Effect == eiderwinch.Safe:
 		c.conclude(q, Reply{Verdict: Refused, RetryAfter: c.advice()})
--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -236,7 +236,7 @@
 	if !n.draining || now.Before(n.drainUntil) {
 		return expires
 	}
-	left := max(n.killAt.Add(-killMargin).Sub(now), n.cfg.Gatherer.Tick) + waited
+	left := max(n.answersBy().Sub(now), n.cfg.Gatherer.Tick) + waited
 	if expires == 0 {
 		return left
 	}
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -209,7 +209,7 @@
 			now := time.Now()
 			n.draining, n.drainUntil, n.serveUntil = true, now.Add(n.acceptFor), now.Add(n.serveFor)
 			n.killAt = now.Add(n.cfg.killAfter())
-			n.core.EndBy(n.killAt.Add(-killMargin))
+			n.core.EndBy(n.answersBy())
 		}
 		return nil
 	})
@@ -539,13 +539,16 @@
 	}
 }
 
+// answersBy is when all answers of a draining node must be out.
+func (n *Node) answersBy() time.Time { return n.killAt.Add(-killMargin) }
+
 // drained tells that a draining node has nothing left to do.
 func (n *Node) drained(now time.Time) bool {
 	if !n.draining || now.Before(n.drainUntil) || now.Before(n.serveUntil) && n.table.Held() > 0 {
 		return false
 	}
 	closed := n.closeIdleClients()
-	last := n.killAt.Add(-killMargin) // answers must be out by then
+	last := n.answersBy()
 	if until := n.serveUntil.Add(drainPartial); !now.Before(until) || !now.Before(last) {
 		n.refuseHalf()
 	}
