--- /dev/null
+++ b/cmd/eiderwinch/faults_test.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"eiderwinch/internal/trial/faults"
+	"eiderwinch/internal/trial/standin"
+)
+
+func TestMain(m *testing.M) {
+	faults.Main()
+	os.Exit(m.Run())
+}
+
+// Sizes of a run under faults.
+const (
+	faultClients = 12
+	faultQueries = 30              // of each client
+	faultWait    = 6 * time.Second // the queries' own time is 4 s
+	faultEnd     = 8 * time.Second // for the program to end once it is told to
+	faultGiveUp  = 2               // a client goes after so many requests without an answer
+	faultReuse   = 5               // a client opens a new connection after so many queries
+)
+
+// faultCases are failures that Linux documents and that pass.
+func faultCases() map[string][]faults.Fault {
+	const soon = 300 * time.Millisecond
+	once := func(call string, errno syscall.Errno) faults.Fault {
+		return faults.Fault{Call: call, Errno: errno, After: soon, Most: 1}
+	}
+	share := func(call string, errno syscall.Errno, to faults.Target, rate float64) faults.Fault {
+		return faults.Fault{Call: call, Errno: errno, Target: to, After: soon, Rate: rate}
+	}
+	span := func(call string, errno syscall.Errno) faults.Fault {
+		return faults.Fault{Call: call, Errno: errno, After: soon, For: 300 * time.Millisecond}
+	}
+	return map[string][]faults.Fault{
+		"accept, once":         {once("accept4", syscall.ENFILE)},
+		"accept, for a moment": {span("accept4", syscall.EMFILE)},
+		"accept, network down": {once("accept4", syscall.ENETDOWN), once("accept4", syscall.ECONNABORTED), once("accept4", syscall.ENOBUFS)},
+		"reads interrupted":    {share("read", syscall.EINTR, faults.Socket, 0.05)},
+		"writes interrupted":   {share("write", syscall.EINTR, faults.Socket, 0.05), share("writev", syscall.EINTR, faults.Socket, 0.05)},
+		"reads without memory": {share("read", syscall.ENOMEM, faults.Socket, 0.02)},
+		"writes out of buffers": {share("write", syscall.ENOBUFS, faults.Socket, 0.02),
+			share("writev", syscall.ENOBUFS, faults.Socket, 0.02)},
+		"wakes interrupted":        {share("write", syscall.EINTR, faults.EventFD, 0.1)},
+		"waits interrupted":        {share("epoll_pwait", syscall.EINTR, faults.Any, 0.2), share("epoll_wait", syscall.EINTR, faults.Any, 0.2)},
+		"looks interrupted":        {share("poll", syscall.EINTR, faults.Any, 0.3), share("ioctl", syscall.EINTR, faults.Any, 0.3)},
+		"polling, no memory":       {share("epoll_ctl", syscall.ENOMEM, faults.Any, 0.1)},
+		"sockets, no buffers":      {span("socket", syscall.ENOBUFS)},
+		"connects without address": {span("connect", syscall.EADDRNOTAVAIL)},
+		"network unreachable":      {span("connect", syscall.ENETUNREACH)},
+		"short reads and writes":   {share("read", 0, faults.Socket, 0.2), share("write", 0, faults.Socket, 0.2)},
+		"all at once": {span("accept4", syscall.ENFILE), span("socket", syscall.ENFILE),
+			share("read", syscall.EINTR, faults.Socket, 0.02), share("write", syscall.EINTR, faults.Any, 0.02),
+			share("epoll_ctl", syscall.ENOMEM, faults.Any, 0.05)},
+	}
+}
+
+// The built program loses no request and ends only when it is told to, while system calls fail for a moment.
+func TestNoRequestIsLostWhileSystemCallsFail(t *testing.T) {
+	path := build(t)
+	for name, list := range faultCases() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playFaults(t, path, faults.Plan{Seed: 1, Faults: list})
+		})
+	}
+}
+
+// traced is a program under faults with a deployment round it.
+type traced struct {
+	*program
+	world *standin.Deployment
+}
+
+// launchTraced starts the program under a plan.
+func launchTraced(t *testing.T, path string, plan faults.Plan) *traced {
+	t.Helper()
+	world, err := standin.NewDeployment(standin.DeploymentOptions{Seed: plan.Seed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = world.Close() })
+	text, err := world.Config("n0", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd, err := faults.Command(plan, path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &program{Cmd: cmd, file: filepath.Join(t.TempDir(), "config.json"), lines: make(chan string, 10_000)}
+	p.configure(t, string(text))
+	p.Env = append(p.Env, "LB_CONFIG="+p.file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
+	out, err := p.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.Process.Kill() })
+	go func() {
+		for s := bufio.NewScanner(out); s.Scan(); {
+			select {
+			case p.lines <- s.Text():
+			default: // a log without end
+			}
+		}
+		close(p.lines)
+	}()
+	serving := p.logged(t, "msg=serving")
+	_, after, _ := strings.Cut(serving, "addr=")
+	p.addr, _, _ = strings.Cut(after, " ")
+	return &traced{program: p, world: world}
+}
+
+// playFaults asks queries under a plan, ends the program, and holds it to account.
+func playFaults(t *testing.T, path string, plan faults.Plan) {
+	p := launchTraced(t, path, plan)
+	var all sync.WaitGroup
+	results := make(chan string, faultClients*faultQueries)
+	for client := range faultClients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			p.ask(client, results)
+		}()
+	}
+	all.Wait()
+	close(results)
+	count := make(map[string]int)
+	for r := range results {
+		count[r]++
+	}
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Errorf("it has ended by itself: %v", err)
+	}
+	kill := time.AfterFunc(faultEnd, func() { _ = p.Process.Kill() })
+	defer kill.Stop()
+	var log []string
+	told := false
+	for line := range p.lines {
+		told = told || strings.Contains(line, "msg=draining")
+		log = append(log, line)
+	}
+	if err := p.Wait(); err != nil || !told {
+		t.Errorf("it ended with %v, told to: %v", err, told)
+	}
+	total, whole := faultClients*faultQueries, count["200"]
+	refused := count["503"] + count["429"]
+	if whole+refused < total || whole < total*9/10 {
+		t.Errorf("of %d requests: %v; want each one answered or refused, and nine in ten answered", total, count)
+	}
+	if t.Failed() {
+		t.Log(strings.Join(log[max(len(log)-30, 0):], "\n"))
+	}
+}
+
+// ask asks one client's queries one after the other. No client asks again by itself: http.Transport would
+// send a query once more on another connection where the one it has kept breaks.
+func (p *traced) ask(client int, results chan<- string) {
+	var connection *clientConn
+	lost := 0
+	for i := range faultQueries {
+		if i%faultReuse == 0 {
+			connection.close()
+			connection = dialGatherer(p.addr)
+		}
+		result := connection.ask(fmt.Sprintf("f-%d-%d", client, i), (client+i)%(p.world.Segments()-1))
+		results <- result
+		if result == noAnswer {
+			if lost++; lost == faultGiveUp {
+				break
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	connection.close()
+}
+
+const noAnswer = "no answer"
+
+// clientConn is one connection of a client.
+type clientConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dialGatherer(addr string) *clientConn {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil
+	}
+	return &clientConn{conn, bufio.NewReader(conn)}
+}
+
+func (c *clientConn) close() {
+	if c != nil {
+		_ = c.Conn.Close()
+	}
+}
+
+// ask asks for two segments from one on, and returns the status or "no answer".
+func (c *clientConn) ask(trace string, segment int) string {
+	if c == nil {
+		return noAnswer
+	}
+	body := fmt.Sprintf(`{"tablets":[{"tablet":%d,"fraction":0.5},{"tablet":%d,"fraction":0.5}],"statement":"find fullest"}`, segment, segment+1)
+	_ = c.SetDeadline(time.Now().Add(faultWait))
+	_, err := fmt.Fprintf(c, "POST /search HTTP/1.1\r\nHost: h\r\nX-Trace-Id: %s\r\nX-Qos: search\r\nX-Expires-In-Ms: 4000\r\nContent-Length: %d\r\n\r\n%s",
+		trace, len(body), body)
+	if err != nil {
+		return noAnswer
+	}
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return noAnswer
+	}
+	defer r.Body.Close()
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return noAnswer
+	}
+	return strconv.Itoa(r.StatusCode)
+}
