Serve sockets by a loop of our own round gnet's poller, which bears calls that fail

Cause: gnet's loop took failures that pass for final. accept: any error but EINTR, EAGAIN, ECONNRESET and ECONNABORTED ended the loop, its Run returned nil and the process exited with 0. read, write: EINTR closed the connection. epoll_ctl: a failed registration closed the connection and told nobody. eventfd: a failed write left the loop marked as woken, so it was never woken again. None of it can be borne by gnet's caller (shown by the cases of TestNoRequestIsLostWhileSystemCallsFail), so accept, read, write, registration and wakes are ours now; gnet's poller and its edge stay. Counters group system, log lines for closes, refused dials and the end. TestAProcessThatCannotReachItselfEnds tested a step that is gone; TestAListenerThatCannotBeOpenedAtFirstIsTriedAgain takes its place (opened after failures, ends with the error where it can't be). TestAWatchIsOpenedOnceThereAreDescriptors asks for exactly three dial retries and no failed watch, where it asked for three failed watches.

--- a/internal/netio/client.go
+++ b/internal/netio/client.go
@@ -9,12 +9,11 @@
 	"strings"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"eiderwinch/internal/format/http1"
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/limit"
+	"eiderwinch/internal/netio/eventloop"
 )
 
 const (
@@ -34,7 +33,7 @@
 // client is one client's connection. Requests are answered one at a time.
 type client struct {
 	n         *Node
-	conn      gnet.Conn
+	conn      *eventloop.Conn
 	parser    http1.RequestParser
 	seat      limit.Seat[*client]
 	fed       uint64 // bytes given to the parser
@@ -59,7 +58,7 @@
 	return c
 }
 
-func (c *client) opened(conn gnet.Conn) {
+func (c *client) Opened(conn *eventloop.Conn) {
 	n := c.n
 	c.conn = conn
 	n.stats.Clients++
@@ -69,16 +68,17 @@
 	}
 }
 
-func (c *client) closed(error) {
+func (c *client) Closed(reason error) {
 	c.leave()
 	c.ending = true
 	if c.query != 0 {
+		c.n.log.Debug("client left with a query open", "query", c.query, "reason", reason)
 		c.n.core.Gone(time.Now(), c.query)
 		c.query = 0
 	}
 }
 
-func (c *client) traffic(b []byte) {
+func (c *client) Traffic(b []byte) {
 	if c.ending {
 		// Closing at once would reset the connection and take the error along.
 		if c.discarded += len(b); c.discarded > maxLinger {
@@ -436,7 +436,7 @@
 	c.write(http1.AppendResponse(nil, status, body, end, fields...))
 	switch {
 	case c.ending: // the write has failed
-	case c.conn.OutboundBuffered() > maxUnread:
+	case c.conn.Buffered() > maxUnread:
 		c.n.stats.Unread++
 		c.drop()
 	case end:
@@ -446,7 +446,7 @@
 
 func (c *client) write(b []byte) {
 	if !c.ending {
-		_, _ = c.conn.Write(b) // where it fails, gnet has called closed
+		_ = c.conn.Write(b) // where it fails, Closed has been called
 	}
 }
 
@@ -454,7 +454,7 @@
 // closing with unread bytes at hand would reset it and take the answer along.
 func (c *client) end() {
 	c.ending = true
-	if c.conn.OutboundBuffered() > 0 {
+	if c.conn.Buffered() > 0 {
 		c.move(limit.Busy) // the answer comes first
 		c.n.flushing[c] = time.Now().Add(flushFor)
 		return
@@ -467,7 +467,7 @@
 func (c *client) drop() {
 	c.ending = true
 	c.leave()
-	_ = c.conn.Close()
+	c.conn.Close()
 }
 
 func (c *client) leave() {
@@ -477,7 +477,7 @@
 
 // unread tells that something has come on the connection that was not read
 // yet, or that its answer has not left: closing it would hit a client.
-func (c *client) unread() bool { return c.conn.OutboundBuffered() > 0 || pending(c.conn.Fd()) > 0 }
+func (c *client) unread() bool { return c.conn.Buffered() > 0 || pending(c.conn.Fd()) > 0 }
 
 // usable is how many descriptors clients and searchers may take together. The rest is for discovery, and for
 // what one round of the loop accepts.
@@ -491,18 +491,15 @@
 // maxOver is how many connections may be held beyond the hard bound until the loop's next round.
 const maxOver = 8
 
-// evict makes room for a connection that is being opened, so that descriptors are never used up: gnet
-// ends its loop when accept finds none. Where all others are in use it is the new one that goes, unread.
+// evict makes room for a connection that is being opened, so that descriptors are never used up. Where all others are in use it is the new one that goes, unread.
 func (n *Node) evict(newest *client) {
 	if _, rank := n.victim(&newest.seat); rank == limit.RankNewest || n.excess() > maxOver {
 		n.stats.Evicted[limit.RankNewest.String()]++
-		newest.ending = true // OnOpen has gnet close it
-		newest.leave()
+		newest.closeNow()
 		return
 	}
-	n.exec(func() error {
+	n.exec(func() {
 		n.makeRoom(newest)
-		return nil
 	})
 }
 
@@ -551,7 +548,7 @@
 func (c *client) closeNow() {
 	c.ending = true
 	c.leave()
-	_ = c.conn.EventLoop().Close(c.conn)
+	c.conn.CloseNow(nil)
 }
 
 // closeIdleClients closes the connections that are between requests, and tells whether
@@ -598,7 +595,7 @@
 func (n *Node) checkFlushing(now time.Time) {
 	for c, until := range n.flushing {
 		switch {
-		case c.conn.OutboundBuffered() == 0:
+		case c.conn.Buffered() == 0:
 			delete(n.flushing, c)
 			c.end()
 		case !now.Before(until):
--- a/internal/netio/crowd_test.go
+++ b/internal/netio/crowd_test.go
@@ -28,7 +28,7 @@
 func (r *rig) onLoop(f func()) {
 	r.t.Helper()
 	done := make(chan struct{})
-	r.exec(func() error { f(); close(done); return nil })
+	r.exec(func() { f(); close(done) })
 	testpeer.Get(r.t, done, "the loop")
 }
 
@@ -194,7 +194,7 @@
 			if !c.dismiss() { // nothing has come
 				t.Errorf("%s: not closed", name)
 			}
-			c.traffic([]byte(testpeer.Query("search", "x", time.Minute, 1)))
+			c.Traffic([]byte(testpeer.Query("search", "x", time.Minute, 1)))
 			if r.stats.Taken != 0 {
 				t.Errorf("%s: a request was taken after the close", name)
 			}
@@ -247,7 +247,7 @@
 		r.table.Enter(time.Now(), &newest.seat)
 		r.table.Move(time.Now(), &newest.seat, limit.Busy)
 		r.evict(newest)
-		chosen.traffic([]byte(testpeer.Query("search", "t", time.Minute, 1)))
+		chosen.Traffic([]byte(testpeer.Query("search", "t", time.Minute, 1)))
 	})
 	r.part().Answer("served", 1, "v")
 	if resp, _ := a.Hear(); resp.StatusCode != 200 {
@@ -304,9 +304,9 @@
 					client.Say(next)
 					r.wait("it has come", func() bool { return pending(own.conn.Fd()) == len(next) })
 				} else {
-					own.traffic([]byte(next))
+					own.Traffic([]byte(next))
 				}
-				r.pool.peers["s"].links[0].traffic(frameOf("at.0 served 1 -\nv"))
+				r.pool.peers["s"].links[0].Traffic(frameOf("at.0 served 1 -\nv"))
 				r.turnNow()
 			})
 			if resp, _ := client.Hear(); resp.Close {
@@ -334,7 +334,7 @@
 		r.onLoop(func() {
 			own := r.table.Oldest(limit.Busy).Owner
 			own.last = true
-			_ = own.conn.SetWriteBuffer(16 << 10)
+			_ = setSendBuffer(own.conn.Fd(), 16<<10)
 		})
 		for _, p := range parts {
 			p.Answer("served", 1, value)
--- a/internal/netio/ending_test.go
+++ b/internal/netio/ending_test.go
@@ -1,17 +1,18 @@
 package netio
 
 import (
-	"context"
 	"errors"
 	"log/slog"
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"eiderwinch"
+	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/limit"
 	"eiderwinch/internal/stats"
 	"eiderwinch/internal/trial/testpeer"
@@ -63,25 +64,38 @@
 	client.Closed()
 }
 
-// gnet hands out its loop with a connection only. Without one the process would serve nobody, and not end.
-func TestAProcessThatCannotReachItselfEnds(t *testing.T) {
-	var tries atomic.Int32
-	start(t, func(r *rig) {
-		real := r.toSelf
-		r.toSelf = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if tries.Add(1) < bootTries {
-				return nil, errors.New("out of luck")
-			}
-			return real(ctx, network, addr)
-		}
-	})
-	r := &rig{t: t, s: testpeer.NewSearcher(t), d: testpeer.NewDiscovery(t), events: make(chan eiderwinch.Event, 1)}
-	n := New(Config{Listen: "127.0.0.1:0", Discovery: r.d.Addr, Sockets: 1024}, r, stats.New(), slog.New(slog.DiscardHandler))
-	n.toSelf = func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("out of luck") }
-	done := make(chan error, 1)
-	go func() { done <- n.Run() }()
-	if err := testpeer.Get(t, done, "the end"); err == nil || !strings.Contains(err.Error(), "out of luck") {
-		t.Errorf("it ended with %v", err)
+// A process may come up while the one before still holds its address. One that can't listen at all must not
+// stay: it would serve nobody.
+func TestAListenerThatCannotBeOpenedAtFirstIsTriedAgain(t *testing.T) {
+	t.Parallel()
+	other, err := net.Listen("tcp", "127.0.0.1:0") // without SO_REUSEPORT
+	if err != nil {
+		t.Fatal(err)
+	}
+	run := func(addr string) (*Node, <-chan error) {
+		n := New(Config{Listen: addr, Discovery: "127.0.0.1:1", Sockets: 1024, Gatherer: gatherer.Settings{Tick: time.Millisecond}},
+			&rig{decide: func(eiderwinch.Event) []eiderwinch.Action { return nil }}, stats.New(), slog.New(slog.DiscardHandler))
+		done := make(chan error, 1)
+		go func() { done <- n.Run() }()
+		return n, done
+	}
+	n, done := run(other.Addr().String())
+	select {
+	case <-n.Started():
+		t.Error("it has started beside another listener")
+	case err := <-done:
+		t.Errorf("it has given up: %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	other.Close()
+	testpeer.Get(t, n.Started(), "the start")
+	n.acceptFor, n.serveFor = 0, 0
+	n.Drain()
+	if err := testpeer.Get(t, done, "the end"); err != nil {
+		t.Error(err)
+	}
+	if _, done := run("192.0.2.1:1"); !errors.Is(testpeer.Get(t, done, "the end of one without an address"), unix.EADDRNOTAVAIL) {
+		t.Error("it ended for another reason")
 	}
 }
 
@@ -97,7 +111,7 @@
 			t.Error("something is left to do")
 		}
 		client = testpeer.NewClient(t, r.Addr()).Say(testpeer.Query("search", "t", time.Minute, 1))
-		r.wait("it has connected", func() bool { return readable(r.listener) })
+		r.wait("it has connected", func() bool { return readable(r.loop.ListenerFd()) })
 		if r.drained(now) || !r.drained(r.killAt) {
 			t.Error("who has connected is left behind, or holds up the end for good")
 		}
@@ -190,7 +204,7 @@
 	client.ReadAhead(16 << 10)
 	client.Say(testpeer.Query("search", "t", time.Minute, 4))
 	parts := []testpeer.Part{r.part(), r.part(), r.part(), r.part()}
-	r.onLoop(func() { _ = r.table.Oldest(limit.Busy).Owner.conn.SetWriteBuffer(16 << 10) })
+	r.onLoop(func() { _ = setSendBuffer(r.table.Oldest(limit.Busy).Owner.conn.Fd(), 16<<10) })
 	r.Drain()
 	r.onLoop(func() { r.serveUntil, r.killAt = time.Now(), time.Now() })
 	value := strings.Repeat("v", 60_000)
@@ -225,3 +239,8 @@
 	})
 	client.Closed()
 }
+
+// setSendBuffer sets how many bytes the system holds of what was written.
+func setSendBuffer(fd, bytes int) error {
+	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
+}
--- a/internal/netio/gone_test.go
+++ b/internal/netio/gone_test.go
@@ -97,13 +97,13 @@
 				}
 				own := r.table.Oldest(stage).Owner
 				if !c.further {
-					own.traffic([]byte(testpeer.Query("search", "t", time.Minute, 1)))
+					own.Traffic([]byte(testpeer.Query("search", "t", time.Minute, 1)))
 				}
 				client.Say(c.before)
 				c.leave(client)
 				r.wait("the end has come", func() bool { return peerClosed(own.conn.Fd()) })
 				if c.further {
-					r.pool.peers["s"].links[0].traffic(frameOf("at.0 broke 0 -\n"))
+					r.pool.peers["s"].links[0].Traffic(frameOf("at.0 broke 0 -\n"))
 				}
 				r.turnNow()
 			})
@@ -188,7 +188,7 @@
 				for i := range own.marks {
 					own.marks[i].at = own.marks[i].at.Add(-time.Second)
 				}
-				own.traffic([]byte{b})
+				own.Traffic([]byte{b})
 			}
 		}
 		feed("slow")
@@ -275,7 +275,7 @@
 		own := r.table.Oldest(limit.Busy).Owner
 		client.Close()
 		r.wait("the end has come", func() bool { return peerClosed(own.conn.Fd()) })
-		r.pool.peers["s"].links[0].traffic(frameOf("at.0 served 1 -\nv"))
+		r.pool.peers["s"].links[0].Traffic(frameOf("at.0 served 1 -\nv"))
 		r.turnNow()
 		r.turnNow()
 	})
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -301,10 +301,9 @@
 	old := r.part()
 	old.Answer("served", 1, "v")
 	c.Hear()
-	r.exec(func() error {
+	r.exec(func() {
 		l := r.pool.peers["s"].links[0]
 		l.idle = l.idle.Add(-r.pool.longestIdle())
-		return nil
 	})
 	c.Say(testpeer.Query("search", "u", time.Minute, 1))
 	if p := r.part(); p.Conn == old.Conn {
@@ -312,22 +311,21 @@
 	}
 }
 
-// What gnet buffers has not reached the kernel: a break before that is "never ran".
+// What a connection buffers has not reached the kernel: a break before that is "never ran".
 func TestAFrameInTheBufferHasNotLeft(t *testing.T) {
 	r := start(t, sendAll)
 	r.ask("search", "t", time.Minute, 1)
 	r.part()
 	done := make(chan int, 1)
-	r.exec(func() error {
+	r.exec(func() {
 		l := r.pool.peers["s"].links[0]
-		_ = l.conn.SetWriteBuffer(1)
-		for l.conn.OutboundBuffered() == 0 { // the searcher of this test does not read so fast
+		_ = setSendBuffer(l.conn.Fd(), 1)
+		for l.conn.Buffered() == 0 { // the searcher of this test does not read so fast
 			l.write([]byte("\x00\x01\x00\x01c" + strings.Repeat("x", 1<<16)))
 		}
 		l.out[0].end = l.given // as if the part's frame were behind these
-		done <- l.conn.OutboundBuffered()
+		done <- l.conn.Buffered()
 		l.close()
-		return nil
 	})
 	if testpeer.Get(t, done, "the buffer") == 0 {
 		t.Fatal("nothing is buffered")
@@ -684,7 +682,7 @@
 	c.Hear()
 	r.Drain()
 	draining := make(chan bool, 1)
-	r.exec(func() error { draining <- r.draining; return nil })
+	r.exec(func() { draining <- r.draining })
 	testpeer.Get(t, draining, "the drain")
 	c.Say(testpeer.Query("report", "t", time.Minute, 1))
 	p := r.part()
@@ -698,7 +696,7 @@
 	if resp, body := c.Hear(); resp.StatusCode != 200 || resp.Close {
 		t.Errorf("have %s %s", resp.Status, body)
 	}
-	r.exec(func() error { r.serveUntil = time.Now(); return nil })
+	r.exec(func() { r.serveUntil = time.Now() })
 	c.Closed()
 }
 
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -1,5 +1,5 @@
 // Package netio puts the gatherer's core on real sockets: clients and
-// discovery over HTTP/1.1, searchers over frames. One gnet event loop owns the
+// discovery over HTTP/1.1, searchers over frames. One event loop owns the
 // listener, all connections and the core; nothing on it blocks, and there are
 // no locks.
 package netio
@@ -9,12 +9,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-	gneterrors "github.com/panjf2000/gnet/v2/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"eiderwinch"
@@ -23,6 +22,7 @@
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/limit"
+	"eiderwinch/internal/netio/eventloop"
 	"eiderwinch/internal/service"
 	"eiderwinch/internal/stats"
 )
@@ -50,9 +50,9 @@
 	housekeeping = 250 * time.Millisecond // how often idle things are looked at
 	drainAccept  = 600 * time.Millisecond // new connections come for 0.4 s after SIGTERM
 	drainPartial = time.Second            // how much longer a half-sent request is waited for
-	bootTimeout  = 5 * time.Second        // for the loop to be reached, in so many tries at least
-	bootTries    = 3
-	bootWait     = 10 * time.Millisecond // before the second of them; twice as long before each further one
+	bootTimeout  = 5 * time.Second        // for the listener to be opened
+	bootWait     = 10 * time.Millisecond  // before the second try; twice as long before each further one, up to
+	bootMostWait = 500 * time.Millisecond
 
 	// The kill comes no sooner after SIGTERM than the longest deadline, counted
 	// as killMost where it is longer, plus killMore. Until killReserve before it
@@ -101,7 +101,6 @@
 
 // Node is one gatherer on sockets. Its fields belong to the event loop.
 type Node struct {
-	gnet.BuiltinEventEngine
 	cfg   Config
 	log   *slog.Logger
 	stats *stats.Counters
@@ -117,10 +116,9 @@
 	heldFrom int       // the round in which it began to
 
 	dialer dialer          // of searchers and discovery
-	toSelf dialer          // of the own listener
 	ctx    context.Context // of all dials
 	stop   context.CancelFunc
-	loop   gnet.EventLoop // nil until the first connection shows it
+	loop   *eventloop.Loop // nil until Run has opened it
 	timer  *time.Timer
 	armed  time.Time
 	kept   time.Time // last housekeeping
@@ -138,10 +136,7 @@
 	killAt        time.Time // the process may be killed from then on
 	closing       bool      // the loop is about to end
 
-	started  chan struct{} // closed once queries are taken
-	bound    string        // the address listened on
-	listener int           // a descriptor of the listener; -1 if there is none
-	bootFail error
+	started chan struct{} // closed once queries are taken
 }
 
 // dialer opens a connection.
@@ -156,9 +151,8 @@
 		cfg: cfg, log: log, stats: counters,
 		table:    limit.New[*client](cfg.Clients),
 		flushing: make(map[*client]time.Time),
-		listener: -1,
 		started:  make(chan struct{}), acceptFor: drainAccept, halfOpenAfter: cfg.ConnectTimeout,
-		dialer: new(net.Dialer).DialContext, toSelf: new(net.Dialer).DialContext,
+		dialer: new(net.Dialer).DialContext,
 	}
 	n.serveFor = cfg.serveFor()
 	n.ctx, n.stop = context.WithCancel(context.Background())
@@ -172,38 +166,50 @@
 	return n
 }
 
-// Run serves until the node has drained.
+// Run serves until the node has drained. Where it returns an error, it has ended untold.
 func (n *Node) Run() error {
 	defer n.stop()
-	err := gnet.Run(n, "tcp://"+n.cfg.Listen,
-		gnet.WithNumEventLoop(1),
-		gnet.WithReusePort(true), // one loop for the listener and all connections, see gnet's runEventLoops
-		gnet.WithReuseAddr(true),
-		gnet.WithLoadBalancing(gnet.LeastConnections),
-		gnet.WithLogger(logger{n.log}),
-	)
-	if n.listener >= 0 {
-		_ = unix.Close(n.listener)
-	}
+	loop, err := n.openLoop()
 	if err == nil {
-		err = n.bootFail
+		n.loop = loop
+		n.boot()
+		err = n.loop.Run()
+		n.countSystem()
 	}
 	if err != nil {
+		n.log.Error("not serving any more", "listen", n.cfg.Listen, "err", err)
 		return fmt.Errorf("serving on %s: %w", n.cfg.Listen, err)
 	}
+	n.log.Info("ended", "drained", n.draining, "open", n.core.Open())
 	return nil
 }
 
+// openLoop opens the listener. What fails at first is tried again: the process before may still hold the
+// address, and the system may be short of descriptors for a moment.
+func (n *Node) openLoop() (*eventloop.Loop, error) {
+	options := eventloop.Options{
+		Accepted: func() eventloop.Handler { return newClient(n) }, After: n.arm, Log: n.log, Seed: n.cfg.Gatherer.Module.Seed,
+	}
+	for wait, end := bootWait, time.Now().Add(bootTimeout); ; wait = min(2*wait, bootMostWait) {
+		loop, err := eventloop.Open(n.cfg.Listen, options)
+		if err == nil || !eventloop.Transient(err) && !errors.Is(err, unix.EADDRINUSE) || time.Now().Add(wait).After(end) {
+			return loop, err
+		}
+		n.log.Warn("the listener can't be opened yet", "listen", n.cfg.Listen, "err", err)
+		time.Sleep(wait)
+	}
+}
+
 // Started is closed once queries are taken; Addr is known from then on.
 func (n *Node) Started() <-chan struct{} { return n.started }
 
 // Addr is the address listened on.
-func (n *Node) Addr() string { return n.bound }
+func (n *Node) Addr() string { return n.loop.Addr() }
 
 // Drain lets the node end once it has answered all it has taken. It may be
 // called from any goroutine once the node has started.
 func (n *Node) Drain() {
-	n.exec(func() error {
+	n.exec(func() {
 		if !n.draining {
 			n.log.Info("draining", "open", n.core.Open())
 			now := time.Now()
@@ -211,18 +217,16 @@
 			n.killAt = now.Add(n.cfg.killAfter())
 			n.core.EndBy(n.answersBy())
 		}
-		return nil
 	})
 }
 
 // Adopt takes up an epoch of the layout for the queries that come from now on.
 // It may be called from any goroutine.
 func (n *Node) Adopt(l *layout.Layout) {
-	n.exec(func() error {
+	n.exec(func() {
 		if n.core.Adopt(l) {
 			n.log.Info("layout", "epoch", l.Epoch(), "segments", l.Len())
 		}
-		return nil
 	})
 }
 
@@ -282,9 +286,8 @@
 		return v, false
 	}
 	got := make(chan T, 1)
-	n.exec(func() error {
+	n.exec(func() {
 		got <- f()
-		return nil
 	})
 	select {
 	case v = <-got:
@@ -334,98 +337,61 @@
 // Reload follows discovery at the address that a new configuration names. What
 // is open is not touched. It may be called from any goroutine.
 func (n *Node) Reload(discovery string) {
-	n.exec(func() error {
+	n.exec(func() {
 		n.stats.Reloads++
 		n.follow(discovery)
-		return nil
 	})
 }
 
 // ReloadFailed counts a configuration that could not be used.
 func (n *Node) ReloadFailed() {
-	n.exec(func() error {
+	n.exec(func() {
 		n.stats.ReloadFails++
-		return nil
 	})
 }
 
 // Share tells how many slots of the fleet's limits may be used until then, see package share.
 // It may be called from any goroutine.
 func (n *Node) Share(slots int, until time.Time) {
-	n.exec(func() error {
+	n.exec(func() {
 		n.core.Share(time.Now(), slots, until)
-		return nil
 	})
 }
 
 // Report logs the counters. It may be called from any goroutine.
 func (n *Node) Report() {
-	n.exec(func() error {
+	n.exec(func() {
 		n.report()
-		return nil
 	})
 }
 
-func (n *Node) report() { n.log.Info("counters", "counters", n.stats) }
+func (n *Node) report() {
+	n.countSystem()
+	n.log.Info("counters", "counters", n.stats)
+}
+
+// countSystem takes over what the loop has counted.
+func (n *Node) countSystem() {
+	c := n.loop.Counters()
+	n.stats.SystemFails, n.stats.WakeFails = c.Fails, c.WakeFails
+	n.stats.PollRetries, n.stats.Stalls = c.Retries, c.Stalls
+}
 
 // exec runs f on the event loop.
-func (n *Node) exec(f func() error) {
+func (n *Node) exec(f func()) {
 	select {
 	case <-n.started:
 	default:
 		return
 	}
-	_ = n.loop.Execute(n.ctx, gnet.RunnableFunc(func(context.Context) error {
-		err := f()
+	_ = n.loop.Execute(func() { // it fails only where the loop has ended
+		f()
 		n.arm()
-		return err
-	}))
-}
-
-// OnBoot implements gnet.EventHandler. gnet hands out its loop with a
-// connection only, so the node opens one to itself.
-func (n *Node) OnBoot(e gnet.Engine) gnet.Action {
-	fd, err := e.Dup()
-	if err == nil {
-		n.bound, err = boundAddr(fd)
-	}
-	if err == nil {
-		n.listener, err = e.Dup()
-	}
-	if err != nil {
-		n.bootFail = fmt.Errorf("address of the listener: %w", err)
-		return gnet.Shutdown
-	}
-	go func() {
-		c, err := n.reachSelf()
-		if err != nil {
-			n.bootFail = fmt.Errorf("reaching the own listener: %w", err)
-			_ = e.Stop(n.ctx) // its only other error is that it has ended
-			return
-		}
-		<-n.started
-		c.Close()
-	}()
-	return gnet.None
-}
-
-// reachSelf opens a connection to the own listener. What fails at first is tried again: a process
-// that stays without a loop serves nobody and can't be told to end.
-func (n *Node) reachSelf() (c net.Conn, err error) {
-	for wait, end := bootWait, time.Now().Add(bootTimeout); ; wait *= 2 {
-		ctx, cancel := context.WithTimeout(n.ctx, bootTimeout/bootTries)
-		c, err = n.toSelf(ctx, "tcp", n.bound)
-		cancel()
-		if err == nil || time.Now().Add(wait).After(end) {
-			return c, err
-		}
-		time.Sleep(wait)
-	}
+	})
 }
 
-// boot starts all that needs the loop. It runs on it.
-func (n *Node) boot(loop gnet.EventLoop) {
-	n.loop = loop
+// boot starts all that needs the loop, before it runs.
+func (n *Node) boot() {
 	now := time.Now()
 	n.apply(now, eiderwinch.Stale, n.cfg.Discovery, n.cfg.Known)
 	n.pool.timers.Set(&timer{Value: n.core.Believe}, now.Add(n.cfg.DrainGrace)) // an agent answers at once; one that is silent learns nothing
@@ -434,60 +400,14 @@
 	close(n.started)
 	n.watch.run(now)
 	m := n.cfg.Gatherer.Module
-	n.log.Info("serving", "addr", n.bound, "searchers", len(n.cfg.Known.Members), "gatherers", m.Brokers,
+	n.log.Info("serving", "addr", n.Addr(), "searchers", len(n.cfg.Known.Members), "gatherers", m.Brokers,
 		"sockets", n.cfg.Sockets, "multiplex", n.cfg.Multiplex, "connect_timeout", n.cfg.ConnectTimeout,
 		"conn_idle", n.cfg.ConnIdle, "max_open", n.cfg.Gatherer.MaxOpen, "cells", m.Cells, "shards", m.Shards,
 		"batch", m.Batch, "call_cost", m.CallCost)
 }
 
-// handler is what serves a connection.
-type handler interface {
-	opened(c gnet.Conn)
-	traffic(b []byte)
-	closed(err error)
-}
-
-// OnOpen implements gnet.EventHandler.
-func (n *Node) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if n.loop == nil {
-		n.boot(c.EventLoop())
-	}
-	action := gnet.None
-	if h, ok := c.Context().(handler); ok { // enrolled by dial
-		h.opened(c)
-	} else {
-		own := newClient(n)
-		c.SetContext(own)
-		own.opened(c)
-		if own.ending { // there is no room for it
-			action = gnet.Close
-		}
-	}
-	n.arm()
-	return nil, action
-}
-
-// OnTraffic implements gnet.EventHandler.
-func (n *Node) OnTraffic(c gnet.Conn) gnet.Action {
-	b, err := c.Next(-1)
-	if err == nil && len(b) > 0 {
-		c.Context().(handler).traffic(b)
-		n.arm()
-	}
-	return gnet.None
-}
-
-// OnClose implements gnet.EventHandler. gnet may call it inside a Write of ours.
-func (n *Node) OnClose(c gnet.Conn, err error) gnet.Action {
-	if h, ok := c.Context().(handler); ok {
-		h.closed(err)
-		n.arm()
-	}
-	return gnet.None
-}
-
 // wake does all that is due.
-func (n *Node) wake() error {
+func (n *Node) wake() {
 	n.armed = time.Time{}
 	n.rounds++
 	now := time.Now()
@@ -512,9 +432,8 @@
 	}
 	if n.drained(now) {
 		n.closing = true
-		return gneterrors.ErrEngineShutdown
+		n.loop.Stop()
 	}
-	return nil
 }
 
 // arm sets the timer for what is due next.
@@ -555,7 +474,7 @@
 	half := n.table.Count(limit.First)+n.table.Count(limit.Further) > 0
 	// A close over what a client has sent on would reset the connection and take its last answer along.
 	// Who has connected and was not accepted yet may have asked already.
-	unheard := (n.table.Count(limit.Ending) > 0 || readable(n.listener)) && now.Before(last)
+	unheard := (n.table.Count(limit.Ending) > 0 || readable(n.loop.ListenerFd())) && now.Before(last)
 	return closed && !half && !unheard && n.core.Open() == 0 && n.table.Count(limit.Busy) == 0
 }
 
@@ -650,25 +569,43 @@
 	}
 }
 
-// dial opens a connection for h, whose opened or failed is called on the loop.
-// net.Dialer does the waiting in a goroutine of its own: gnet's Register dials
-// without a limit in time.
-func (n *Node) dial(addr string, timeout time.Duration, h handler, failed func(error)) {
+// dial opens a connection for h, whose Opened or failed is called on the loop.
+// net.Dialer does the waiting in a goroutine of its own.
+func (n *Node) dial(addr string, timeout time.Duration, h eventloop.Handler, failed func(error)) {
 	go func() {
 		ctx, cancel := context.WithTimeout(n.ctx, timeout)
 		defer cancel()
-		c, err := n.dialer(ctx, "tcp", addr)
+		c, err := n.reach(ctx, addr)
 		if err == nil {
-			var enrolled <-chan gnet.RegisteredResult
-			if enrolled, err = n.loop.Enroll(gnet.NewContext(n.ctx, h), c); err == nil {
-				err = (<-enrolled).Err
-			}
+			err = n.loop.Enroll(c, h)
 		}
 		if err != nil {
-			n.exec(func() error {
+			n.exec(func() {
 				failed(err)
-				return nil
 			})
 		}
 	}()
 }
+
+// Waits between the tries of a dial that fails for a reason on this machine.
+const (
+	dialWait     = 2 * time.Millisecond
+	dialMostWait = 50 * time.Millisecond
+)
+
+// reach dials until the connection is up, ctx ends or the peer is at fault. What fails on this machine, as for
+// want of descriptors, buffers or ports, says nothing of the peer, and would fail in the same way for any other.
+func (n *Node) reach(ctx context.Context, addr string) (net.Conn, error) {
+	for wait := dialWait; ; wait = min(2*wait, dialMostWait) {
+		c, err := n.dialer(ctx, "tcp", addr)
+		if err == nil || !eventloop.Transient(err) {
+			return c, err
+		}
+		n.exec(func() { n.stats.DialRetries++ })
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(wait/2 + rand.N(wait)):
+		}
+	}
+}
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -7,12 +7,11 @@
 	"slices"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"eiderwinch"
 	"eiderwinch/internal/due"
 	"eiderwinch/internal/format/frame"
 	"eiderwinch/internal/gatherer"
+	"eiderwinch/internal/netio/eventloop"
 )
 
 const (
@@ -61,16 +60,16 @@
 	pool      *pool
 	peer      *peer
 	addr      string
-	conn      gnet.Conn // nil while it is being dialed
-	dialed    timer     // being dialed: when that is given up
-	shut      bool      // not to be used any more
-	spoilt    bool      // it carried what can't be used, and is being closed
+	conn      *eventloop.Conn // nil while it is being dialed
+	dialed    timer           // being dialed: when that is given up
+	shut      bool            // not to be used any more
+	spoilt    bool            // it carried what can't be used, and is being closed
 	parser    frame.Parser
 	out       []flight
 	up        time.Time       // when it came up
 	blocked   map[string]bool // of the given-up parts: those whose frame that says so waits unread
 	abandoned map[string]bool // ids of given-up parts that may still be answered
-	given     uint64          // bytes given to gnet
+	given     uint64          // bytes given to the connection
 	idle      time.Time       // when nothing was out here last
 	heard     time.Time       // when anything came last
 	frame     timer           // set while a frame is coming: when it must have ended
@@ -190,10 +189,10 @@
 		if l.conn == nil {
 			continue
 		}
-		left := l.given - uint64(l.conn.OutboundBuffered())
+		left := l.given - uint64(l.conn.Buffered())
 		if slices.ContainsFunc(l.out, func(f flight) bool { return f.begin >= left }) {
 			p.n.stats.HeldBack++
-			shut(l.conn.Fd()) // gnet could write once more before it closes
+			shut(l.conn.Fd()) // the loop could write once more before it closes
 			l.close()
 		}
 	}
@@ -210,7 +209,7 @@
 			l.quiet(now, l.out[0].sent)
 		}
 		if l.conn == nil || l.shut || l.halfOpen || l.frame.Set() || now.Sub(l.idle) >= idle && len(l.out) == 0 || len(l.out)+len(l.blocked) > 0 && len(l.out)+len(l.blocked)+len(attempts) > multiplex ||
-			len(l.abandoned) >= maxAbandoned || l.conn.OutboundBuffered() > 0 {
+			len(l.abandoned) >= maxAbandoned || l.conn.Buffered() > 0 {
 			continue
 		}
 		awaited := func(a *gatherer.Attempt) bool { return l.abandoned[a.PartID()] }
@@ -228,7 +227,7 @@
 
 // dial opens connections for the calls that wait, as far as descriptors allow. Each takes two
 // from when it comes up until the loop has taken it over, which may be busy meanwhile, so each
-// that is being dialed counts as two: gnet ends its loop when accept finds no descriptor.
+// that is being dialed counts as two.
 func (p *pool) dial(now time.Time, at *peer) {
 	room := 0
 	for _, l := range at.links {
@@ -310,7 +309,7 @@
 	if l == nil {
 		return // it waits for a connection, and is dropped there
 	}
-	id, full := a.PartID(), l.full() || l.conn.OutboundBuffered() > 0
+	id, full := a.PartID(), l.full() || l.conn.Buffered() > 0
 	l.quiet(time.Now(), l.land(a))
 	if full && a.MayGoAgain() {
 		l.pool.n.stats.GivenUp++
@@ -419,8 +418,8 @@
 	}
 }
 
-// opened implements handler.
-func (l *link) opened(c gnet.Conn) {
+// Opened implements eventloop.Handler.
+func (l *link) Opened(c *eventloop.Conn) {
 	now := time.Now()
 	l.conn, l.idle, l.up = c, now, now
 	l.pool.dialing--
@@ -435,8 +434,9 @@
 }
 
 // failed tells that the connection did not come up.
-func (l *link) failed(error) {
+func (l *link) failed(err error) {
 	p, now := l.pool, time.Now()
+	p.n.log.Debug("searcher not reached", "searcher", l.peer.id, "addr", l.addr, "calls", len(l.peer.queue), "err", err)
 	p.n.stats.DialFails++
 	p.dialing--
 	l.forget()
@@ -476,15 +476,15 @@
 	if n := l.pool.n; l.write(b) && n.log.Enabled(n.ctx, slog.LevelDebug) {
 		for i, a := range attempts {
 			n.log.Debug("part left", "part", parts[i].ID, "searcher", l.peer.id, "waited", now.Sub(a.Decided()),
-				"buffered", l.conn.OutboundBuffered(), "last_news", now.Sub(n.watch.news))
+				"buffered", l.conn.Buffered(), "last_news", now.Sub(n.watch.news))
 		}
 	}
 }
 
-// write gives a frame to gnet. Where it fails, gnet has called closed before
+// write gives a frame to the connection. Where it fails, Closed has been called before
 // it returns, and none of the frame counts as given.
 func (l *link) write(b []byte) bool {
-	_, err := l.conn.Write(b)
+	err := l.conn.Write(b)
 	if err == nil {
 		l.given += uint64(len(b))
 	}
@@ -506,11 +506,11 @@
 // close closes the connection; closed is called later, on the loop.
 func (l *link) close() {
 	l.shut = true
-	_ = l.conn.Close()
+	l.conn.Close()
 }
 
-// traffic implements handler.
-func (l *link) traffic(b []byte) {
+// Traffic implements eventloop.Handler.
+func (l *link) Traffic(b []byte) {
 	if l.spoilt {
 		return // it is being closed
 	}
@@ -614,15 +614,14 @@
 	frame.Served: eiderwinch.OK, frame.Broke: eiderwinch.Failed, frame.Skipped: eiderwinch.Full,
 }
 
-// closed implements handler. What gnet still holds has not left; it would
-// write that after this call, so the connection is shut first: a part that is
-// told to have never run must not run.
-func (l *link) closed(error) {
+// Closed implements eventloop.Handler. What the connection still holds has not left, and is dropped with it.
+func (l *link) Closed(reason error) {
 	now := time.Now()
-	left := l.given - uint64(l.conn.OutboundBuffered())
-	if l.conn.OutboundBuffered() > 0 {
-		shut(l.conn.Fd())
+	if len(l.out) > 0 {
+		l.pool.n.log.Debug("connection to a searcher closed with parts out", "searcher", l.peer.id, "parts", len(l.out),
+			"buffered", l.conn.Buffered(), "reason", reason)
 	}
+	left := l.given - uint64(l.conn.Buffered())
 	out := l.out
 	if !l.shut {
 		l.pool.n.stats.Left++
--- a/internal/netio/process_test.go
+++ b/internal/netio/process_test.go
@@ -88,7 +88,7 @@
 		old.Conn.Close()
 		l := r.pool.peers["s"].links[0]
 		r.wait("the end has come", func() bool { return peerClosed(l.conn.Fd()) })
-		r.table.Oldest(limit.Idle).Owner.traffic([]byte(testpeer.Query("search", "t2", time.Minute, 1)))
+		r.table.Oldest(limit.Idle).Owner.Traffic([]byte(testpeer.Query("search", "t2", time.Minute, 1)))
 		r.turnNow()
 	})
 	p := r.part()
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -6,12 +6,11 @@
 	"strconv"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"eiderwinch"
 	"eiderwinch/internal/follow"
 	"eiderwinch/internal/format/catalog"
 	"eiderwinch/internal/format/http1"
+	"eiderwinch/internal/netio/eventloop"
 )
 
 const (
@@ -49,7 +48,7 @@
 type tap struct {
 	w       *watch
 	id      follow.Ask
-	conn    gnet.Conn       // nil while it is being dialed
+	conn    *eventloop.Conn // nil while it is being dialed
 	over    bool            // nothing of it counts any more
 	fresh   bool            // the whole list is being read
 	list    *catalog.Update // fresh: the list
@@ -82,7 +81,7 @@
 	t := &tap{w: w, id: id, fresh: w.fresh}
 	w.taps[id] = t
 	w.n.stats.Watches++
-	w.n.dial(w.addr, watchDial, t, t.closed)
+	w.n.dial(w.addr, watchDial, t, t.Closed)
 }
 
 // objectMost bounds what one list may take.
@@ -105,7 +104,7 @@
 	t.over = true
 	delete(t.w.taps, t.id)
 	if t.conn != nil {
-		_ = t.conn.Close()
+		t.conn.Close()
 	}
 }
 
@@ -120,11 +119,11 @@
 	}
 }
 
-// opened implements handler.
-func (t *tap) opened(c gnet.Conn) {
+// Opened implements eventloop.Handler.
+func (t *tap) Opened(c *eventloop.Conn) {
 	t.conn = c
 	if t.over {
-		_ = c.Close()
+		c.Close()
 		return
 	}
 	t.ask()
@@ -137,11 +136,11 @@
 	if !t.fresh {
 		target = watchPath + strconv.FormatInt(t.w.revision, 10)
 	}
-	_, _ = t.conn.Write(http1.AppendRequest(nil, "GET", target, t.w.addr))
+	_ = t.conn.Write(http1.AppendRequest(nil, "GET", target, t.w.addr))
 }
 
-// traffic implements handler.
-func (t *tap) traffic(b []byte) {
+// Traffic implements eventloop.Handler.
+func (t *tap) Traffic(b []byte) {
 	if t.over {
 		return
 	}
@@ -238,8 +237,8 @@
 	t.w.failed(err.Error())
 }
 
-// closed implements handler; it is told dials that failed as well.
-func (t *tap) closed(err error) {
+// Closed implements eventloop.Handler; it is told dials that failed as well.
+func (t *tap) Closed(err error) {
 	if err == nil {
 		err = errWatch
 	}
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -80,11 +80,10 @@
 				}
 			}
 			ready, listed, bad := make(chan bool, 1), make(chan bool, 1), make(chan int, 1)
-			r.exec(func() error {
+			r.exec(func() {
 				ready <- r.core.Ready("s") || name == "a drain among odd" && r.core.Ready("other")
 				listed <- r.core.Listed("new")
 				bad <- r.stats.ListsBad
-				return nil
 			})
 			if <-ready {
 				t.Error("a drain is lost")
@@ -187,13 +186,12 @@
 				r.outcome()
 			}
 			stood := make(chan bool)
-			r.exec(func() error {
+			r.exec(func() {
 				<-stood
 				if !c.waiting { // the query is decided before the loop reads on
 					_, _ = r.core.Take(time.Now(), gatherer.Ask{Trace: "t", Class: "search", Parts: []gatherer.AskPart{{Weight: 1}}}, noClient{})
-					_ = r.wake()
+					r.wake()
 				}
-				return nil
 			})
 			watch.Send(testpeer.List(43, false, testpeer.Member("s", r.s.Addr, "Terminating", 0)))
 			close(up)
@@ -327,8 +325,8 @@
 			r.part()
 			r.onLoop(func() {
 				l := r.pool.peers["s"].links[0]
-				_ = l.conn.SetWriteBuffer(1)
-				for l.conn.OutboundBuffered() == 0 { // the searcher of this test does not read so fast
+				_ = setSendBuffer(l.conn.Fd(), 1)
+				for l.conn.Buffered() == 0 { // the searcher of this test does not read so fast
 					l.write([]byte("\x00\x01\x00\x01c" + strings.Repeat("x", 1<<16)))
 				}
 				l.out[0].begin = l.given // as if the part's frame were behind these
@@ -381,8 +379,8 @@
 	})
 	testpeer.Get(t, r.d.Watches, "a watch")
 	r.onLoop(func() {
-		if r.stats.WatchFails < 3 {
-			t.Errorf("%d failed", r.stats.WatchFails)
+		if got := r.stats.DialRetries; got != 3 || r.stats.WatchFails != 0 {
+			t.Errorf("%d dials tried again, %d watches failed; want 3 and 0", got, r.stats.WatchFails)
 		}
 	})
 }
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -82,6 +82,12 @@
 	Generations int // settings put in force
 	ClassFull   int // refusals since as many of the class were open as may be; of Full
 
+	SystemFails map[string]int // system calls on sockets that have failed and were tried again, by call and error
+	WakeFails   int            // writes that wake the event loop
+	PollRetries int            // registrations of sockets that were tried again
+	Stalls      int            // connections left alone for a moment, since the system had no memory or buffers
+	DialRetries int            // dials tried again, since they failed for a reason on this machine
+
 	Reloads     int // configurations read again
 	ReloadFails int // those that could not be used
 }
@@ -96,7 +102,12 @@
 	for _, rank := range slices.Sorted(maps.Keys(c.Evicted)) {
 		evicted = append(evicted, rank, c.Evicted[rank])
 	}
+	system := []any{"wake_fails", c.WakeFails, "poll_retries", c.PollRetries, "stalls", c.Stalls, "dial_retries", c.DialRetries}
+	for _, call := range slices.Sorted(maps.Keys(c.SystemFails)) {
+		system = append(system, call, c.SystemFails[call])
+	}
 	return slog.GroupValue(
+		group("system", system...),
 		group("in", "taken", c.Taken, "malformed", c.Malformed),
 		group("clients", "opened", c.Clients, "reused", c.Reused, "noticed", c.Noticed, "trimmed", c.Trimmed,
 			"silent", c.Silent, "spared", c.Spared, "crossed", c.Crossed, "unread", c.Unread),
