Bear disks, reloads and admin sockets that fail for a while instead of giving up

One failed write or sync of the history or of the change log ended its keeper or coordinator; a failed read at SIGHUP dropped the reload; accept on the admin socket ended its server for ENOBUFS and the like; a bbolt file left half made by a kill could never be opened; a log reader that went took the process along (SIGPIPE); a failed start of the demo's stand-ins ended in a nil dereference. Change: package durable (writes tried again until the owner ends, nothing that depends on them happens meanwhile; new bbolt files get their name once whole). SIGHUP: a minute for the disk, a second for a file that is half written.

--- a/cmd/eiderwinch/faults_test.go
+++ b/cmd/eiderwinch/faults_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 	"testing"
 	"time"
 
+	"eiderwinch/internal/configuration/keeper"
 	"eiderwinch/internal/trial/faults"
 	"eiderwinch/internal/trial/standin"
 )
@@ -102,30 +104,118 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &program{Cmd: cmd, file: filepath.Join(t.TempDir(), "config.json"), lines: make(chan string, 10_000)}
-	p.configure(t, string(text))
-	p.Env = append(p.Env, "LB_CONFIG="+p.file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
-	out, err := p.StderrPipe()
+	p := launchCommand(t, cmd, string(text))
+	serving := p.logged(t, "msg=serving")
+	_, after, _ := strings.Cut(serving, "addr=")
+	p.addr, _, _ = strings.Cut(after, " ")
+	return &traced{program: p, world: world}
+}
+
+// A configuration is read again though the disk or the system fails for a while as SIGHUP comes, and though
+// the file is found half written.
+func TestAReloadOutlastsFailuresOfTheDisk(t *testing.T) {
+	path := build(t)
+	const down = 2 * time.Second
+	plan := faults.Plan{Faults: []faults.Fault{
+		{Call: "read", Errno: syscall.EIO, Target: faults.File, Path: "config.json", After: time.Second, For: down},
+	}}
+	p := launchTraced(t, path, plan)
+	time.Sleep(time.Second)
+	if err := p.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	p.logged(t, "configuration reloaded")
+
+	whole, err := os.ReadFile(p.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.configure(t, string(whole[:len(whole)/2]))
+	if err := p.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(contentTime / 2)
+	p.configure(t, string(whole))
+	p.logged(t, "configuration reloaded")
+}
+
+// A gatherer whose log nobody reads any more goes on.
+func TestTheEndOfTheLogsReaderEndsNothing(t *testing.T) {
+	world, err := standin.NewDeployment(standin.DeploymentOptions{Searchers: 4})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer world.Close()
+	out, err := world.Config("n1", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := p.Start(); err != nil {
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, out, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = p.Process.Kill() })
-	go func() {
-		for s := bufio.NewScanner(out); s.Scan(); {
-			select {
-			case p.lines <- s.Text():
-			default: // a log without end
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(build(t))
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
+	cmd.Stderr = writer
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = cmd.Process.Kill() }()
+	_ = writer.Close()
+	if line, err := bufio.NewReader(reader).ReadString('\n'); err != nil {
+		t.Fatalf("%q, %v", line, err)
+	}
+	_ = reader.Close()
+	for range 5 {
+		_ = cmd.Process.Signal(syscall.SIGUSR1)
+		time.Sleep(20 * time.Millisecond)
+	}
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
+// A disk that fails for a while holds up a change of the configuration, and loses none.
+func TestAChangeOutlastsADiskThatFails(t *testing.T) {
+	for name, list := range map[string][]faults.Fault{
+		"syncs":      {{Call: "fdatasync", Errno: syscall.EIO, Most: 5}},
+		"full":       {{Call: "pwrite64", Errno: syscall.ENOSPC, Target: faults.File, Path: ".db", Most: 5}},
+		"growing":    {{Call: "ftruncate", Errno: syscall.ENOSPC, Most: 3}, {Call: "fsync", Errno: syscall.EIO, Most: 3}},
+		"in between": {{Call: "fdatasync", Errno: syscall.EIO, Rate: 0.5}, {Call: "pwrite64", Errno: syscall.EIO, Rate: 0.2, Path: ".db", Target: faults.File}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := newKept(t)
+			k.put(t, `<guard probation="60s" auto="false"/>`)
+			for i := range list {
+				list[i].After, list[i].For = time.Second, 3*time.Second
 			}
-		}
-		close(p.lines)
-	}()
-	serving := p.logged(t, "msg=serving")
-	_, after, _ := strings.Cut(serving, "addr=")
-	p.addr, _, _ = strings.Cut(after, " ")
-	return &traced{program: p, world: world}
+			cmd, err := faults.Command(faults.Plan{Seed: 1, Faults: list}, k.path, "serve", "--file", k.ops)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := launchCommand(t, cmd, k.text)
+			p.logged(t, "msg=serving")
+			time.Sleep(time.Second) // the faults begin
+			k.put(t, `<guard probation="60s" auto="false"/><class name="search" open="50"/>`)
+			_ = p.Process.Signal(syscall.SIGHUP)
+			p.logged(t, "a write fails; it is tried again")
+			k.until(t, "probation", state(1, "probation"))
+			if code, _, errs := call(t, nil, "config", "confirm", "--file", k.ops, "1"); code != exitOK {
+				t.Errorf("confirm: %s", errs)
+			}
+			p.kill(t)
+			p, _ = k.launch(t)
+			if s := k.until(t, "a status", func(keeper.Status) bool { return true }); s.Confirmed != 2 {
+				t.Errorf("after the kill: %+v", s)
+			}
+			_ = p.Process.Kill()
+		})
+	}
 }
 
 // playFaults asks queries under a plan, ends the program, and holds it to account.
--- a/cmd/eiderwinch/keep.go
+++ b/cmd/eiderwinch/keep.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io/fs"
 	"log/slog"
-	"os"
 	"slices"
 	"time"
 
@@ -17,6 +16,7 @@
 	"eiderwinch/internal/configuration/keeper"
 	"eiderwinch/internal/configuration/signature"
 	"eiderwinch/internal/daemon"
+	"eiderwinch/internal/durable"
 	"eiderwinch/internal/format/config"
 	"eiderwinch/internal/format/settings"
 	"eiderwinch/internal/netio"
@@ -41,7 +41,7 @@
 	if b, err = f.read(); err != nil {
 		return b, "", err
 	}
-	text, err := os.ReadFile(f.operators + ".sig")
+	text, err := durable.ReadFile(f.operators + ".sig")
 	if errors.Is(err, fs.ErrNotExist) {
 		return b, "", nil
 	}
@@ -61,7 +61,7 @@
 }
 
 func readKeys(path string) (*signature.Keys, error) {
-	text, err := os.ReadFile(path)
+	text, err := durable.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +94,7 @@
 func (f files) readOnce() (b bundle.Bundle, err error) {
 	var errs []error
 	for path, text := range map[string]*[]byte{f.platform: &b.Platform, f.operators: &b.Operators} {
-		read, err := os.ReadFile(path)
+		read, err := durable.ReadFile(path)
 		*text, errs = read, append(errs, err)
 	}
 	if err := errors.Join(errs...); err != nil {
@@ -106,7 +106,7 @@
 		path = beside(f.operators, ops.Layout)
 	}
 	if path != "" {
-		b.Layout, err = os.ReadFile(path)
+		b.Layout, err = durable.ReadFile(path)
 	}
 	return b, err
 }
@@ -154,7 +154,11 @@
 		out.machine = change.New(c.Hash, change.Limits{})
 		return out, nil
 	}
-	h, err := history.Open(beside(f.operators, path))
+	var h *history.History
+	err = durable.Within(durable.ReadTime, func() error {
+		h, err = history.Open(beside(f.operators, path))
+		return err
+	})
 	if err != nil {
 		return nil, &exitError{exitServe, err}
 	}
--- a/cmd/eiderwinch/load.go
+++ b/cmd/eiderwinch/load.go
@@ -24,16 +24,17 @@
 
 // startLoopback starts one.
 func startLoopback(o standin.DeploymentOptions, log *slog.Logger) (l *loopback, err error) {
-	l = &loopback{ended: make(chan error, 1)}
-	if l.world, err = standin.NewDeployment(o); err != nil {
+	world, err := standin.NewDeployment(o)
+	if err != nil {
 		return nil, err
 	}
 	defer func() {
-		if err != nil {
-			err = errors.Join(err, l.world.Close())
+		if err != nil { // l may be nil by now
+			err = errors.Join(err, world.Close())
 		}
 	}()
-	text, err := l.world.Config("demo", "127.0.0.1:0")
+	l = &loopback{world: world, ended: make(chan error, 1)}
+	text, err := world.Config("demo", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/eiderwinch/main_test.go
+++ b/cmd/eiderwinch/main_test.go
@@ -50,9 +50,17 @@
 }
 
 func launchWith(t *testing.T, path string, args []string, text string, env ...string) *program {
-	p := &program{Cmd: exec.Command(path, args...), file: filepath.Join(t.TempDir(), "config.json"), lines: make(chan string, 1000)}
+	return launchCommand(t, exec.Command(path, args...), text, env...)
+}
+
+// launchCommand starts a command that runs the program.
+func launchCommand(t *testing.T, cmd *exec.Cmd, text string, env ...string) *program {
+	p := &program{Cmd: cmd, file: filepath.Join(t.TempDir(), "config.json"), lines: make(chan string, 1000)}
 	p.configure(t, text)
-	p.Env = append(os.Environ(), "LB_CONFIG="+p.file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
+	if p.Env == nil {
+		p.Env = os.Environ()
+	}
+	p.Env = append(p.Env, "LB_CONFIG="+p.file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
 	p.Env = append(p.Env, env...)
 	out, err := p.StderrPipe()
 	if err != nil {
--- a/cmd/eiderwinch/ops.go
+++ b/cmd/eiderwinch/ops.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"path/filepath"
 
 	"eiderwinch/internal/admin"
 	"eiderwinch/internal/configuration/signature"
+	"eiderwinch/internal/durable"
 	"eiderwinch/internal/format/config"
 	"eiderwinch/internal/format/settings"
 	"eiderwinch/internal/format/xmlform"
@@ -19,7 +19,7 @@
 
 // readForm reads a file of one of the forms; what is wrong with it is the caller's fault.
 func readForm[T any](path string, read func(file string, r io.Reader) (*T, error)) (*T, error) {
-	text, err := os.ReadFile(path)
+	text, err := durable.ReadFile(path)
 	if err != nil {
 		return nil, &exitError{exitConfig, err}
 	}
@@ -97,7 +97,7 @@
 	}
 	var errs []error
 	if c.Platform != "" {
-		text, err := os.ReadFile(c.Platform)
+		text, err := durable.ReadFile(c.Platform)
 		if err == nil {
 			var cfg *config.Config
 			if cfg, err = config.Parse(text); err == nil {
@@ -168,7 +168,7 @@
 
 // Run formats the file.
 func (c configFormat) Run(e environment) error {
-	text, err := os.ReadFile(c.File)
+	text, err := durable.ReadFile(c.File)
 	if err != nil {
 		return &exitError{exitConfig, err}
 	}
@@ -192,7 +192,7 @@
 func (c configDiff) Run(e environment) error {
 	var nodes []*xmlform.Node
 	for _, path := range []string{c.Old, c.New} {
-		text, err := os.ReadFile(path)
+		text, err := durable.ReadFile(path)
 		if err != nil {
 			return &exitError{exitConfig, err}
 		}
--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"eiderwinch/internal/admin"
 	"eiderwinch/internal/daemon"
+	"eiderwinch/internal/durable"
 	fleetnet "eiderwinch/internal/fleet/net"
 	"eiderwinch/internal/format/config"
 	"eiderwinch/internal/netio"
@@ -28,6 +31,7 @@
 
 // Run serves until a signal ends it.
 func (c serveCommand) Run(e environment) error {
+	signal.Ignore(syscall.SIGPIPE) // a reader of the log that goes must not take the gatherer along
 	level := new(slog.LevelVar)
 	level.Set(c.Log)
 	log := slog.New(slog.NewTextHandler(e.stderr, &slog.HandlerOptions{Level: level}))
@@ -142,7 +146,7 @@
 	}
 	return runNode(e, node, counters, log, func() {
 		go func() {
-			if err := k.Reload(ctx); err != nil {
+			if err := durable.Within(reloadTime, func() error { return k.Reload(ctx) }); err != nil {
 				log.Error("configuration not reloaded, the old one stays", "err", err)
 				node.ReloadFailed()
 			}
@@ -164,9 +168,31 @@
 	node.Adopt(l)
 }
 
+// How long a configuration that was asked to be read again is tried: where the disk fails, and where what it
+// holds can't be used, since it may be in the middle of being written.
+const (
+	reloadTime  = time.Minute
+	contentTime = time.Second
+	contentWait = 50 * time.Millisecond
+)
+
+// reloadOnce reads the configuration until it can be used or can't be read.
+func reloadOnce(e environment) (*config.Config, error) {
+	for end := time.Now().Add(contentTime); ; time.Sleep(contentWait) {
+		next, err := config.Reload(e.getenv)
+		if err == nil || durable.Transient(err) || time.Now().After(end) {
+			return next, err
+		}
+	}
+}
+
 // reload reads the configuration again. One that is at fault changes nothing.
 func reload(e environment, cfg *config.Config, node *netio.Node, log *slog.Logger) {
-	next, err := config.Reload(e.getenv)
+	var next *config.Config
+	err := durable.Within(reloadTime, func() (err error) {
+		next, err = reloadOnce(e)
+		return err
+	})
 	if err != nil {
 		log.Error("configuration not reloaded, the old one stays", "err", err)
 		node.ReloadFailed()
--- a/internal/admin/listen.go
+++ b/internal/admin/listen.go
@@ -17,6 +17,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"eiderwinch/internal/durable"
 )
 
 // Bounds of what is taken. A layout of 10,000 segments with three holders each
@@ -43,7 +45,11 @@
 	} else if host, _, err := net.SplitHostPort(addr); err != nil || !net.ParseIP(host).IsLoopback() {
 		return nil, fmt.Errorf("admin socket %s: want unix:PATH or a loopback address and a port", endpoint)
 	}
-	l, err := net.Listen(network, addr)
+	var l net.Listener
+	err := durable.Within(durable.ReadTime, func() (err error) {
+		l, err = net.Listen(network, addr)
+		return err
+	})
 	if err == nil && network == "unix" {
 		err = os.Chmod(addr, socketMode)
 	}
@@ -103,10 +109,27 @@
 	if l.Addr().Network() != "unix" {
 		s.addr = l.Addr().String()
 	}
-	go func() { s.done <- s.http.Serve(l) }()
+	go func() { s.done <- s.http.Serve(patientListener{l}) }()
 	return s, nil
 }
 
+// patientListener bears failures of accept: a server that ends with the first would be gone for good.
+type patientListener struct{ net.Listener }
+
+// acceptWait is how long accept rests after a failure.
+const acceptWait = 20 * time.Millisecond
+
+// Accept implements net.Listener. It fails only once the listener is closed.
+func (l patientListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		time.Sleep(acceptWait)
+	}
+}
+
 // Endpoint is where it serves, with the port that it was given.
 func (s *Server) Endpoint() string { return s.addr }
 
--- a/internal/configuration/history/history.go
+++ b/internal/configuration/history/history.go
@@ -28,6 +28,7 @@
 
 	"eiderwinch/internal/configuration/bundle"
 	"eiderwinch/internal/configuration/change"
+	"eiderwinch/internal/durable"
 	"eiderwinch/internal/format/sealed"
 )
 
@@ -55,7 +56,7 @@
 var (
 	ErrVersion = errors.New("the history is of another version")
 	ErrEmpty   = errors.New("the history holds nothing yet")
-	ErrLong    = errors.New("the history is full: nothing can be compacted while a change is under way")
+	ErrLong    = fmt.Errorf("the history is full: nothing can be compacted while a change is under way (%w)", durable.ErrPermanent)
 	ErrNoText  = errors.New("the history holds no such configuration")
 )
 
@@ -70,7 +71,7 @@
 
 // Open opens a history, or makes one. A new one is empty until Begin.
 func Open(path string) (*History, error) {
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait})
+	db, err := durable.OpenBolt(path, &bbolt.Options{Timeout: lockWait})
 	if err != nil {
 		return nil, fmt.Errorf("history %s: %w", path, err)
 	}
@@ -203,7 +204,7 @@
 		bucket := tx.Bucket(bucketRecords)
 		for _, r := range records {
 			if next++; r.Seq != next {
-				return fmt.Errorf("record %d follows number %d", r.Seq, next-1)
+				return fmt.Errorf("record %d follows number %d (%w)", r.Seq, next-1, durable.ErrPermanent)
 			}
 			if r.State == change.Staged && text != nil {
 				if err := h.put(tx, r.Hash, *text); err != nil {
--- a/internal/configuration/keeper/keeper.go
+++ b/internal/configuration/keeper/keeper.go
@@ -17,6 +17,7 @@
 	"eiderwinch/internal/configuration/bundle"
 	"eiderwinch/internal/configuration/change"
 	"eiderwinch/internal/configuration/guard"
+	"eiderwinch/internal/durable"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/netio"
 )
@@ -76,13 +77,14 @@
 	seen    int64             // the last second that the guard was told of
 	falls   []string          // what the guard saw, the last first
 
+	ctx      context.Context // until it is told to end
 	requests chan func()
 	swaps    chan change.Effect
 	done     chan struct{}
 	err      error
 }
 
-// Start starts a keeper, which runs until ctx ends or the history can't be written.
+// Start starts a keeper, which runs until ctx ends or the history can never be written.
 func Start(ctx context.Context, o Options) *Keeper {
 	k := &Keeper{
 		opts: o, m: o.Machine, texts: make(map[change.Hash]*bundle.Candidate),
@@ -98,6 +100,7 @@
 	k.guard = guard.New(classes, o.Boot.File.Guard.Limits)
 	k.layout, k.text = o.Boot.Layout, o.Boot.Bundle.Layout
 	ctx, stop := context.WithCancel(ctx)
+	k.ctx = ctx
 	go k.swapper(ctx)
 	go func() {
 		defer stop()
@@ -162,9 +165,9 @@
 		if text != nil {
 			b = &text.Bundle
 		}
-		if err := k.opts.History.Append(r.Records, b); err != nil {
-			// What is not on disk must not happen. The gatherer goes on as it is; a
-			// new start goes on from the disk.
+		// What is not on disk must not happen. A disk that fails for a while holds up all changes.
+		if err := k.write("records of configuration changes", func() error { return k.opts.History.Append(r.Records, b) }); err != nil {
+			// The gatherer goes on as it is; a new start goes on from the disk.
 			k.err = err
 			k.opts.Logger.Error("the history can't be written: no change is taken any more", "err", err)
 			r.Err = errors.Join(r.Err, err)
@@ -176,14 +179,17 @@
 	}
 	if k.opts.History != nil && k.opts.History.Full() {
 		if base, ok := k.m.Base(); ok {
-			if err := k.opts.History.Begin(base, k.texts[base.Hash].Bundle); err != nil {
-				k.err = err
-			}
+			k.err = k.write("compacted history", func() error { return k.opts.History.Begin(base, k.texts[base.Hash].Bundle) })
 		}
 	}
 	return r
 }
 
+// write writes to the history, until that succeeds or the keeper is told to end.
+func (k *Keeper) write(what string, f func() error) error {
+	return durable.Retry(k.ctx, k.opts.Logger, what, f)
+}
+
 func (k *Keeper) carryOut(e change.Effect) {
 	switch e := e.(type) {
 	case change.Swap, change.Revert:
--- a/internal/fleet/net/node.go
+++ b/internal/fleet/net/node.go
@@ -14,6 +14,7 @@
 	stdnet "net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"eiderwinch/internal/fleet/seal"
@@ -456,12 +457,23 @@
 			if n.ctx.Err() != nil {
 				return
 			}
-			continue // an ICMP error of what was sent to a port that nobody listens on
+			if !errors.Is(err, syscall.ECONNREFUSED) { // else an ICMP error of what was sent to a port that nobody listens on
+				n.rest()
+			}
+			continue
 		}
 		n.put(input{from: netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), data: append([]byte(nil), buf[:k]...)})
 	}
 }
 
+// rest waits after a call that has failed.
+func (n *Node) rest() {
+	select {
+	case <-time.After(writeFor):
+	case <-n.ctx.Done():
+	}
+}
+
 // accept takes connections, each for one message.
 func (n *Node) accept() {
 	defer n.done.Done()
@@ -471,10 +483,7 @@
 			if n.ctx.Err() != nil {
 				return
 			}
-			select { // out of descriptors, most likely
-			case <-time.After(writeFor):
-			case <-n.ctx.Done():
-			}
+			n.rest() // out of descriptors, most likely
 			continue
 		}
 		select {
--- a/internal/format/config/config.go
+++ b/internal/format/config/config.go
@@ -8,10 +8,10 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"reflect"
 	"strconv"
 
+	"eiderwinch/internal/durable"
 	"eiderwinch/internal/format/catalog"
 )
 
@@ -86,7 +86,7 @@
 	if path == "" {
 		return nil, errors.New("LB_CONFIG is not set: it names the config file")
 	}
-	text, err := os.ReadFile(path)
+	text, err := durable.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("LB_CONFIG: %w", err)
 	}
--- a/internal/layout/coordinator/coordinator.go
+++ b/internal/layout/coordinator/coordinator.go
@@ -94,7 +94,7 @@
 	}
 	ctx, c.stop = context.WithCancel(ctx)
 	d, err := migrate.Start(ctx, migrate.Options{
-		Path: o.Log, First: o.First, Fleet: o.Fleet, Limits: o.Limits, Ended: c.ended,
+		Path: o.Log, First: o.First, Fleet: o.Fleet, Limits: o.Limits, Ended: c.ended, Logger: o.Logger,
 	}, c)
 	if err != nil {
 		c.stop()
--- a/internal/layout/migrate/driver.go
+++ b/internal/layout/migrate/driver.go
@@ -7,8 +7,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"time"
 
+	"eiderwinch/internal/durable"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/layout/reshard"
 	"eiderwinch/internal/layout/reshardlog"
@@ -34,6 +36,8 @@
 	fleet  layout.Fleet
 	events chan request
 	ended  func(reshard.Ended)
+	ctx    context.Context // until it is told to end
+	logger *slog.Logger
 	done   chan struct{}
 	err    error
 }
@@ -56,10 +60,11 @@
 	Fleet  layout.Fleet
 	Limits reshard.Limits
 	Ended  func(reshard.Ended) // told of each job that is over; may be nil
+	Logger *slog.Logger        // nil: nothing is logged
 }
 
 // Start opens the log, goes on from where it ends, and runs until ctx ends or
-// the log can't be written. Wait returns why.
+// the log can never be written. Wait returns why.
 func Start(ctx context.Context, o Options, p Peers) (*Driver, error) {
 	log, err := reshardlog.Open(o.Path)
 	if err != nil {
@@ -79,7 +84,10 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("change log %s: %w", o.Path, err), log.Close())
 	}
-	d := &Driver{peers: p, log: log, c: c, fleet: fleet, events: make(chan request, queued), ended: o.Ended, done: make(chan struct{})}
+	d := &Driver{peers: p, log: log, c: c, fleet: fleet, events: make(chan request, queued), ended: o.Ended, ctx: ctx, logger: o.Logger, done: make(chan struct{})}
+	if d.logger == nil {
+		d.logger = slog.New(slog.DiscardHandler)
+	}
 	p.Begin(log.ID(), log.Term())
 	for _, e := range effects {
 		d.carryOut(e)
@@ -121,7 +129,7 @@
 // step takes in one event: first the disk, then the effects.
 func (d *Driver) step(e reshard.Event) (reshard.Result, error) {
 	result := d.c.Step(time.Now(), e)
-	if err := d.log.Append(result.Records); err != nil {
+	if err := d.write("records of layout changes", func() error { return d.log.Append(result.Records) }); err != nil {
 		return result, err
 	}
 	for _, x := range result.Effects {
@@ -129,7 +137,7 @@
 	}
 	if d.log.Full() {
 		if b, ok := d.c.Base(); ok {
-			if err := d.log.Begin(b, d.fleet); err != nil {
+			if err := d.write("compacted change log", func() error { return d.log.Begin(b, d.fleet) }); err != nil {
 				return result, err
 			}
 		}
@@ -137,6 +145,11 @@
 	return result, nil
 }
 
+// write writes to the log, until that succeeds or the driver is told to end.
+func (d *Driver) write(what string, f func() error) error {
+	return durable.Retry(d.ctx, d.logger, what, f)
+}
+
 func (d *Driver) carryOut(e reshard.Effect) {
 	switch e := e.(type) {
 	case reshard.Publish:
--- a/internal/layout/reshardlog/log.go
+++ b/internal/layout/reshardlog/log.go
@@ -25,6 +25,7 @@
 
 	"go.etcd.io/bbolt"
 
+	"eiderwinch/internal/durable"
 	"eiderwinch/internal/format/sealed"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/layout/layoutfile"
@@ -52,7 +53,7 @@
 	ErrDamaged = sealed.ErrDamaged
 	ErrVersion = errors.New("the log is of another version")
 	ErrEmpty   = errors.New("the log holds no layout yet")
-	ErrLong    = errors.New("the log is full: nothing can be compacted while changes are under way")
+	ErrLong    = fmt.Errorf("the log is full: nothing can be compacted while changes are under way (%w)", durable.ErrPermanent)
 )
 
 // Log is an open log. It is for one goroutine.
@@ -66,7 +67,7 @@
 
 // Open opens a log, or makes one. A new one is Empty until Begin.
 func Open(path string) (*Log, error) {
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait})
+	db, err := durable.OpenBolt(path, &bbolt.Options{Timeout: lockWait})
 	if err != nil {
 		return nil, fmt.Errorf("change log %s: %w", path, err)
 	}
@@ -167,7 +168,7 @@
 		bucket := tx.Bucket(bucketRecords)
 		for _, r := range records {
 			if next++; r.Seq != next {
-				return fmt.Errorf("record %d follows number %d", r.Seq, next-1)
+				return fmt.Errorf("record %d follows number %d (%w)", r.Seq, next-1, durable.ErrPermanent)
 			}
 			text, err := json.Marshal(r)
 			if err != nil {
