Place searchers' starts on the monotonic clock, whatever the wall clock does

Cause: starts come as Unix times and were carried to the aggregator's clock, and compared with when connections came up, by the wall clock's reading at the start: after a step forward a cold searcher counted as warm, after a step back a new process was not known for one and its connections stayed. The coordinator counted seconds by the wall clock beside recorders that count by the monotonic one. Connections' ages are compared at the wall clock's present reading. Excluded: deadlines, windows and graces are on the monotonic clock already. Not changed: validity times of keys go by the wall clock.

--- a/internal/gatherer/book.go
+++ b/internal/gatherer/book.go
@@ -150,18 +150,19 @@
 
 // member is what is known of a searcher's state.
 type member struct {
-	state   eiderwinch.State
-	started time.Time // its last start; zero means long ago
+	state    eiderwinch.State
+	reported time.Time // its last start, as discovery tells it
+	started  time.Time // the same on the monotonic clock, see starts; zero means long ago
 }
 
 // told books a searcher's state. One that is gone is forgotten: who is not known is
 // barred too, and new ones come with new ids all day long.
-func (c *Core) told(id string, s eiderwinch.State, started time.Time) {
+func (c *Core) told(id string, s eiderwinch.State, reported, started time.Time) {
 	if s == eiderwinch.Removed {
 		delete(c.members, id)
 		return
 	}
-	c.members[id] = member{state: s, started: started}
+	c.members[id] = member{state: s, reported: reported, started: started}
 }
 
 // barred tells that a searcher must not be sent anything: it is not known, or it
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -121,6 +121,7 @@
 	endBy    time.Time           // when all queries are to be ended at the latest; zero while that is not known
 	open     int                 // open queries and parts
 	members  map[string]member
+	starts   starts
 	given    []eiderwinch.Replica // the ready ones of the list it started with, until discovery has spoken
 	live     *Live
 	openOf   []int // open queries by class
@@ -141,6 +142,7 @@
 		traces:  make(map[string]*query),
 		parts:   make(map[uint64]*part),
 		members: make(map[string]member),
+		starts:  newStarts(start, set.Module.ColdFor),
 		layout:  set.Layout,
 		bound:   make(map[layout.Epoch]int),
 	}
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -444,3 +444,48 @@
 	r.want("ready after one without a", r.Ready("a"), false)
 	r.want("still ready", r.Ready("b"), true)
 }
+
+// The wall clock may be stepped while searchers start. What was told before the step stays where it was, and
+// what is told after it is taken for colder than it may be, never for warmer.
+func TestAStepOfTheWallClockMakesNoSearcherWarm(t *testing.T) {
+	for name, step := range map[string]time.Duration{"forward": time.Hour, "back": -time.Hour, "by seconds": 7 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			stepped := time.Duration(0)
+			r.starts = newStarts(r.start, 18*time.Second)
+			r.starts.wall = func(now time.Time) time.Time {
+				if now.Equal(r.start) {
+					return now
+				}
+				return now.Add(stepped)
+			}
+			tell := func(id string, reported time.Time) time.Duration {
+				r.List(r.at, eiderwinch.Changes, []Member{{ID: id, State: eiderwinch.Ready, Started: reported}})
+				return r.at.Sub(r.members[id].started)
+			}
+			r.at = r.at.Add(10 * time.Second)
+			before := r.at.Add(-4 * time.Second)
+			if age := tell("a", before); age != 4*time.Second {
+				t.Errorf("without a step: %v old, want 4 s", age)
+			}
+			stepped = step
+			r.at = r.at.Add(time.Second)
+			if age := tell("a", before); age != 5*time.Second {
+				t.Errorf("told again after the step: %v old, want 5 s", age)
+			}
+			if age := tell("b", r.at.Add(step-2*time.Second)); age != 0 {
+				t.Errorf("started and told after the step: %v old, want 0", age)
+			}
+			if age := tell("c", before); age != 0 {
+				t.Errorf("started before and told after the step: %v old, want 0", age)
+			}
+			r.at = r.at.Add(time.Minute)
+			if age := tell("d", r.at.Add(step-2*time.Second)); age != 2*time.Second {
+				t.Errorf("long after the step: %v old, want 2 s", age)
+			}
+			if age := tell("e", r.at.Add(step+time.Minute)); age != 0 {
+				t.Errorf("a start to come: %v old, want 0", age)
+			}
+		})
+	}
+}
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -169,10 +169,12 @@
 	event := eiderwinch.ListChange{Kind: kind}
 	listed := make(map[string]bool)
 	var given []eiderwinch.Replica // what is left to Believe
+	c.starts.look(now)
 	for _, m := range list {
+		started := c.starts.place(now, m.Started, c.members[m.ID])
 		r := eiderwinch.Replica{ID: m.ID, Zone: m.Zone, Cell: m.Cell, State: m.State}
-		if !m.Started.IsZero() {
-			r.Started = c.clock(m.Started)
+		if !started.IsZero() {
+			r.Started = c.clock(started)
 		}
 		if kind == eiderwinch.Stale && m.State == eiderwinch.Ready && c.set.Module.ColdFor > 0 {
 			given = append(given, r)
@@ -180,12 +182,12 @@
 		}
 		event.Replicas = append(event.Replicas, r)
 		listed[m.ID] = true
-		c.told(m.ID, m.State, m.Started)
+		c.told(m.ID, m.State, m.Started, started)
 	}
 	if kind == eiderwinch.Whole || kind == eiderwinch.Stale {
 		for id := range c.members {
 			if !listed[id] {
-				c.told(id, eiderwinch.Removed, time.Time{})
+				c.told(id, eiderwinch.Removed, time.Time{}, time.Time{})
 			}
 		}
 	}
--- a/internal/layout/coordinator/coordinator.go
+++ b/internal/layout/coordinator/coordinator.go
@@ -54,6 +54,7 @@
 
 // Coordinator is a running one.
 type Coordinator struct {
+	began  time.Time
 	opts   Options
 	driver *migrate.Driver
 	peers  sync.WaitGroup
@@ -85,7 +86,7 @@
 		return nil, err
 	}
 	c := &Coordinator{
-		opts: o, meter: reshard.NewMeter(),
+		opts: o, began: time.Now(), meter: reshard.NewMeter(),
 		gatherers: make(map[string]layout.Epoch), kicks: make(map[string]chan struct{}),
 		seen: make(map[string]int64), copied: make(map[int64]bool),
 	}
@@ -259,7 +260,7 @@
 	if !c.ledger.Copying() {
 		return
 	}
-	now := time.Now().Unix()
+	now := c.began.Unix() + int64(time.Since(c.began)/time.Second) // as service.Recorder counts: a step of the clock moves nothing
 	c.copied[now] = true
 	maps.DeleteFunc(c.copied, func(second int64, _ bool) bool { return second < now-service.Kept })
 }
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -561,7 +561,7 @@
 		list = append(list, gatherer.Member{
 			ID: m.ID, Zone: m.Locality, Cell: m.Cell, State: states[m.Phase], Started: m.Started(),
 		})
-		n.pool.locate(m.ID, m.HostPort, m.Started())
+		n.pool.locate(now, m.ID, m.HostPort, m.Started())
 	}
 	n.core.List(now, kind, list)
 	for _, m := range members {
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -89,7 +89,7 @@
 // locate books a searcher's address, and when its process started. Connections to another address
 // are not used for new calls. Those that were up before the start led to a process that is gone: they
 // are closed, though its machine may have gone without a word, and what is out on them may have run.
-func (p *pool) locate(id, addr string, started time.Time) {
+func (p *pool) locate(now time.Time, id, addr string, started time.Time) {
 	at := p.peers[id]
 	if at == nil {
 		at = &peer{id: id}
@@ -99,13 +99,13 @@
 	if moved {
 		at.addr = addr
 	}
-	fresh := started.After(at.started)
+	fresh := !started.IsZero() && !started.Equal(at.started) // the roster lets no older one through; Unix times may go back
 	if fresh {
 		at.started = started
 	}
 	for _, l := range at.links {
 		switch {
-		case fresh && l.conn != nil && l.up.Before(started):
+		case fresh && l.conn != nil && l.upSince(now).Before(started):
 			p.n.stats.Outlived++
 			l.close()
 		case moved:
@@ -114,6 +114,9 @@
 	}
 }
 
+// upSince is when the connection came up, by the wall clock as it reads now.
+func (l *link) upSince(now time.Time) time.Time { return now.Round(0).Add(-now.Sub(l.up)) }
+
 // relocated has calls go on that waited for a connection to where a searcher was before.
 func (p *pool) relocated(now time.Time, id string) {
 	if at := p.peers[id]; at != nil && len(at.queue) > 0 {
