Soak the built program under drawn faults, with clients and signals until the kill

Seeds draw two to five faults by call, error, rate and time; clients use their connections until the gatherer ends them, SIGHUP, SIGUSR1 and SIGTERM come in series, every third seed has a crowd of 150 idle connections; the kill comes 3.7 s after SIGTERM. A request that was read and got no answer fails the test; one that crosses the end unread (the system answers by a reset) does not.

--- a/cmd/eiderwinch/faults_test.go
+++ b/cmd/eiderwinch/faults_test.go
@@ -309,11 +309,7 @@
 	if c == nil {
 		return noAnswer
 	}
-	body := fmt.Sprintf(`{"tablets":[{"tablet":%d,"fraction":0.5},{"tablet":%d,"fraction":0.5}],"statement":"find fullest"}`, segment, segment+1)
-	_ = c.SetDeadline(time.Now().Add(faultWait))
-	_, err := fmt.Fprintf(c, "POST /search HTTP/1.1\r\nHost: h\r\nX-Trace-Id: %s\r\nX-Qos: search\r\nX-Expires-In-Ms: 4000\r\nContent-Length: %d\r\n\r\n%s",
-		trace, len(body), body)
-	if err != nil {
+	if err := c.send(trace, segment, 4*time.Second); err != nil {
 		return noAnswer
 	}
 	r, err := http.ReadResponse(c.in, nil)
@@ -326,3 +322,12 @@
 	}
 	return strconv.Itoa(r.StatusCode)
 }
+
+// send sends a query for two segments from one on.
+func (c *clientConn) send(trace string, segment int, expires time.Duration) error {
+	body := fmt.Sprintf(`{"tablets":[{"tablet":%d,"fraction":0.5},{"tablet":%d,"fraction":0.5}],"statement":"find fullest"}`, segment, segment+1)
+	_ = c.SetDeadline(time.Now().Add(faultWait))
+	_, err := fmt.Fprintf(c, "POST /search HTTP/1.1\r\nHost: h\r\nX-Trace-Id: %s\r\nX-Qos: search\r\nX-Expires-In-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		trace, expires.Milliseconds(), len(body), body)
+	return err
+}
--- /dev/null
+++ b/cmd/eiderwinch/faultsoak_test.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"eiderwinch/internal/trial/faults"
+)
+
+// Times of a soak. The kill comes at the earliest that the platform allows: 3 s, since the longest deadline is
+// above that, and 0.7 s.
+const (
+	soakServe    = 1500 * time.Millisecond
+	soakKill     = 3700 * time.Millisecond
+	soakSeeds    = 6 // where soakVariable does not say how many
+	soakClients  = 8
+	soakExpires  = 1500 * time.Millisecond
+	soakCrowd    = 150 // idle connections, on every third seed
+	soakVariable = "EIDERWINCH_SOAK_SEEDS"
+	resetTime    = 50 * time.Millisecond // for a reset to come back over loopback
+)
+
+// soakFaults are what a soak draws from. Each may pass at any time.
+var soakFaults = []faults.Fault{
+	{Call: "accept4", Errno: syscall.ECONNABORTED, Rate: 0.2},
+	{Call: "accept4", Errno: syscall.ENFILE, Rate: 0.3},
+	{Call: "accept4", Errno: syscall.ENOBUFS, Rate: 0.3},
+	{Call: "accept4", Errno: syscall.EHOSTUNREACH, Rate: 0.2},
+	{Call: "socket", Errno: syscall.ENFILE, Rate: 0.3},
+	{Call: "socket", Errno: syscall.ENOBUFS, Rate: 0.3},
+	{Call: "connect", Errno: syscall.EADDRNOTAVAIL, Rate: 0.3},
+	{Call: "connect", Errno: syscall.ENETUNREACH, Rate: 0.3},
+	{Call: "read", Errno: syscall.EINTR, Target: faults.Socket, Rate: 0.05},
+	{Call: "read", Errno: syscall.ENOMEM, Target: faults.Socket, Rate: 0.02},
+	{Call: "write", Errno: syscall.EINTR, Target: faults.Socket, Rate: 0.05},
+	{Call: "write", Errno: syscall.ENOBUFS, Target: faults.Socket, Rate: 0.02},
+	{Call: "read", Target: faults.Socket, Rate: 0.2},
+	{Call: "write", Target: faults.Socket, Rate: 0.2},
+	{Call: "write", Errno: syscall.EINTR, Target: faults.EventFD, Rate: 0.2},
+	{Call: "read", Errno: syscall.EINTR, Target: faults.EventFD, Rate: 0.2},
+	{Call: "epoll_ctl", Errno: syscall.ENOMEM, Rate: 0.1},
+	{Call: "epoll_ctl", Errno: syscall.ENOSPC, Rate: 0.1},
+	{Call: "epoll_pwait", Errno: syscall.EINTR, Rate: 0.2},
+	{Call: "poll", Errno: syscall.EINTR, Rate: 0.3},
+	{Call: "ioctl", Errno: syscall.EINTR, Rate: 0.3},
+	{Call: "fcntl", Errno: syscall.EMFILE, Rate: 0.1},
+}
+
+// drawPlan draws some faults that begin once the program serves.
+func drawPlan(seed uint64) faults.Plan {
+	random := rand.New(rand.NewPCG(seed, 1))
+	plan := faults.Plan{Seed: seed}
+	for range 2 + random.IntN(4) {
+		f := soakFaults[random.IntN(len(soakFaults))]
+		f.After = 300*time.Millisecond + time.Duration(random.Int64N(int64(soakServe)))
+		if random.IntN(2) == 0 {
+			f.For = 100*time.Millisecond + time.Duration(random.Int64N(int64(time.Second)))
+		}
+		plan.Faults = append(plan.Faults, f)
+	}
+	return plan
+}
+
+// Clients use their connections until the kill, signals come in series, system calls fail: each request that
+// was read gets its answer, and the process ends by itself in time.
+func TestASoakUnderFaults(t *testing.T) {
+	seeds := soakSeeds
+	if s := os.Getenv(soakVariable); s != "" {
+		var err error
+		if seeds, err = strconv.Atoi(s); err != nil || seeds < 1 {
+			t.Fatalf("%s is %q, want a number from 1 on", soakVariable, s)
+		}
+	}
+	path := build(t)
+	room := make(chan struct{}, 4)
+	for seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed+1), func(t *testing.T) {
+			t.Parallel()
+			room <- struct{}{}
+			defer func() { <-room }()
+			soakOnce(t, path, drawPlan(uint64(seed+1)))
+		})
+	}
+}
+
+// tally counts results of requests.
+type tally struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func (c *tally) add(result string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count[result]++
+}
+
+func soakOnce(t *testing.T, path string, plan faults.Plan) {
+	p := launchTraced(t, path, plan)
+	log := make(chan []string, 1)
+	go func() {
+		var kept []string
+		for line := range p.lines {
+			kept = append(kept, line)
+		}
+		log <- kept
+	}()
+	if plan.Seed%3 == 0 {
+		for range soakCrowd {
+			if c := dialGatherer(p.addr); c != nil {
+				defer c.close()
+			}
+		}
+	}
+	results := &tally{count: make(map[string]int)}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for client := range soakClients {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			p.useConnections(plan.Seed, client, results, stop)
+		}()
+	}
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP} {
+		if s == syscall.SIGTERM {
+			time.Sleep(soakServe / 2)
+		}
+		_ = p.Process.Signal(s)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- p.Wait() }()
+	var lines []string
+	select {
+	case lines = <-log:
+	case <-time.After(soakKill):
+		t.Error("the kill comes before its end")
+		_ = p.Process.Kill()
+		lines = <-log
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+	close(stop)
+	clients.Wait()
+	served := results.count["200"]
+	if results.count[noAnswer] > 0 || served < 100 {
+		t.Errorf("%v, want no request without an answer, and 100 served", results.count)
+	}
+	t.Log(results.count)
+	if t.Failed() {
+		t.Logf("%+v", plan.Faults)
+		t.Log(strings.Join(lines[max(len(lines)-30, 0):], "\n"))
+	}
+}
+
+// useConnections asks on one connection until the gatherer ends it, then on the next, until none can be opened.
+func (p *traced) useConnections(seed uint64, client int, results *tally, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(seed, uint64(client)))
+	for number := 0; ; {
+		c := dialGatherer(p.addr)
+		if c == nil {
+			return
+		}
+		for open := true; open; number++ {
+			select {
+			case <-stop:
+				c.close()
+				return
+			case <-time.After(time.Duration(random.Int64N(int64(40 * time.Millisecond)))):
+			}
+			open = c.askOnce(fmt.Sprintf("s-%d-%d-%d", seed, client, number), random.IntN(p.world.Segments()-1), results)
+		}
+		c.close()
+	}
+}
+
+// askOnce asks one query, and tells whether the connection goes on. A request that crosses the connection's end
+// unread counts as none: its client would send it once more.
+func (c *clientConn) askOnce(trace string, segment int, results *tally) (open bool) {
+	if err := c.send(trace, segment, soakExpires); err != nil {
+		return false
+	}
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		if !c.wasUnread(err) {
+			results.add(noAnswer)
+		}
+		return false
+	}
+	defer r.Body.Close()
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		results.add(noAnswer)
+		return false
+	}
+	results.add(strconv.Itoa(r.StatusCode))
+	return !r.Close
+}
+
+// wasUnread tells whether a connection ended before its last request was read: the system answers what comes
+// after the close by a reset.
+func (c *clientConn) wasUnread(err error) bool {
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return true
+	}
+	time.Sleep(resetTime)
+	_, err = c.Conn.Write([]byte("\n"))
+	return err != nil
+}
