Keep a slow reader of the log from holding up the event loop

Beside it: a connection to a searcher that leaves is muted in place of a shutdown that could fail, and the fleet's sockets are tried again at the start.

--- a/cmd/eiderwinch/faults_test.go
+++ b/cmd/eiderwinch/faults_test.go
@@ -139,47 +139,81 @@
 	p.logged(t, "configuration reloaded")
 }
 
-// A gatherer whose log nobody reads any more goes on.
-func TestTheEndOfTheLogsReaderEndsNothing(t *testing.T) {
+// logRig is a program whose log a test reads by hand, with a deployment round it.
+type logRig struct {
+	*exec.Cmd
+	log   *os.File
+	addr  string
+	world *standin.Deployment
+}
+
+func newLogRig(t *testing.T, args ...string) *logRig {
+	t.Helper()
 	world, err := standin.NewDeployment(standin.DeploymentOptions{Searchers: 4})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer world.Close()
-	out, err := world.Config("n1", "127.0.0.1:0")
+	t.Cleanup(func() { _ = world.Close() })
+	text, err := world.Config("n1", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, out, 0o600); err != nil {
+	if err := os.WriteFile(file, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	reader, writer, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(build(t))
-	cmd.Env = append(os.Environ(), "LB_CONFIG="+file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
-	cmd.Stderr = writer
-	if err := cmd.Start(); err != nil {
+	r := &logRig{Cmd: exec.Command(build(t), append([]string{"serve"}, args...)...), log: reader, world: world}
+	r.Env = append(os.Environ(), "LB_CONFIG="+file, "LB_LISTEN=", "LB_DISCOVERY=", "LB_NAME=")
+	r.Stderr = writer
+	if err := r.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = cmd.Process.Kill() }()
+	t.Cleanup(func() { _ = r.Process.Kill() })
 	_ = writer.Close()
-	if line, err := bufio.NewReader(reader).ReadString('\n'); err != nil {
-		t.Fatalf("%q, %v", line, err)
+	buffered := bufio.NewReader(reader)
+	for r.addr == "" {
+		line, err := buffered.ReadString('\n')
+		if err != nil {
+			t.Fatalf("%q, %v", line, err)
+		}
+		if _, after, ok := strings.Cut(line, "addr="); ok {
+			r.addr, _, _ = strings.Cut(after, " ")
+		}
 	}
-	_ = reader.Close()
+	return r
+}
+
+// A gatherer whose log nobody reads any more goes on.
+func TestTheEndOfTheLogsReaderEndsNothing(t *testing.T) {
+	r := newLogRig(t)
+	_ = r.log.Close()
 	for range 5 {
-		_ = cmd.Process.Signal(syscall.SIGUSR1)
+		_ = r.Process.Signal(syscall.SIGUSR1)
 		time.Sleep(20 * time.Millisecond)
 	}
-	_ = cmd.Process.Signal(syscall.SIGTERM)
-	if err := cmd.Wait(); err != nil {
+	_ = r.Process.Signal(syscall.SIGTERM)
+	if err := r.Wait(); err != nil {
 		t.Errorf("it ended with %v", err)
 	}
 }
 
+// Nor does a reader who stays and does not read hold up a query.
+func TestAReaderOfTheLogThatStandsStillHoldsUpNoQuery(t *testing.T) {
+	r := newLogRig(t, "--log", "debug")
+	defer r.log.Close()
+	c := dialGatherer(r.addr)
+	defer c.close()
+	for i := range 500 { // some 200 KB of log, where a pipe holds 64 KiB
+		if got := c.ask(fmt.Sprintf("t-%d", i), i%(r.world.Segments()-1)); got != "200" {
+			t.Fatalf("query %d: %s", i, got)
+		}
+	}
+}
+
 // A disk that fails for a while holds up a change of the configuration, and loses none.
 func TestAChangeOutlastsADiskThatFails(t *testing.T) {
 	for name, list := range map[string][]faults.Fault{
--- a/cmd/eiderwinch/fleet.go
+++ b/cmd/eiderwinch/fleet.go
@@ -15,6 +15,7 @@
 
 	"eiderwinch/internal/admin"
 	"eiderwinch/internal/configuration/signature"
+	"eiderwinch/internal/durable"
 	fleetnet "eiderwinch/internal/fleet/net"
 	"eiderwinch/internal/fleet/seal"
 	"eiderwinch/internal/fleet/share"
@@ -47,7 +48,7 @@
 	if f.Wide {
 		set = view.WAN()
 	}
-	n, err := fleetnet.Listen(fleetnet.Config{
+	n, err := listenFleet(fleetnet.Config{
 		Self:     view.Member{Name: cfg.Name, Addr: f.Listen, Zone: cfg.Settings.Module.Zone, Incarnation: view.Incarnation{Start: uint64(now.UnixMicro())}},
 		Settings: set, Sealer: sealer, Seeds: f.Seeds, Seed: seed, Log: log, Advertise: f.Advertise, Slots: f.Slots,
 		Share: share.Settings{
@@ -61,6 +62,15 @@
 	return n, nil
 }
 
+// listenFleet joins, again where the system fails for a while.
+func listenFleet(c fleetnet.Config) (n *fleetnet.Node, err error) {
+	err = durable.Within(durable.ReadTime, func() error {
+		n, err = fleetnet.Listen(c)
+		return err
+	})
+	return n, err
+}
+
 // sharing tells a gatherer what it may use of its fleet's limits, until it leaves.
 type sharing struct {
 	fleet *fleetnet.Node
--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"eiderwinch/internal/admin"
+	"eiderwinch/internal/asynclog"
 	"eiderwinch/internal/daemon"
 	"eiderwinch/internal/durable"
 	fleetnet "eiderwinch/internal/fleet/net"
@@ -34,7 +35,9 @@
 	signal.Ignore(syscall.SIGPIPE) // a reader of the log that goes must not take the gatherer along
 	level := new(slog.LevelVar)
 	level.Set(c.Log)
-	log := slog.New(slog.NewTextHandler(e.stderr, &slog.HandlerOptions{Level: level}))
+	lines := asynclog.New(e.stderr) // the event loop logs: whoever reads slowly must not hold it up
+	defer lines.Close()
+	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: level}))
 	cfg, err := config.Load(e.getenv)
 	if err != nil {
 		return &exitError{exitConfig, fmt.Errorf("configuration: %w", err)}
--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -34,6 +34,7 @@
 	stalls  int          // in a row
 	tries   int          // of its registration
 	closing bool         // it is to be closed in the next round
+	muted   bool         // nothing is written any more
 	closed  bool
 }
 
@@ -110,7 +111,7 @@
 	switch {
 	case c.stalled:
 		return nothing
-	case c.out.Len() > 0:
+	case c.out.Len() > 0 && !c.muted:
 		return readsAndWrites
 	}
 	return reads
@@ -220,7 +221,7 @@
 	if c.closed {
 		return ErrClosed
 	}
-	if c.out.Len() > 0 || c.stalled {
+	if c.out.Len() > 0 || c.stalled || c.muted {
 		c.out.Write(b)
 		return nil
 	}
@@ -237,7 +238,7 @@
 
 // flush sends what is kept.
 func (c *Conn) flush() {
-	if c.closed || c.stalled {
+	if c.closed || c.stalled || c.muted {
 		return
 	}
 	n, err := c.send(c.out.Bytes())
@@ -276,6 +277,12 @@
 // Buffered is how many bytes were given to Write that the system has not taken yet.
 func (c *Conn) Buffered() int { return c.out.Len() }
 
+// Mute has nothing written any more: what the system has not taken by now never leaves, and stays Buffered.
+func (c *Conn) Mute() {
+	c.muted = true
+	c.update()
+}
+
 // Fd is the descriptor; -1 once the connection is closed.
 func (c *Conn) Fd() int { return c.fd }
 
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -195,7 +195,7 @@
 		left := l.given - uint64(l.conn.Buffered())
 		if slices.ContainsFunc(l.out, func(f flight) bool { return f.begin >= left }) {
 			p.n.stats.HeldBack++
-			shut(l.conn.Fd()) // the loop could write once more before it closes
+			l.conn.Mute() // the loop could write once more before it closes
 			l.close()
 		}
 	}
--- a/internal/netio/socket.go
+++ b/internal/netio/socket.go
@@ -50,8 +50,5 @@
 	return 0
 }
 
-// shut ends both ways of a connection that is about to be closed.
-func shut(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_RDWR) }
-
 // shutWrite ends the way out of a connection; the peer can still be read.
 func shutWrite(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_WR) }
