--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -9,9 +9,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net"
-	"net/http"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -64,37 +62,6 @@
 	killMargin  = 200 * time.Millisecond // the answers must be out so long before the kill
 )
 
-// longest is the longest deadline.
-func (c Config) longest() (longest time.Duration) {
-	for _, class := range c.Gatherer.Module.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	return longest
-}
-
-// killAfter is how long after SIGTERM the process surely lives.
-func (c Config) killAfter() time.Duration { return min(c.longest(), killMost) + killMore }
-
-// serveFor is how long after SIGTERM connections that clients have kept are served.
-func (c Config) serveFor() time.Duration {
-	return max(c.killAfter()-max(min(c.longest(), killReserve), 2*killMargin), drainAccept)
-}
-
-// waitShare is the part of the shortest aim (1/3) that a call may wait for a connection: a
-// handshake takes far less, and a call that has waited in vain surely has not run, so that it
-// can still be answered in time elsewhere. A zone that is cut off says nothing: without this,
-// each gatherer would find out at each of its searchers by a query that is late.
-const waitShare = 3
-
-// connectWait is how long a call waits for a connection. Its dial goes on for ConnectTimeout.
-func (n *Node) connectWait() time.Duration {
-	wait := n.cfg.ConnectTimeout
-	for _, c := range n.cfg.Gatherer.Module.Classes {
-		wait = min(wait, c.Aim/waitShare)
-	}
-	return wait
-}
-
 // spare is how many descriptors are left to the runtime, the poller, the
 // listener and the standard streams.
 const spare = 32
@@ -139,9 +106,6 @@
 	started chan struct{} // closed once queries are taken
 }
 
-// dialer opens a connection.
-type dialer func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // New returns a Node that is to be started with Run.
 func New(cfg Config, d gatherer.Decider, counters *stats.Counters, log *slog.Logger) *Node {
 	if cfg.Clients == (limit.Bounds{}) {
@@ -206,20 +170,6 @@
 // Addr is the address listened on.
 func (n *Node) Addr() string { return n.loop.Addr() }
 
-// Drain lets the node end once it has answered all it has taken. It may be
-// called from any goroutine once the node has started.
-func (n *Node) Drain() {
-	n.exec(func() {
-		if !n.draining {
-			n.log.Info("draining", "open", n.core.Open())
-			now := time.Now()
-			n.draining, n.drainUntil, n.serveUntil = true, now.Add(n.acceptFor), now.Add(n.serveFor)
-			n.killAt = now.Add(n.cfg.killAfter())
-			n.core.EndBy(n.answersBy())
-		}
-	})
-}
-
 // Adopt takes up an epoch of the layout for the queries that come from now on.
 // It may be called from any goroutine.
 func (n *Node) Adopt(l *layout.Layout) {
@@ -457,155 +407,3 @@
 		n.timer.Reset(max(time.Until(due), 0))
 	}
 }
-
-// answersBy is when all answers of a draining node must be out.
-func (n *Node) answersBy() time.Time { return n.killAt.Add(-killMargin) }
-
-// drained tells that a draining node has nothing left to do.
-func (n *Node) drained(now time.Time) bool {
-	if !n.draining || now.Before(n.drainUntil) || now.Before(n.serveUntil) && n.table.Held() > 0 {
-		return false
-	}
-	closed := n.closeIdleClients()
-	last := n.answersBy()
-	if until := n.serveUntil.Add(drainPartial); !now.Before(until) || !now.Before(last) {
-		n.refuseHalf()
-	}
-	half := n.table.Count(limit.First)+n.table.Count(limit.Further) > 0
-	// A close over what a client has sent on would reset the connection and take its last answer along.
-	// Who has connected and was not accepted yet may have asked already.
-	unheard := (n.table.Count(limit.Ending) > 0 || readable(n.loop.ListenerFd())) && now.Before(last)
-	return closed && !half && !unheard && n.core.Open() == 0 && n.table.Count(limit.Busy) == 0
-}
-
-// refuseHalf refuses the requests that have begun and are not whole: their rest may come after the
-// end of the process, and would be a request that nobody answers.
-func (n *Node) refuseHalf() {
-	for _, stage := range [...]limit.Stage{limit.First, limit.Further} {
-		for s := n.table.Oldest(stage); s != nil; s = n.table.Oldest(stage) {
-			s.Owner.last = true
-			s.Owner.respond(http.StatusServiceUnavailable, nil)
-		}
-	}
-}
-
-// watches returns those that are followed: the one in use and the one to take its place.
-func (n *Node) watches() []*watch {
-	if n.next == nil {
-		return []*watch{n.watch}
-	}
-	return []*watch{n.watch, n.next}
-}
-
-// heldShare is the part of the grace (1/5) for which what is due waits for news that has come and was not
-// read, within the time that a final answer may be late. What came before the first of heldRounds of the loop
-// is read in these; only discovery that sends without end takes longer.
-const (
-	heldShare  = 5
-	heldRounds = 3
-)
-
-// behind tells that news has come which the loop has not read: it may have waited behind clients' traffic, or
-// for the processor, and may say that a searcher leaves. What is sent before it is read may be late for the rule.
-func (n *Node) behind(now time.Time) bool {
-	for _, w := range n.watches() {
-		for _, t := range w.taps {
-			if t.conn == nil || pending(t.conn.Fd()) == 0 {
-				continue
-			}
-			if n.held.IsZero() {
-				n.held, n.heldFrom = now, n.rounds
-				n.stats.NewsFirst++
-			}
-			return n.rounds-n.heldFrom < heldRounds || now.Sub(n.held) < min(n.cfg.DrainGrace/heldShare, n.cfg.AnswerSlack)
-		}
-	}
-	n.held = time.Time{}
-	return false
-}
-
-// apply hands news of the searchers, that an address has told, to the core and the connections.
-func (n *Node) apply(now time.Time, kind eiderwinch.ListKind, source string, u catalog.Update) {
-	n.stats.Twice += u.Twice
-	members := n.roster.Take(now, source, u)
-	n.stats.Doubted = n.roster.Doubted
-	n.hand(now, kind, members)
-	for _, m := range members {
-		if m.Phase != catalog.Ready {
-			n.log.Debug("searcher told to leave", "searcher", m.ID, "phase", m.Phase, "revision", u.Revision, "discovery", source)
-			n.pool.leave(now, m.ID)
-		}
-	}
-	if u.Complete { // who is left out of it has left as well
-		for id := range n.pool.peers {
-			if !n.core.Ready(id) {
-				n.pool.leave(now, id)
-			}
-		}
-	}
-}
-
-// review has back the searchers of which a list said so that could have been an old one, and can't be now.
-func (n *Node) review(now time.Time) {
-	if back := n.roster.Review(n.watch.news); len(back) > 0 {
-		n.hand(now, eiderwinch.Changes, back)
-	}
-}
-
-func (n *Node) hand(now time.Time, kind eiderwinch.ListKind, members []catalog.Member) {
-	states := map[catalog.Phase]eiderwinch.State{
-		catalog.Ready: eiderwinch.Ready, catalog.Terminating: eiderwinch.Draining, catalog.Gone: eiderwinch.Removed,
-	}
-	var list []gatherer.Member
-	for _, m := range members {
-		list = append(list, gatherer.Member{
-			ID: m.ID, Zone: m.Locality, Cell: m.Cell, State: states[m.Phase], Started: m.Started(),
-		})
-		n.pool.locate(now, m.ID, m.HostPort, m.Started())
-	}
-	n.core.List(now, kind, list)
-	for _, m := range members {
-		n.pool.relocated(now, m.ID)
-	}
-}
-
-// dial opens a connection for h, whose Opened or failed is called on the loop.
-// net.Dialer does the waiting in a goroutine of its own.
-func (n *Node) dial(addr string, timeout time.Duration, h eventloop.Handler, failed func(error)) {
-	go func() {
-		ctx, cancel := context.WithTimeout(n.ctx, timeout)
-		defer cancel()
-		c, err := n.reach(ctx, addr)
-		if err == nil {
-			err = n.loop.Enroll(c, h)
-		}
-		if err != nil {
-			n.exec(func() {
-				failed(err)
-			})
-		}
-	}()
-}
-
-// Waits between the tries of a dial that fails for a reason on this machine.
-const (
-	dialWait     = 2 * time.Millisecond
-	dialMostWait = 50 * time.Millisecond
-)
-
-// reach dials until the connection is up, ctx ends or the peer is at fault. What fails on this machine, as for
-// want of descriptors, buffers or ports, says nothing of the peer, and would fail in the same way for any other.
-func (n *Node) reach(ctx context.Context, addr string) (net.Conn, error) {
-	for wait := dialWait; ; wait = min(2*wait, dialMostWait) {
-		c, err := n.dialer(ctx, "tcp", addr)
-		if err == nil || !eventloop.Transient(err) {
-			return c, err
-		}
-		n.exec(func() { n.stats.DialRetries++ })
-		select {
-		case <-ctx.Done():
-			return nil, err
-		case <-time.After(wait/2 + rand.N(wait)):
-		}
-	}
-}
