Have a start outlast disks, files and sockets that fail for a while

Cause, the class at the start: a history or change log whose first write or opening failed, or a layout that could not be read, ended the process, which a supervisor sees as a refusal to start. Measured: TestAStartOutlastsFailures (syncs, configuration, sockets; each strikes for 1.5 s), migrate and durable green.

--- a/cmd/eiderwinch/faults_test.go
+++ b/cmd/eiderwinch/faults_test.go
@@ -252,6 +252,39 @@
 	}
 }
 
+// A start outlasts a disk that fails and sockets that can't be had for a while.
+func TestAStartOutlastsFailures(t *testing.T) {
+	const down = 1500 * time.Millisecond
+	fails := func(call string, errno syscall.Errno, to faults.Target, path string) faults.Fault {
+		return faults.Fault{Call: call, Errno: errno, Target: to, Path: path, For: down}
+	}
+	for name, list := range map[string][]faults.Fault{
+		"syncs":         {fails("fdatasync", syscall.EIO, faults.Any, "")},
+		"configuration": {fails("read", syscall.EIO, faults.File, "config.json")},
+		"sockets":       {fails("socket", syscall.ENOBUFS, faults.Any, ""), fails("eventfd2", syscall.EMFILE, faults.Any, "")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			k := newKept(t)
+			k.put(t, "")
+			if name == "sockets" { // the runtime has an eventfd of its own, which it can't do without
+				list[1].After = 200 * time.Millisecond
+			}
+			cmd, err := faults.Command(faults.Plan{Faults: list}, k.path, "serve", "--file", k.ops)
+			if err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			p := launchCommand(t, cmd, k.text)
+			p.logged(t, "msg=serving")
+			if took := time.Since(began); took < down/2 {
+				t.Errorf("it started within %v: the fault has not struck", took)
+			}
+			_ = p.Process.Kill()
+		})
+	}
+}
+
 // playFaults asks queries under a plan, ends the program, and holds it to account.
 func playFaults(t *testing.T, path string, plan faults.Plan) {
 	p := launchTraced(t, path, plan)
--- a/cmd/eiderwinch/keep.go
+++ b/cmd/eiderwinch/keep.go
@@ -155,7 +155,7 @@
 		return out, nil
 	}
 	var h *history.History
-	err = durable.Within(durable.ReadTime, func() error {
+	err = durable.Within(durable.StartTime, func() error {
 		h, err = history.Open(beside(f.operators, path))
 		return err
 	})
@@ -171,11 +171,14 @@
 
 // recover goes on from a history.
 func (b *booted) recover(h *history.History, f files, log *slog.Logger) error {
+	write := func(records []change.Record) error {
+		return durable.AtStart(log, "records of configuration changes", func() error { return h.Append(records, nil) })
+	}
 	base, records, err := h.Load()
 	if errors.Is(err, history.ErrEmpty) {
 		b.machine = change.New(b.candidate.Hash, change.Limits{})
 		base, _ := b.machine.Base()
-		return h.Begin(base, b.candidate.Bundle)
+		return durable.AtStart(log, "new history", func() error { return h.Begin(base, b.candidate.Bundle) })
 	}
 	if err != nil {
 		return err
@@ -184,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	if err := h.Append(result.Records, nil); err != nil {
+	if err := write(result.Records); err != nil {
 		return err
 	}
 	for _, r := range result.Records {
@@ -196,7 +199,7 @@
 	for _, t := range m.Txs() {
 		if t.State == change.Staged {
 			r := m.Step(time.Now(), change.Undo{Tx: t.Tx, Reason: "the process ended"})
-			if err := h.Append(r.Records, nil); err != nil {
+			if err := write(r.Records); err != nil {
 				return err
 			}
 		}
--- a/cmd/eiderwinch/layout.go
+++ b/cmd/eiderwinch/layout.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/csv"
 	"encoding/json"
 	"errors"
@@ -12,6 +13,7 @@
 	"time"
 
 	"eiderwinch/internal/admin"
+	"eiderwinch/internal/durable"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/layout/layoutfile"
 	"eiderwinch/internal/layout/reshard"
@@ -41,12 +43,11 @@
 
 // readLayout reads a layout file.
 func readLayout(path string) (*layout.Layout, layout.Fleet, error) {
-	f, err := os.Open(path)
+	text, err := durable.ReadFile(path)
 	if err != nil {
 		return nil, layout.Fleet{}, &exitError{exitConfig, err}
 	}
-	defer f.Close()
-	l, fleet, err := layoutfile.Read(path, f)
+	l, fleet, err := layoutfile.Read(path, bytes.NewReader(text))
 	if err != nil {
 		return nil, layout.Fleet{}, &exitError{exitConfig, err}
 	}
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -71,6 +71,16 @@
 	return false
 }
 
+// StartTime is how long a process that starts tries to write and to open what it needs.
+const StartTime = 20 * time.Second
+
+// AtStart is Retry for a process that starts.
+func AtStart(log *slog.Logger, what string, write func() error) error {
+	ctx, stop := context.WithTimeout(context.Background(), StartTime)
+	defer stop()
+	return Retry(ctx, log, what, write)
+}
+
 // Transient tells whether a file may be read or opened a little later: an error of the disk or of the system's
 // means, and none of the file's name or rights.
 func Transient(err error) bool {
--- a/internal/layout/migrate/driver.go
+++ b/internal/layout/migrate/driver.go
@@ -4,6 +4,7 @@
 package migrate
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -66,13 +67,19 @@
 // Start opens the log, goes on from where it ends, and runs until ctx ends or
 // the log can never be written. Wait returns why.
 func Start(ctx context.Context, o Options, p Peers) (*Driver, error) {
-	log, err := reshardlog.Open(o.Path)
+	logger := cmp.Or(o.Logger, slog.New(slog.DiscardHandler))
+	var log *reshardlog.Log
+	err := durable.Within(durable.StartTime, func() (err error) {
+		log, err = reshardlog.Open(o.Path)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
 	base, fleet, records, err := log.Load()
 	if errors.Is(err, reshardlog.ErrEmpty) {
-		base, fleet, err = reshard.Base{Layout: o.First}, o.Fleet, log.Begin(reshard.Base{Layout: o.First}, o.Fleet)
+		base, fleet = reshard.Base{Layout: o.First}, o.Fleet
+		err = durable.AtStart(logger, "new change log", func() error { return log.Begin(base, fleet) })
 	}
 	if err != nil {
 		return nil, errors.Join(err, log.Close())
@@ -84,10 +91,7 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("change log %s: %w", o.Path, err), log.Close())
 	}
-	d := &Driver{peers: p, log: log, c: c, fleet: fleet, events: make(chan request, queued), ended: o.Ended, ctx: ctx, logger: o.Logger, done: make(chan struct{})}
-	if d.logger == nil {
-		d.logger = slog.New(slog.DiscardHandler)
-	}
+	d := &Driver{peers: p, log: log, c: c, fleet: fleet, events: make(chan request, queued), ended: o.Ended, ctx: ctx, logger: logger, done: make(chan struct{})}
 	p.Begin(log.ID(), log.Term())
 	for _, e := range effects {
 		d.carryOut(e)
