Dial again where a connection can't be taken over for want of descriptors

Cause: a dial that came up and then found no descriptor for the loop's own counted against its searcher, as dials did before.

--- a/internal/netio/dial.go
+++ b/internal/netio/dial.go
@@ -33,14 +33,8 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(n.ctx, timeout)
 		defer cancel()
-		c, err := n.reach(ctx, addr)
-		if err == nil {
-			err = n.loop.Enroll(c, h)
-		}
-		if err != nil {
-			n.exec(func() {
-				failed(err)
-			})
+		if err := n.reach(ctx, addr, h); err != nil {
+			n.exec(func() { failed(err) })
 		}
 	}()
 }
@@ -51,18 +45,22 @@
 	dialMostWait = 50 * time.Millisecond
 )
 
-// reach dials until the connection is up, ctx ends or the peer is at fault. What fails on this machine, as for
-// want of descriptors, buffers or ports, says nothing of the peer, and would fail in the same way for any other.
-func (n *Node) reach(ctx context.Context, addr string) (net.Conn, error) {
+// reach dials until the connection is up and the loop has it, ctx ends or the peer is at fault. What fails on
+// this machine, as for want of descriptors, buffers or ports, says nothing of the peer, and would fail in the
+// same way for any other.
+func (n *Node) reach(ctx context.Context, addr string, h eventloop.Handler) error {
 	for wait := dialWait; ; wait = min(2*wait, dialMostWait) {
 		c, err := n.dialer(ctx, "tcp", addr)
+		if err == nil {
+			err = n.loop.Enroll(c, h)
+		}
 		if err == nil || !eventloop.Transient(err) {
-			return c, err
+			return err
 		}
 		n.exec(func() { n.stats.DialRetries++ })
 		select {
 		case <-ctx.Done():
-			return nil, err
+			return err
 		case <-time.After(wait/2 + rand.N(wait)):
 		}
 	}
