--- a/cmd/eiderwinch/faults_test.go
+++ b/cmd/eiderwinch/faults_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"eiderwinch/internal/configuration/keeper"
 	"eiderwinch/internal/trial/faults"
 	"eiderwinch/internal/trial/standin"
@@ -82,6 +84,25 @@
 	}
 }
 
+// The limit of descriptors may be lowered from outside for a moment: nothing new can be opened then.
+func TestNoRequestIsLostWhileTheLimitOfDescriptorsIsLow(t *testing.T) {
+	p := launchDeployed(t, exec.Command(build(t)), 1)
+	go func() {
+		var usual unix.Rlimit
+		for range 3 {
+			time.Sleep(200 * time.Millisecond)
+			if err := unix.Prlimit(p.Process.Pid, unix.RLIMIT_NOFILE, nil, &usual); err != nil {
+				t.Error(err)
+			}
+			low := unix.Rlimit{Cur: 8, Max: usual.Max}
+			_ = unix.Prlimit(p.Process.Pid, unix.RLIMIT_NOFILE, &low, nil)
+			time.Sleep(150 * time.Millisecond)
+			_ = unix.Prlimit(p.Process.Pid, unix.RLIMIT_NOFILE, &usual, nil)
+		}
+	}()
+	p.account(t)
+}
+
 // traced is a program under faults with a deployment round it.
 type traced struct {
 	*program
@@ -91,16 +112,22 @@
 // launchTraced starts the program under a plan.
 func launchTraced(t *testing.T, path string, plan faults.Plan) *traced {
 	t.Helper()
-	world, err := standin.NewDeployment(standin.DeploymentOptions{Seed: plan.Seed})
+	cmd, err := faults.Command(plan, path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = world.Close() })
-	text, err := world.Config("n0", "127.0.0.1:0")
+	return launchDeployed(t, cmd, plan.Seed)
+}
+
+// launchDeployed starts a command that runs the program, with a deployment round it.
+func launchDeployed(t *testing.T, cmd *exec.Cmd, seed uint64) *traced {
+	t.Helper()
+	world, err := standin.NewDeployment(standin.DeploymentOptions{Seed: seed})
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd, err := faults.Command(plan, path)
+	t.Cleanup(func() { _ = world.Close() })
+	text, err := world.Config("n0", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -285,9 +312,14 @@
 	}
 }
 
-// playFaults asks queries under a plan, ends the program, and holds it to account.
+// playFaults holds a program to account under a plan.
 func playFaults(t *testing.T, path string, plan faults.Plan) {
-	p := launchTraced(t, path, plan)
+	launchTraced(t, path, plan).account(t)
+}
+
+// account asks queries, ends the program, and tells what was lost.
+func (p *traced) account(t *testing.T) {
+	t.Helper()
 	var all sync.WaitGroup
 	results := make(chan string, faultClients*faultQueries)
 	for client := range faultClients {
--- a/internal/gatherer/relay.go
+++ b/internal/gatherer/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
@@ -170,11 +172,32 @@
 		c.stats.Late++
 	}
 	c.record(c.now, q.class, r, took)
+	c.trace(q, r, took)
 	c.close(q)
 	r.Epoch, r.Generation = q.epoch(), q.live.Generation
 	q.client.Reply(r)
 }
 
+// verdicts are the names of verdicts in the log.
+var verdicts = map[Verdict]string{Answered: "answered", Refused: "refused", Failed: "failed"}
+
+// trace logs how a query ended, and what had become of its parts by then.
+func (c *Core) trace(q *query, r Reply, took time.Duration) {
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	in, out, tries := 0, 0, 0
+	for _, p := range q.parts {
+		if p.in {
+			in++
+		}
+		out += len(p.out)
+		tries += p.tries
+	}
+	c.log.Debug("query ended", "trace", q.trace, "verdict", verdicts[r.Verdict], "whole", r.Whole, "overdue", r.Overdue, "took", took,
+		"left", q.deadline.Sub(c.now), "sent", q.sent, "parts", len(q.parts), "parts_in", in, "attempts_out", out, "attempts", tries)
+}
+
 // record books how a query fared, where that is recorded.
 func (c *Core) record(now time.Time, class int, r Reply, took time.Duration) {
 	if c.set.Service == nil {
