Count the soak's kill from the first SIGTERM, and read answers in one place in its tests

Cause, found on reading the change again: the soak's 3.7 s ran from the second SIGTERM, 0.75 s after the first, so it was that much too lenient; it waited for the process beside its log, and Wait closes the pipe. The reload's test did not check that its fault had struck. Two test clients read answers by the same lines.

--- a/cmd/eiderwinch/faults_test.go
+++ b/cmd/eiderwinch/faults_test.go
@@ -148,10 +148,14 @@
 	}}
 	p := launchTraced(t, path, plan)
 	time.Sleep(time.Second)
+	began := time.Now()
 	if err := p.Process.Signal(syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
 	p.logged(t, "configuration reloaded")
+	if took := time.Since(began); took < down/2 {
+		t.Errorf("it was read within %v: the fault has not struck", took)
+	}
 
 	whole, err := os.ReadFile(p.file)
 	if err != nil {
@@ -411,17 +415,24 @@
 	if err := c.send(trace, segment, 4*time.Second); err != nil {
 		return noAnswer
 	}
-	r, err := http.ReadResponse(c.in, nil)
+	r, err := c.receive()
 	if err != nil {
 		return noAnswer
 	}
-	defer r.Body.Close()
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return noAnswer
-	}
 	return strconv.Itoa(r.StatusCode)
 }
 
+// receive reads an answer whole. Where it stops short, both the answer and an error are returned.
+func (c *clientConn) receive() (*http.Response, error) {
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Body.Close()
+	_, err = io.Copy(io.Discard, r.Body)
+	return r, err
+}
+
 // send sends a query for two segments from one on.
 func (c *clientConn) send(trace string, segment int, expires time.Duration) error {
 	body := fmt.Sprintf(`{"tablets":[{"tablet":%d,"fraction":0.5},{"tablet":%d,"fraction":0.5}],"statement":"find fullest"}`, segment, segment+1)
--- a/cmd/eiderwinch/faultsoak_test.go
+++ b/cmd/eiderwinch/faultsoak_test.go
@@ -3,9 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -132,23 +130,26 @@
 			p.useConnections(plan.Seed, client, results, stop)
 		}()
 	}
-	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP} {
-		if s == syscall.SIGTERM {
-			time.Sleep(soakServe / 2)
+	signal := func(list ...syscall.Signal) {
+		for _, s := range list {
+			_ = p.Process.Signal(s)
 		}
-		_ = p.Process.Signal(s)
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- p.Wait() }()
+	signal(syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGHUP)
+	time.Sleep(soakServe)
+	kill := time.After(soakKill) // counted from the first SIGTERM
+	signal(syscall.SIGTERM)
+	time.Sleep(soakServe / 2)
+	signal(syscall.SIGTERM, syscall.SIGHUP)
 	var lines []string
 	select {
 	case lines = <-log:
-	case <-time.After(soakKill):
+	case <-kill:
 		t.Error("the kill comes before its end")
 		_ = p.Process.Kill()
 		lines = <-log
 	}
-	if err := <-ended; err != nil {
+	if err := p.Wait(); err != nil { // not before its log has ended: Wait closes the pipe
 		t.Errorf("it ended with %v", err)
 	}
 	close(stop)
@@ -191,20 +192,15 @@
 	if err := c.send(trace, segment, soakExpires); err != nil {
 		return false
 	}
-	r, err := http.ReadResponse(c.in, nil)
-	if err != nil {
-		if !c.wasUnread(err) {
-			results.add(noAnswer)
-		}
-		return false
-	}
-	defer r.Body.Close()
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	r, err := c.receive()
+	switch {
+	case err == nil:
+		results.add(strconv.Itoa(r.StatusCode))
+		return !r.Close
+	case r != nil || !c.wasUnread(err): // an answer that stops short was read
 		results.add(noAnswer)
-		return false
 	}
-	results.add(strconv.Itoa(r.StatusCode))
-	return !r.Close
+	return false
 }
 
 // wasUnread tells whether a connection ended before its last request was read: the system answers what comes
