--- a/internal/trial/faults/trace_linux_amd64.go
+++ b/internal/trial/faults/trace_linux_amd64.go
@@ -17,6 +17,12 @@
 // planVariable holds the JSON of a Plan for a tracer.
 const planVariable = "EIDERWINCH_FAULT_PLAN"
 
+// A tracer built with the race detector would sleep for a second at its exit, after the program's.
+const (
+	raceVariable = "GORACE"
+	exitAtOnce   = "atexit_sleep_ms=0"
+)
+
 const (
 	traceSysGood = 0x1      // PTRACE_O_TRACESYSGOOD
 	traceClone   = 0x8      // PTRACE_O_TRACECLONE
@@ -41,7 +47,7 @@
 		return nil, err
 	}
 	cmd := exec.Command(self, append([]string{path}, args...)...)
-	cmd.Env = append(os.Environ(), planVariable+"="+string(text))
+	cmd.Env = append(os.Environ(), planVariable+"="+string(text), raceVariable+"="+os.Getenv(raceVariable)+" "+exitAtOnce)
 	return cmd, nil
 }
 
