--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -116,14 +117,18 @@
 	started = nil
 }
 
-// freeAddr returns a free loopback address.
+// freeAddr returns a free loopback address. Its port lies below those that the system gives to outgoing connections, so
+// that none takes it while a gatherer is down.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(10000))
+		var l net.Listener
+		if l, err = net.Listen("tcp", addr); err == nil {
+			return addr, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 var runLine = regexp.MustCompile(`(?m)^run = "(.*)"$`)
