Log what spoilt a searcher's connection, and count searchers that are made ready again

The warning now names the last answered part, the time since, and the unparsed bytes; each update from discovery has a debug line, each reinstated searcher an info line, and discovery.reinstated counts them.

--- a/internal/format/frame/frame.go
+++ b/internal/format/frame/frame.go
@@ -61,6 +61,9 @@
 // Buffered returns the number of bytes that belong to no frame returned yet.
 func (p *Parser) Buffered() int { return len(p.buf) - p.consumed }
 
+// Unparsed returns the bytes that belong to no frame returned yet. They are valid until the next use of the parser.
+func (p *Parser) Unparsed() []byte { return p.buf[p.consumed:] }
+
 // Next returns the next frame; ok is false while it is incomplete. After an error
 // the connection cannot be read any further. An invalid length or letter is an error as
 // soon as it is read, because the rest of the frame may never arrive.
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -32,6 +32,7 @@
 	lastReceived  time.Time       // when data was last received
 	frameTimer    timer           // set while a frame is incomplete: the time limit for its rest
 	lastAnswered  string          // id of the part that was answered last
+	lastAnswerAt  time.Time       // when that answer was received
 	halfOpen      bool            // it may be cut off, see checkHalfOpen
 }
 
@@ -213,7 +214,8 @@
 		return
 	}
 	c.pool.node.stats.MalformedConns++
-	c.pool.node.log.Warn(message, "searcher", c.searcher.id, "parts", len(c.inFlight), "detail", detail)
+	c.pool.node.log.Warn(message, "searcher", c.searcher.id, "parts", len(c.inFlight), "detail", detail,
+		"last_answered", c.lastAnswered, "since_answer", c.lastReceived.Sub(c.lastAnswerAt), "unparsed", fmt.Sprintf("%.32q", c.parser.Unparsed()))
 	c.malformed = true
 	c.pool.timers.Stop(&c.frameTimer)
 	c.close()
@@ -248,7 +250,7 @@
 		c.pool.typicalLatency += time.Duration(latencyWeight * float64(took-c.pool.typicalLatency))
 	}
 	c.clearUnreadCancels()
-	c.lastAnswered = answer.ID
+	c.lastAnswered, c.lastAnswerAt = answer.ID, now
 	switch {
 	case answer.Report.Present:
 		c.pool.node.stats.Reports++
--- a/internal/netio/updates.go
+++ b/internal/netio/updates.go
@@ -47,8 +47,11 @@
 // applyUpdate passes an update from a discovery address on to the core and the pool.
 func (n *Node) applyUpdate(now time.Time, kind eiderwinch.ListKind, source string, u catalog.Update) {
 	n.stats.DuplicateMembers += u.Duplicates
+	rejectedBefore := n.memberFilter.Rejected
 	members := n.memberFilter.Apply(now, source, u)
 	n.stats.RejectedMembers = n.memberFilter.Rejected
+	n.log.Debug("update from discovery", "discovery", source, "revision", u.Revision, "complete", u.Complete, "members", len(u.Members),
+		"rejected", n.memberFilter.Rejected-rejectedBefore)
 	n.forwardMembers(now, kind, members)
 	for _, m := range members {
 		if m.Phase != catalog.Ready {
@@ -69,6 +72,10 @@
 // once it can't be outdated any more.
 func (n *Node) reinstateRejected(now time.Time) {
 	if reinstated := n.memberFilter.Reinstated(n.watch.lastUpdate); len(reinstated) > 0 {
+		n.stats.ReinstatedMembers += len(reinstated)
+		for _, m := range reinstated {
+			n.log.Info("searcher is ready again by a list that was rejected before", "searcher", m.ID, "addr", m.HostPort, "discovery", n.watch.addr)
+		}
 		n.forwardMembers(now, eiderwinch.Changes, reinstated)
 	}
 }
