Use no searcher's answer once data behind it shows that its length was wrong

A frame that is too short parses like a good one, and the rest of its value lies behind it. searcherConn.Traffic gave each frame to the core as soon as it was cut off; what stood behind it closed the connection, and what had been answered stayed.

internal/answerstream owns the rule now: while other parts wait on a connection, what stands behind an answer has to be an answer to a part that was sent there. Where nothing else waits, surplus data behind a good answer shows nothing, as before.

TestAFullConnectionStaysOpenOnceItsPartsAreOver reads the last answered part from its new place; what it checks is the same.

--- a/api.go
+++ b/api.go
@@ -126,7 +126,8 @@
 	NotSent             // the gatherer did not send it, for example because the part had ended
 )
 
-// Outcome ends one attempt. Each Send is followed by exactly one.
+// Outcome ends one attempt. Each Send is followed by exactly one, except that a Reset may follow an OK
+// before the query's final answer: the answer has turned out to be spoilt and is withdrawn.
 type Outcome struct {
 	Part    uint64
 	Attempt int // counted from 0 in the order of the part's Sends
--- a/completion.go
+++ b/completion.go
@@ -83,7 +83,7 @@
 func (a *Aggregator) reachableWeight(q *query) float64 {
 	reachable := q.answeredWeight
 	for _, p := range q.parts {
-		if !p.answered && (p.inFlight > 0 || a.mayAttempt(p)) {
+		if p.answeredBy == nil && (p.inFlight > 0 || a.mayAttempt(p)) {
 			reachable += p.Weight
 		}
 	}
--- a/internal/format/frame/frame.go
+++ b/internal/format/frame/frame.go
@@ -218,6 +218,35 @@
 	return Report{}
 }
 
+// AnswerID returns the part ID in the Answer frame that data begins with; ok is false if data ends before
+// the end of the ID. It checks neither the length nor the letter of the frame.
+func AnswerID(data []byte) (id string, ok bool) {
+	const headSize = lengthSize + 1 // the length and the letter
+	if len(data) < headSize {
+		return "", false
+	}
+	before, _, ok := bytes.Cut(data[headSize:], []byte(" "))
+	return string(before), ok
+}
+
+// ContainsAnswer reports whether a value contains the start of an Answer frame for a part: a valid length,
+// the letter, the ID and a space.
+func ContainsAnswer(value, id string) bool {
+	for {
+		before, after, ok := strings.Cut(value, string(Answer)+id+" ")
+		if !ok {
+			return false
+		}
+		if len(before) >= lengthSize {
+			n := binary.BigEndian.Uint32([]byte(before[len(before)-lengthSize:]))
+			if n >= 1 && n <= MaxLength {
+				return true
+			}
+		}
+		value = after
+	}
+}
+
 var errMalformedAnswer = errors.New("malformed answer")
 
 // ParseAnswer parses the payload of an Answer frame. A score, and a value that is valid
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -19,10 +19,24 @@
 // Failed or Full. Results of attempts that have ended are ignored.
 func (c *Core) Result(now time.Time, a *Attempt, status eiderwinch.Status, score int64, value string) {
 	if c.endAttempt(now, a, status) && status == eiderwinch.OK && !a.part.removed && !a.part.answered {
-		a.part.answered, a.part.score, a.part.value = true, score, value
+		a.part.answered, a.part.answeredBy, a.part.score, a.part.value = true, a, score, value
 	}
 }
 
+// Withdraw takes back the value of an attempt whose Result was OK: its answer has turned out to be spoilt. The
+// attempt may have been executed. Once the query has its final answer, nothing can be taken back.
+func (c *Core) Withdraw(now time.Time, a *Attempt) {
+	p := a.part
+	if p.removed || p.answeredBy != a {
+		return
+	}
+	p.answered, p.answeredBy, p.score, p.value = false, nil, 0, ""
+	c.stats.Withdrawn++
+	c.addEvent(now, eiderwinch.Outcome{
+		Part: p.id, Attempt: a.number, Replica: a.Searcher, Status: eiderwinch.Reset, Took: now.Sub(a.decidedAt),
+	})
+}
+
 // NotSent ends an attempt that was never written, so it certainly was not executed. The outcome
 // is NoConnection, which counts against the searcher, only if the result was still wanted.
 func (c *Core) NotSent(now time.Time, a *Attempt) {
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -495,3 +495,32 @@
 		})
 	}
 }
+
+// An answer that turns out to be spoilt is taken back while its query is open, and not after its final answer.
+func TestWithdrawnAnswerIsNotServed(t *testing.T) {
+	h := newHarness(t)
+	id := h.submit("search", "x", 3, 4)
+	h.advance(5*ms, send(id+1, "a"), send(id+2, "b"))
+	first, second := h.calls[0][0], h.calls[1][0]
+	h.Result(h.at, first, eiderwinch.OK, 1, "spoilt")
+	h.advance(5 * ms)
+	h.Withdraw(h.at, first)
+	h.Withdraw(h.at, first)
+	h.Result(h.at, second, eiderwinch.OK, 1, "good")
+	h.advance(5*ms, send(id+1, "b"))
+	h.checkEqual("outcomes", h.outcomes(), []eiderwinch.Status{eiderwinch.OK, eiderwinch.Reset, eiderwinch.OK})
+	h.Withdraw(h.at, first) // the value below is that of another attempt
+	h.Result(h.at, h.calls[2][0], eiderwinch.OK, 1, "whole")
+	h.advance(5*ms, eiderwinch.Answer{Query: id, Whole: true})
+	h.Withdraw(h.at, second)
+	h.advance(5 * ms)
+	h.checkEqual("replies", h.replies, []Reply{{Kind: Answered, Whole: true, Values: []ShardValue{{3, "whole"}, {4, "good"}}}})
+
+	id = h.submit("search", "y", 3)
+	h.advance(5*ms, send(id+1, "a"))
+	h.Result(h.at, h.calls[3][0], eiderwinch.OK, 1, "spoilt")
+	h.Withdraw(h.at, h.calls[3][0])
+	h.advance(5*ms, eiderwinch.Answer{Query: id, Whole: true}) // whatever is decided
+	h.checkEqual("the reply without a value", h.replies[1].Kind, Failed)
+	h.checkEqual("withdrawn", h.stats.Withdrawn, 2)
+}
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -60,9 +60,10 @@
 	firstDecidedAt time.Time  // time of the turn that started the first attempt
 	mayHaveRun     bool       // an attempt that has ended may have been executed
 
-	answered bool
-	score    int64
-	value    string
+	answered   bool
+	answeredBy *Attempt // the attempt that value is from; nil if there is none
+	score      int64
+	value      string
 }
 
 // modulePart returns the part in the form that the decision module takes.
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"eiderwinch/internal/answerstream"
 	"eiderwinch/internal/format/frame"
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/timerqueue"
@@ -173,10 +174,10 @@
 		if c.conn == nil || c.retired || c.halfOpen || c.frameTimer.IsSet() ||
 			now.Sub(c.idleSince) >= maxIdle && len(c.inFlight) == 0 ||
 			len(c.inFlight)+len(c.unreadCancels) > 0 && len(c.inFlight)+len(c.unreadCancels)+len(attempts) > multiplex ||
-			len(c.abandoned) >= maxAbandoned || c.conn.Buffered() > 0 {
+			c.answers.Abandoned() >= maxAbandoned || c.conn.Buffered() > 0 {
 			continue
 		}
-		awaited := func(a *gatherer.Attempt) bool { return c.abandoned[a.PartID()] }
+		awaited := func(a *gatherer.Attempt) bool { return c.answers.MayAnswerAbandoned(a.PartID()) }
 		if slices.ContainsFunc(attempts, awaited) {
 			continue
 		}
@@ -216,10 +217,11 @@
 			return
 		}
 		c := &searcherConn{
-			pool: p, searcher: s, addr: s.addr, abandoned: make(map[string]bool), unreadCancels: make(map[string]bool),
+			pool: p, searcher: s, addr: s.addr, answers: answerstream.New(), unreadCancels: make(map[string]bool),
 		}
 		c.dialTimer.Value = func(time.Time) { c.retired = true } // the dial itself has the same time limit
-		c.frameTimer.Value = func(time.Time) { c.closeMalformed("incomplete frame from searcher", c.parser.Buffered()) }
+		c.frameTimer.Value = func(time.Time) { c.closeMalformed("incomplete frame from searcher", len(c.answers.Incomplete())) }
+		c.holdTimer.Value = c.settleHeld
 		p.timers.Set(&c.dialTimer, now.Add(p.node.cfg.ConnectTimeout))
 		if slices.ContainsFunc(s.conns, func(c *searcherConn) bool { return c.conn != nil && !c.retired }) {
 			p.node.stats.ParallelDials++
@@ -278,6 +280,10 @@
 	}
 	id, blocked := a.PartID(), c.full() || c.conn.Buffered() > 0
 	c.checkHalfOpen(time.Now(), c.removeAttempt(a))
+	if !c.answers.Abandon(id) {
+		c.setHoldTimer()
+		return // the searcher has answered it
+	}
 	if blocked && a.MayRetry() {
 		c.pool.node.stats.ClosedToAbandon++
 		c.close()
@@ -286,10 +292,18 @@
 	if blocked {
 		c.unreadCancels[id] = true
 	}
-	c.abandoned[id] = true
 	c.write(frame.AppendCancel(nil, id))
 }
 
+// recordLatency updates the typical latency by one answered attempt.
+func (p *pool) recordLatency(took time.Duration) {
+	if p.typicalLatency == 0 {
+		p.typicalLatency = took
+		return
+	}
+	p.typicalLatency += time.Duration(latencyWeight * float64(took-p.typicalLatency))
+}
+
 // silenceTimeout returns how long a connection may receive nothing while an attempt is in flight on it.
 func (p *pool) silenceTimeout() time.Duration {
 	if p.typicalLatency == 0 {
--- a/internal/netio/pool_test.go
+++ b/internal/netio/pool_test.go
@@ -216,7 +216,9 @@
 	}
 	p.Answer("served", 1, "late")
 	h.waitUntil("the answer is read", func() bool {
-		return h.pool.searchers["s"].conns[0].lastAnswered == "" && len(h.pool.searchers["s"].conns[0].unreadCancels) == 0
+		conn := h.pool.searchers["s"].conns[0]
+		lastAnswered, _ := conn.answers.LastAnswered()
+		return lastAnswered == "" && len(conn.unreadCancels) == 0
 	})
 	h.sendQuery("search", "v", time.Minute, 1)
 	if h.nextPart().Conn != p.Conn {
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -1,13 +1,13 @@
 package netio
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
 	"time"
 
 	"eiderwinch"
+	"eiderwinch/internal/answerstream"
 	"eiderwinch/internal/format/frame"
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/netio/eventloop"
@@ -22,18 +22,17 @@
 	dialTimer     timer           // set while it is being dialed: the time limit of that
 	retired       bool            // not to be used for new calls
 	malformed     bool            // it carried invalid data and is being closed
-	parser        frame.Parser
-	inFlight      []sentAttempt
+	answers       *answerstream.Stream
+	inFlight      []sentAttempt // including that whose answer is held by answers
 	openedAt      time.Time
-	unreadCancels map[string]bool // abandoned parts whose cancel frame waits unread at the searcher
-	abandoned     map[string]bool // ids of abandoned parts that may still be answered
-	written       uint64          // bytes written to the connection, including its buffer
-	idleSince     time.Time       // when the last attempt in flight ended
-	lastReceived  time.Time       // when data was last received
-	frameTimer    timer           // set while a frame is incomplete: the time limit for its rest
-	lastAnswered  string          // id of the part that was answered last
-	lastAnswerAt  time.Time       // when that answer was received
-	halfOpen      bool            // it may be cut off, see checkHalfOpen
+	unreadCancels map[string]bool   // abandoned parts whose cancel frame waits unread at the searcher
+	written       uint64            // bytes written to the connection, including its buffer
+	idleSince     time.Time         // when the last attempt in flight ended
+	lastReceived  time.Time         // when data was last received
+	frameTimer    timer             // set while a frame is incomplete: the time limit for its rest
+	holdTimer     timer             // set while an answer is held: when it is settled
+	provisional   *gatherer.Attempt // the attempt whose answer was settled last, which may still be withdrawn
+	halfOpen      bool              // it may be cut off, see checkHalfOpen
 }
 
 // sentAttempt is an attempt that is in flight on a connection.
@@ -119,6 +118,7 @@
 	c.retired = true
 	c.pool.timers.Stop(&c.dialTimer)
 	c.pool.timers.Stop(&c.frameTimer)
+	c.pool.timers.Stop(&c.holdTimer)
 	c.pool.connCount--
 	c.searcher.conns = slices.DeleteFunc(c.searcher.conns, func(x *searcherConn) bool { return x == c })
 }
@@ -137,6 +137,7 @@
 		c.inFlight = append(c.inFlight, sentAttempt{
 			partID: parts[i].ID, attempt: a, sent: now, firstByte: c.written, endByte: c.written + uint64(len(frameBytes)),
 		})
+		c.answers.Sent(parts[i].ID)
 		c.pool.connByAttempt[a] = c
 	}
 	if node := c.pool.node; c.write(frameBytes) && node.log.Enabled(node.ctx, slog.LevelDebug) {
@@ -182,75 +183,65 @@
 	}
 	now := time.Now()
 	c.lastReceived, c.halfOpen = now, false
-	c.parser.Feed(data)
-	for {
-		f, ok, err := c.parser.Next()
-		if err == nil && ok {
-			c.pool.timers.Stop(&c.frameTimer)
-			err = c.handleFrame(now, f)
-		}
-		if err != nil {
-			c.closeMalformed("malformed frame from searcher", err)
-			return
-		}
-		if !ok {
-			break
-		}
+	received, err := c.answers.Receive(now, data)
+	for _, id := range received.Late {
+		delete(c.unreadCancels, id)
+		c.clearUnreadCancels()
+	}
+	for _, answer := range received.Usable {
+		c.useAnswer(now, answer)
 	}
-	if c.parser.Buffered() > 0 && !c.frameTimer.IsSet() {
+	if err != nil {
+		c.closeMalformed("malformed frame from searcher", err)
+		return
+	}
+	if received.Frames > 0 {
+		c.pool.timers.Stop(&c.frameTimer)
+		c.provisional = nil
+	}
+	if len(c.answers.Incomplete()) > 0 && !c.frameTimer.IsSet() {
 		c.pool.timers.Set(&c.frameTimer, now.Add(c.pool.node.cfg.ConnectTimeout))
 	}
+	c.setHoldTimer()
+	c.attemptsEnded(now)
+}
+
+// attemptsEnded sends calls that have waited for what ended attempts have freed.
+func (c *searcherConn) attemptsEnded(now time.Time) {
 	c.pool.resumeQueued(now, c.searcher)
 	if len(c.inFlight) == 0 {
 		c.pool.descriptorsFreed(now) // the connection can be closed for another searcher's calls
 	}
 }
 
-// closeMalformed closes a connection that carried a frame that is invalid, unsolicited or incomplete for too long:
-// the attempts in flight on it would only wait for their time-out. They end as those of a broken connection. Parts
-// that were answered on it before stay answered.
-func (c *searcherConn) closeMalformed(message string, detail any) {
-	if c.malformed {
-		return
+// setHoldTimer sets the timer that settles the answer that is held, if there is one.
+func (c *searcherConn) setHoldTimer() {
+	c.pool.timers.Stop(&c.holdTimer)
+	if until := c.answers.HeldUntil(); !until.IsZero() {
+		c.pool.timers.Set(&c.holdTimer, until)
 	}
-	c.pool.node.stats.MalformedConns++
-	c.pool.node.log.Warn(message, "searcher", c.searcher.id, "parts", len(c.inFlight), "detail", detail,
-		"last_answered", c.lastAnswered, "since_answer", c.lastReceived.Sub(c.lastAnswerAt), "unparsed", fmt.Sprintf("%.32q", c.parser.Unparsed()))
-	c.malformed = true
-	c.pool.timers.Stop(&c.frameTimer)
-	c.close()
 }
 
-// handleFrame handles one frame.
-func (c *searcherConn) handleFrame(now time.Time, f frame.Frame) error {
-	switch f.Type {
-	case frame.Answer:
-	case frame.Error:
-		return fmt.Errorf("%w: %.80q", errFrameRejected, f.Payload)
-	default:
-		return c.unsolicited(f.Type)
+// settleHeld uses the answer that is held. Data that was received and not read yet may show that it is spoilt, so
+// it is read first.
+func (c *searcherConn) settleHeld(now time.Time) {
+	if pendingBytes(c.conn.FD()) > 0 {
+		c.pool.timers.Set(&c.holdTimer, now.Add(time.Millisecond)) // the loop's next round is over by then
+		return
 	}
-	answer, err := frame.ParseAnswer(f.Payload)
-	if err != nil {
-		return err
+	if answer, ok := c.answers.Settle(now); ok {
+		c.provisional = c.useAnswer(now, answer)
+		c.attemptsEnded(now)
 	}
+}
+
+// useAnswer passes an answer on to the core, and returns its attempt.
+func (c *searcherConn) useAnswer(now time.Time, answer answerstream.Answer) *gatherer.Attempt {
 	index := slices.IndexFunc(c.inFlight, func(f sentAttempt) bool { return f.partID == answer.ID })
-	if delete(c.unreadCancels, answer.ID); index < 0 {
-		c.clearUnreadCancels()
-		if c.abandoned[answer.ID] || answer.ID == c.lastAnswered {
-			delete(c.abandoned, answer.ID) // nobody waits for this answer any more, or it is a duplicate
-			return nil
-		}
-		return c.unsolicited(f.Type)
-	}
 	a := c.inFlight[index].attempt
-	if took := now.Sub(c.removeAttempt(a)); c.pool.typicalLatency == 0 {
-		c.pool.typicalLatency = took
-	} else {
-		c.pool.typicalLatency += time.Duration(latencyWeight * float64(took-c.pool.typicalLatency))
-	}
+	c.pool.recordLatency(answer.ReceivedAt.Sub(c.removeAttempt(a)))
+	delete(c.unreadCancels, answer.ID)
 	c.clearUnreadCancels()
-	c.lastAnswered, c.lastAnswerAt = answer.ID, now
 	switch {
 	case answer.Report.Present:
 		c.pool.node.stats.Reports++
@@ -259,23 +250,31 @@
 		c.pool.node.stats.MalformedReports++
 	}
 	c.pool.node.core.Result(now, a, statusByEnd[answer.End], answer.Score, answer.Value)
-	return nil
+	return a
 }
 
-// unsolicited handles a frame that nothing has asked for. While an attempt is in flight, the frame stands in place
-// of its answer and is an error; otherwise it is surplus data behind an answer and is ignored.
-func (c *searcherConn) unsolicited(frameType byte) error {
-	if len(c.inFlight) > 0 {
-		return fmt.Errorf("%w: type %q", errUnsolicited, frameType)
+// closeMalformed closes a connection that carried a frame that is invalid, unsolicited or incomplete for too long:
+// the attempts in flight on it would only wait for their time-out. They end as those of a broken connection, as does
+// that whose answer is held. An answer that was used already is withdrawn if it is in doubt; all others stay.
+func (c *searcherConn) closeMalformed(message string, detail any) {
+	if c.malformed {
+		return
 	}
-	return nil
+	now := time.Now()
+	lastAnswered, answeredAt := c.answers.LastAnswered()
+	withdrawnID, withdrawn := c.answers.Withdrawn()
+	c.pool.node.stats.MalformedConns++
+	c.pool.node.log.Warn(message, "searcher", c.searcher.id, "parts", len(c.inFlight), "detail", detail, "last_answered", lastAnswered,
+		"since_answer", now.Sub(answeredAt), "withdrawn", withdrawn, "unparsed", fmt.Sprintf("%.32q", c.answers.Incomplete()))
+	if withdrawn && c.provisional != nil && c.provisional.PartID() == withdrawnID {
+		c.pool.node.core.Withdraw(now, c.provisional)
+	}
+	c.malformed = true
+	c.pool.timers.Stop(&c.frameTimer)
+	c.pool.timers.Stop(&c.holdTimer)
+	c.close()
 }
 
-var (
-	errFrameRejected = errors.New("searcher rejected a frame")
-	errUnsolicited   = errors.New("unsolicited frame")
-)
-
 var statusByEnd = map[frame.PartOutcome]eiderwinch.Status{
 	frame.Served: eiderwinch.OK, frame.Failed: eiderwinch.Failed, frame.Skipped: eiderwinch.Full,
 }
@@ -287,6 +286,11 @@
 		c.pool.node.log.Debug("connection to a searcher closed with parts in flight", "searcher", c.searcher.id, "parts", len(c.inFlight),
 			"buffered", c.conn.Buffered(), "reason", reason)
 	}
+	if !c.malformed && pendingBytes(c.conn.FD()) == 0 {
+		if answer, ok := c.answers.End(); ok {
+			c.useAnswer(now, answer)
+		}
+	}
 	flushed := c.written - uint64(c.conn.Buffered())
 	unanswered := c.inFlight
 	if !c.retired {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -42,6 +42,7 @@
 	Unconnected      int
 	Reset            int
 	Cancelled        int
+	Withdrawn        int // of OK: answers that turned out to be spoilt before their query had its final answer
 	Reports          int // of OK, Errors and Skipped: answers with a load report that is used
 	MalformedReports int // of OK, Errors and Skipped: answers with a load report that can't be used
 
@@ -123,7 +124,7 @@
 			"beside", c.ParallelDials, "half_open", c.HalfOpen, "spoilt", c.MalformedConns, "held_back", c.ClosedWithUnsentParts,
 			"outlived", c.ConnsToRestartedSearcher, "end_unread", c.SkippedClosed, "given_up", c.ClosedToAbandon),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
-			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "reports", c.Reports, "reports_bad", c.MalformedReports),
+			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "withdrawn", c.Withdrawn, "reports", c.Reports, "reports_bad", c.MalformedReports),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists,
 			"lists_bad", c.MalformedLists, "twice", c.DuplicateMembers, "news_first", c.DelayedForUpdates, "doubted", c.RejectedMembers, "reinstated", c.ReinstatedMembers),
 		group("layout", "epochs", c.Epochs, "epochs_old", c.EpochsIgnored, "epochs_ahead", c.UnknownEpochs,
--- a/outcomes.go
+++ b/outcomes.go
@@ -5,22 +5,25 @@
 // handleOutcome records how an attempt ended.
 func (a *Aggregator) handleOutcome(outcome Outcome) {
 	part := a.parts[outcome.Part]
-	if part == nil || outcome.Attempt < 0 || outcome.Attempt >= len(part.attempts) ||
-		part.attempts[outcome.Attempt].ended {
+	if part == nil || outcome.Attempt < 0 || outcome.Attempt >= len(part.attempts) {
 		return
 	}
 	attempt := part.attempts[outcome.Attempt]
+	if attempt.ended {
+		a.withdrawAnswer(attempt, outcome)
+		return
+	}
 	attempt.ended = true
 	part.inFlight--
 	a.removeFromSearcher(attempt)
 	a.recordOutcome(attempt, outcome)
 	attempt.neverRan = outcome.Status == Full || outcome.Status == NoConnection || outcome.Status == NotSent
-	if outcome.Status == OK && !part.answered && !part.ended {
+	if outcome.Status == OK && part.answeredBy == nil && !part.ended {
 		if part.inFlight > 0 && attempt.number > 0 {
 			// The copy was useful, so its credit is returned.
 			a.secondCopyCredit = min(a.secondCopyCredit+1, maxSecondCopyCredit)
 		}
-		part.answered = true
+		part.answeredBy = attempt
 		part.query.answeredWeight += part.Weight
 		a.cancelAttempts(part)
 	}
@@ -29,6 +32,23 @@
 	}
 }
 
+// withdrawAnswer takes back an answer that was reported as OK and has turned out to be spoilt: the part needs
+// another attempt.
+func (a *Aggregator) withdrawAnswer(attempt *attempt, outcome Outcome) {
+	part := attempt.part
+	if outcome.Status != Reset || part.answeredBy != attempt || part.ended {
+		return
+	}
+	part.answeredBy = nil
+	part.query.answeredWeight = 0 // the sum is taken anew, so that no rounding error is left of it
+	for _, p := range part.query.parts {
+		if p.answeredBy != nil {
+			part.query.answeredWeight += p.Weight
+		}
+	}
+	a.recordFailure(attempt.searcher, attempt, 1)
+}
+
 // recordOutcome updates the typical latencies and the searcher's window and failure score by an outcome.
 func (a *Aggregator) recordOutcome(attempt *attempt, outcome Outcome) {
 	searcher, class := attempt.searcher, attempt.part.query.class
--- a/selection.go
+++ b/selection.go
@@ -10,7 +10,7 @@
 // mayAttempt reports whether a part may get a first attempt or a retry now.
 func (a *Aggregator) mayAttempt(p *part) bool {
 	anotherAllowed := p.inFlight == 0 || a.settings.SecondCopies
-	return !p.answered && !a.isTooLateForCall(p.query) &&
+	return p.answeredBy == nil && !a.isTooLateForCall(p.query) &&
 		(len(p.attempts) == 0 || anotherAllowed && a.mayRetry(p))
 }
 
@@ -100,7 +100,7 @@
 func (a *Aggregator) expectedWeight(q *query) float64 {
 	weight := 0.0
 	for _, p := range q.parts {
-		if p.answered || p.inFlight > 0 && !a.needsAttempt(p) {
+		if p.answeredBy != nil || p.inFlight > 0 && !a.needsAttempt(p) {
 			weight += p.Weight
 		}
 	}
--- a/state.go
+++ b/state.go
@@ -283,11 +283,11 @@
 // part is the state of a part of a query.
 type part struct {
 	Part
-	query    *query
-	answered bool
-	attempts []*attempt
-	inFlight int  // number of attempts in flight
-	ended    bool // its query, or the step of the query that it belongs to, has ended
+	query      *query
+	answeredBy *attempt // the attempt whose answer is used; nil if the part is not answered
+	attempts   []*attempt
+	inFlight   int  // number of attempts in flight
+	ended      bool // its query, or the step of the query that it belongs to, has ended
 
 	replicas        []*searcher // the known searchers among Holders, by ID
 	replicasVersion int         // 1 + Aggregator.searcherSetVersion when replicas was built; 0 if it was not
