Void a rejected list entry once its source reports that the searcher leaves

MemberFilter kept the rejected entry, and recordOmitted looked only at searchers that were ready, so the entry outlived the list that contradicted it.

MemberFilter states one rule now: a searcher is ready only if the last word of the source in use is that it is ready, and no departure stands against that word. A departure stands until it is refuted by a later start or by a higher revision of a source that has reported it, or until it is 6 s old and the source in use has not been silent for as long. Other orders that broke it, and are mended by the same rule: a third address that omits the searcher, a searcher that drains twice while the new address lags, a silence counted as time to learn, and an address that is followed again taken for the same source (a watch is a source of its own now).

--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -77,6 +77,8 @@
 	watch     *watch
 	nextWatch *watch // replaces watch once it has received a list; nil if discovery's address is not changing
 
+	watchesOpened int // number of watches so far
+
 	memberFilter discovery.MemberFilter // searchers that were reported as leaving
 
 	wakeups          int       // calls of runDue
@@ -341,7 +343,7 @@
 // boot starts everything that needs the loop. It is called before the loop runs.
 func (n *Node) boot() {
 	now := time.Now()
-	n.applyUpdate(now, eiderwinch.Stale, n.cfg.Discovery, n.cfg.InitialMembers)
+	n.applyUpdate(now, eiderwinch.Stale, n.watch, n.cfg.InitialMembers)
 	// An agent answers at once, so if it stays silent until then, there is no update to wait for.
 	n.pool.timers.Set(&timer{Value: n.core.ConfirmMembers}, now.Add(n.cfg.DrainGrace))
 	n.core.Run(now)
--- a/internal/netio/updates.go
+++ b/internal/netio/updates.go
@@ -44,18 +44,18 @@
 	return false
 }
 
-// applyUpdate passes an update from a discovery address on to the core and the pool.
-func (n *Node) applyUpdate(now time.Time, kind eiderwinch.ListKind, source string, u catalog.Update) {
+// applyUpdate passes an update that a watch has received on to the core and the pool.
+func (n *Node) applyUpdate(now time.Time, kind eiderwinch.ListKind, w *watch, u catalog.Update) {
 	n.stats.DuplicateMembers += u.Duplicates
 	rejectedBefore := n.memberFilter.Rejected
-	members := n.memberFilter.Apply(now, source, u)
+	members := n.memberFilter.Apply(now, w.source, u)
 	n.stats.RejectedMembers = n.memberFilter.Rejected
-	n.log.Debug("update from discovery", "discovery", source, "revision", u.Revision, "complete", u.Complete, "members", len(u.Members),
+	n.log.Debug("update from discovery", "discovery", w.addr, "revision", u.Revision, "complete", u.Complete, "members", len(u.Members),
 		"rejected", n.memberFilter.Rejected-rejectedBefore)
 	n.forwardMembers(now, kind, members)
 	for _, m := range members {
 		if m.Phase != catalog.Ready {
-			n.log.Debug("searcher is leaving", "searcher", m.ID, "phase", m.Phase, "revision", u.Revision, "discovery", source)
+			n.log.Debug("searcher is leaving", "searcher", m.ID, "phase", m.Phase, "revision", u.Revision, "discovery", w.addr)
 			n.pool.cancelUnsent(now, m.ID)
 		}
 	}
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -35,6 +35,7 @@
 type watch struct {
 	node           *Node
 	addr           string
+	source         string // unique: an address that is followed again is another source, see discovery.MemberFilter
 	follower       *discovery.Follower
 	subscriptions  map[discovery.RequestID]*subscription
 	needsWholeList bool      // nothing was received from this address yet: the whole list is requested first
@@ -63,8 +64,9 @@
 // newWatch returns a watch for changes after a revision of the list.
 func newWatch(n *Node, addr string, revision int64) *watch {
 	m, now := n.cfg.Gatherer.Module, time.Now()
+	n.watchesOpened++
 	return &watch{
-		node: n, addr: addr, revision: revision, subscriptions: make(map[discovery.RequestID]*subscription), lastUpdate: now,
+		node: n, addr: addr, source: fmt.Sprintf("%s#%d", addr, n.watchesOpened), revision: revision, subscriptions: make(map[discovery.RequestID]*subscription), lastUpdate: now,
 		follower: discovery.New(discovery.Settings{
 			Pushed: !m.SubscribeToList, DrainGrace: n.cfg.DrainGrace, MaxTimeWithoutWatch: m.SubscribeWithin, Gatherers: m.Gatherers, Seed: m.Seed,
 		}, now),
@@ -181,7 +183,7 @@
 			// The list is not used in part, except for its leaving searchers: taking these
 			// out of service errs on the safe side.
 			s.watch.node.stats.MalformedLists++
-			s.watch.node.applyUpdate(now, eiderwinch.Changes, s.watch.addr, u.Leaving())
+			s.watch.node.applyUpdate(now, eiderwinch.Changes, s.watch, u.Leaving())
 			return err
 		}
 		if s.needsWholeList {
@@ -193,7 +195,7 @@
 			kind = eiderwinch.Whole
 		}
 		s.updateReceived, s.watch.revision = true, u.Revision
-		s.watch.node.applyUpdate(now, kind, s.watch.addr, u)
+		s.watch.node.applyUpdate(now, kind, s.watch, u)
 		return nil
 	})
 }
@@ -206,7 +208,7 @@
 	w, u := s.watch, *s.wholeList
 	w.needsWholeList, w.revision = false, u.Revision
 	w.node.promoteWatch(w)
-	w.node.applyUpdate(now, eiderwinch.Whole, w.addr, u)
+	w.node.applyUpdate(now, eiderwinch.Whole, w, u)
 	s.needsWholeList, s.headReceived, s.updateReceived, s.endsAfterList = false, false, true, s.parser.EndsAtClose()
 	if !s.endsAfterList {
 		s.request()
@@ -225,6 +227,7 @@
 		w.node.log.Info("discovery responds again", "discovery", w.addr, "away", now.Sub(w.lastUpdate), "fails", w.failures, "revision", w.revision)
 	}
 	w.failures, w.lastFailure, w.lastUpdate = 0, "", now
+	w.node.memberFilter.Alive(now, w.source)
 	w.node.core.ConfirmMembers(now)
 }
 
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -410,3 +410,46 @@
 	}
 	testpeer.Receive(t, newDiscovery.Watches, "a watch at the new address")
 }
+
+// After a reload, a list of the new address that is older than a drain lists the searcher as ready. A later whole list
+// that leaves it out voids that entry: the searcher must not become ready when the older list would have been accepted.
+func TestOmittedSearcherStaysOutAfterReload(t *testing.T) {
+	t.Parallel()
+	h, newDiscovery := startHarness(t, nil), testpeer.NewDiscovery(t)
+	s, other := testpeer.Member("s", h.searcher.Addr, "Ready", 0), testpeer.Member("o", "127.0.0.1:1", "Ready", 0)
+	testpeer.Receive(t, h.discovery.Watches, "a watch").Send(testpeer.MemberList(42, false, testpeer.Member("s", h.searcher.Addr, "Terminating", 0)))
+	h.waitUntil("the drain is known", func() bool { return !h.core.Ready("s") })
+	h.Reload(newDiscovery.Addr)
+	newDiscovery.SetList(testpeer.MemberList(41, true, s, other))
+	w := testpeer.Receive(t, newDiscovery.Watches, "the new watch")
+	h.waitUntil("the older list was rejected", func() bool { return h.stats.RejectedMembers == 1 })
+	w.Send(testpeer.MemberList(43, true, other))
+	ready := false
+	for end := time.Now().Add(8 * time.Second); !ready && time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		w.Send("")
+		h.onLoop(func() { ready = h.core.Ready("s") || h.stats.ReinstatedMembers > 0 })
+	}
+	if ready {
+		t.Error("the searcher is ready again")
+	}
+}
+
+// The revisions of an address that is followed again can't be compared with those from before.
+func TestAddressThatIsFollowedAgainIsAnotherSource(t *testing.T) {
+	h, newDiscovery := startHarness(t, nil), testpeer.NewDiscovery(t)
+	s := func(phase string) string { return testpeer.Member("s", h.searcher.Addr, phase, 0) }
+	other := testpeer.Member("o", "127.0.0.1:1", "Ready", 0)
+	testpeer.Receive(t, h.discovery.Watches, "a watch").Send(testpeer.MemberList(42, false, s("Terminating")))
+	h.waitUntil("the drain is known", func() bool { return !h.core.Ready("s") })
+	h.discovery.SetList(testpeer.MemberList(50, true, s("Ready"), other)) // another process at the first address, which lags behind
+	newDiscovery.SetList(testpeer.MemberList(7, true, other))
+	h.Reload(newDiscovery.Addr)
+	testpeer.Receive(t, newDiscovery.Watches, "the new watch")
+	h.Reload(h.discovery.Addr)
+	testpeer.Receive(t, h.discovery.Watches, "the third watch")
+	h.onLoop(func() {
+		if h.core.Ready("s") || h.stats.RejectedMembers != 1 {
+			t.Errorf("ready: %v, %d entries rejected", h.core.Ready("s"), h.stats.RejectedMembers)
+		}
+	})
+}
