Withdraw a spoilt answer whose connection ends before the rest of its frame can be judged

A value that was used after its hold, and behind which the first bytes of what lies behind it arrive, was withdrawn when those bytes made no frame in time, but not when the searcher closed the connection first. Closed settles or withdraws the last answer now (settleAtEnd). The search for a part's ID in unread data is bounded to 1 KiB, as data without a space was searched and copied whole at each read.

TestShortAnswerIsNotServed has two more rows (the end behind one and two digits); three runs with -race pass.

--- a/internal/answerstream/stream.go
+++ b/internal/answerstream/stream.go
@@ -169,6 +169,7 @@
 		return err
 	}
 	if position := s.inFlight[answer.ID]; position > 0 {
+		s.confirm(r) // unless its ID was too long to be found before
 		return s.receiveAnswer(Answer{answer, now}, position, r)
 	}
 	if s.abandoned[answer.ID] > 0 {
--- a/internal/format/frame/frame.go
+++ b/internal/format/frame/frame.go
@@ -218,6 +218,9 @@
 	return Report{}
 }
 
+// maxIDLength bounds the IDs, in bytes, that AnswerID finds.
+const maxIDLength = 1 << 10
+
 // AnswerID returns the part ID in the Answer frame that data begins with; ok is false if data ends before
 // the end of the ID. It checks neither the length nor the letter of the frame.
 func AnswerID(data []byte) (id string, ok bool) {
@@ -225,8 +228,12 @@
 	if len(data) < headSize {
 		return "", false
 	}
-	before, _, ok := bytes.Cut(data[headSize:], []byte(" "))
-	return string(before), ok
+	rest := data[headSize:]
+	before, _, ok := bytes.Cut(rest[:min(len(rest), maxIDLength+1)], []byte(" "))
+	if !ok {
+		return "", false
+	}
+	return string(before), true
 }
 
 // ContainsAnswer reports whether a value contains the start of an Answer frame for a part: a valid length,
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -262,23 +262,48 @@
 	}
 	now := time.Now()
 	lastAnswered, answeredAt := c.answers.LastAnswered()
-	withdrawnID, withdrawn := c.answers.Withdrawn()
+	withdrawn := c.withdrawProvisional(now)
 	c.pool.node.stats.MalformedConns++
 	c.pool.node.log.Warn(message, "searcher", c.searcher.id, "parts", len(c.inFlight), "detail", detail, "last_answered", lastAnswered,
 		"since_answer", now.Sub(answeredAt), "withdrawn", withdrawn, "unparsed", fmt.Sprintf("%.32q", c.answers.Incomplete()))
-	if withdrawn && c.provisional != nil && c.provisional.PartID() == withdrawnID {
-		c.pool.node.core.Withdraw(now, c.provisional)
-	}
 	c.malformed = true
 	c.pool.timers.Stop(&c.frameTimer)
 	c.pool.timers.Stop(&c.holdTimer)
 	c.close()
 }
 
+// withdrawProvisional withdraws the answer that was settled last if it is in doubt, and reports whether it was. It is
+// called when data behind that answer can't be read.
+func (c *searcherConn) withdrawProvisional(now time.Time) bool {
+	id, inDoubt := c.answers.Withdrawn()
+	if !inDoubt || c.provisional == nil || c.provisional.PartID() != id {
+		return false
+	}
+	c.pool.node.core.Withdraw(now, c.provisional)
+	return true
+}
+
 var statusByEnd = map[frame.PartOutcome]eiderwinch.Status{
 	frame.Served: eiderwinch.OK, frame.Failed: eiderwinch.Failed, frame.Skipped: eiderwinch.Full,
 }
 
+// settleAtEnd settles the last answer when the connection has ended: it counts unless something stands behind it.
+func (c *searcherConn) settleAtEnd(now time.Time) {
+	if c.malformed {
+		return
+	}
+	if len(c.answers.Incomplete()) > 0 {
+		c.withdrawProvisional(now)
+		return
+	}
+	if pendingBytes(c.conn.FD()) > 0 {
+		return
+	}
+	if answer, ok := c.answers.End(); ok {
+		c.useAnswer(now, answer)
+	}
+}
+
 // Closed implements eventloop.Handler. Data still in the connection's buffer was not sent and is dropped.
 func (c *searcherConn) Closed(reason error) {
 	now := time.Now()
@@ -286,11 +311,7 @@
 		c.pool.node.log.Debug("connection to a searcher closed with parts in flight", "searcher", c.searcher.id, "parts", len(c.inFlight),
 			"buffered", c.conn.Buffered(), "reason", reason)
 	}
-	if !c.malformed && pendingBytes(c.conn.FD()) == 0 {
-		if answer, ok := c.answers.End(); ok {
-			c.useAnswer(now, answer)
-		}
-	}
+	c.settleAtEnd(now)
 	flushed := c.written - uint64(c.conn.Buffered())
 	unanswered := c.inFlight
 	if !c.retired {
--- a/internal/netio/spoilt_test.go
+++ b/internal/netio/spoilt_test.go
@@ -11,6 +11,14 @@
 // wholeValue is the value of all parts here.
 const wholeValue = "517db856ae880953"
 
+// end is how a connection ends behind a spoilt answer: closed by the searcher, or left open.
+type end bool
+
+const (
+	leftOpen end = false
+	closed   end = true
+)
+
 // answerShort answers a part with a frame that is too short for its value, and waits before what lies behind the frame.
 func answerShort(p testpeer.Part, short int, wait time.Duration) {
 	body := fmt.Sprintf("a%s served 1 -\n%s", p.ID, wholeValue)
@@ -26,15 +34,18 @@
 	for name, c := range map[string]struct {
 		short int
 		wait  time.Duration
+		then  end
 	}{
-		"half of the value, in one read":   {8, 0},
-		"all of the value, in one read":    {16, 0},
-		"the last digit, in one read":      {1, 0},
-		"half of the value, 3 ms later":    {8, 3 * time.Millisecond},
-		"half of the value, 60 ms later":   {8, 60 * time.Millisecond},
-		"the last 2 digits, 60 ms later":   {2, 60 * time.Millisecond},
-		"all of the value, 60 ms later":    {16, 60 * time.Millisecond},
-		"the last 4 digits, at some point": {4, 12 * time.Millisecond},
+		"half of the value, in one read":     {8, 0, leftOpen},
+		"all of the value, in one read":      {16, 0, leftOpen},
+		"the last digit, in one read":        {1, 0, leftOpen},
+		"the last digit, and the end":        {1, 0, closed},
+		"half of the value, 3 ms later":      {8, 3 * time.Millisecond, leftOpen},
+		"half of the value, 60 ms later":     {8, 60 * time.Millisecond, leftOpen},
+		"the last 2 digits, 60 ms later":     {2, 60 * time.Millisecond, leftOpen},
+		"the last 2 digits, then, and ended": {2, 60 * time.Millisecond, closed},
+		"all of the value, 60 ms later":      {16, 60 * time.Millisecond, leftOpen},
+		"the last 4 digits, 12 ms later":     {4, 12 * time.Millisecond, leftOpen},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -45,6 +56,9 @@
 				t.Fatal("the parts are on different connections")
 			}
 			answerShort(first, c.short, c.wait)
+			if c.then == closed {
+				first.Conn.Close()
+			}
 			for range 2 { // both are sent anew
 				h.nextPart().Answer("served", 1, wholeValue)
 			}
