--- a/load_test.go
+++ b/load_test.go
@@ -85,7 +85,7 @@
 	d.checkEqual("sends to it of a part that another searcher holds too", sendsByReplica(d.after(5*ms, newQuery(2, 0, 0)))[first.ID], 0)
 	o = okOutcome(20, 0, "")
 	o.Replica = d.aggregator.parts[20].attempts[0].searcher.ID
-	d.after(5*ms, o) // without a report
+	d.after(5*ms, o) // without a report: the last one counts until it is old
 	d.checkEqual("load of a searcher that never reported", d.aggregator.load(d.aggregator.searchersByID[o.Replica]), 1.0)
 }
 
