Do not count a part whose answer is held against the parts of its connection

While an answer is held, its part counted as carried, so on a deployment with two parts to a connection the next call opened another connection. The searcher has answered it, and reads on: what a connection carries is the parts in flight without an answer and the unread cancels. An answer that is held shows as well that cancels were read. The packages' tests pass.

--- a/internal/answerstream/stream.go
+++ b/internal/answerstream/stream.go
@@ -104,6 +104,8 @@
 	Usable []Answer // the answers that may be used now, in the order of their arrival
 	Late   []string // IDs of abandoned parts whose answers have arrived
 	Frames int      // complete frames
+	// Answered is whether a part was answered, be it that its answer is held or that nobody waits for it any more.
+	Answered bool
 }
 
 // Receive takes data that has arrived. An error means that nothing more can be read from the
@@ -175,6 +177,7 @@
 	if s.abandoned[answer.ID] > 0 {
 		delete(s.abandoned, answer.ID)
 		r.Late = append(r.Late, answer.ID)
+		r.Answered = true
 		return nil
 	}
 	if answer.ID == s.last.ID {
@@ -185,6 +188,7 @@
 
 // receiveAnswer handles an answer to a part in flight.
 func (s *Stream) receiveAnswer(a Answer, position uint64, r *Received) error {
+	r.Answered = true
 	delete(s.inFlight, a.ID)
 	if s.containsAnswer(a.Value) {
 		return errSwallowed
@@ -219,6 +223,9 @@
 	return false
 }
 
+// Waiting returns the number of parts in flight whose answers have not arrived.
+func (s *Stream) Waiting() int { return len(s.inFlight) }
+
 // HeldUntil returns when Settle is to be called; zero if no answer is held, or if the data behind
 // it has to be completed first.
 func (s *Stream) HeldUntil() time.Time {
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -173,7 +173,7 @@
 		}
 		if c.conn == nil || c.retired || c.halfOpen || c.frameTimer.IsSet() ||
 			now.Sub(c.idleSince) >= maxIdle && len(c.inFlight) == 0 ||
-			len(c.inFlight)+len(c.unreadCancels) > 0 && len(c.inFlight)+len(c.unreadCancels)+len(attempts) > multiplex ||
+			c.carried() > 0 && c.carried()+len(attempts) > multiplex ||
 			c.answers.Abandoned() >= maxAbandoned || c.conn.Buffered() > 0 {
 			continue
 		}
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -53,9 +53,12 @@
 // it does if the system accepts no more data. That includes cancel frames: until an answer has been received, a part
 // can be cancelled only by closing the connection.
 func (c *searcherConn) full() bool {
-	return len(c.inFlight)+len(c.unreadCancels) >= c.pool.node.cfg.Multiplex
+	return c.carried() >= c.pool.node.cfg.Multiplex
 }
 
+// carried returns how many parts the connection carries. A part whose answer is held does not count.
+func (c *searcherConn) carried() int { return c.answers.Waiting() + len(c.unreadCancels) }
+
 // clearUnreadCancels is called when an answer has been received. If the connection has room again, the searcher has read
 // everything that was written, including the cancel frames.
 func (c *searcherConn) clearUnreadCancels() {
@@ -186,6 +189,8 @@
 	received, err := c.answers.Receive(now, data)
 	for _, id := range received.Late {
 		delete(c.unreadCancels, id)
+	}
+	if received.Answered {
 		c.clearUnreadCancels()
 	}
 	for _, answer := range received.Usable {
@@ -240,8 +245,6 @@
 	index := slices.IndexFunc(c.inFlight, func(f sentAttempt) bool { return f.partID == answer.ID })
 	a := c.inFlight[index].attempt
 	c.pool.recordLatency(answer.ReceivedAt.Sub(c.removeAttempt(a)))
-	delete(c.unreadCancels, answer.ID)
-	c.clearUnreadCancels()
 	switch {
 	case answer.Report.Present:
 		c.pool.node.stats.Reports++
