Bound the searchers that are kept as leaving, and count those that are forgotten

They are forgotten once no list about them can be outdated, which takes 6 s without a silence of discovery: while it keeps falling silent, none was. At most 8,192 are kept now, the longest gone is forgotten first; discovery.forgotten counts these. TestLeavingSearchersAreBounded.

--- a/internal/discovery/member_filter.go
+++ b/internal/discovery/member_filter.go
@@ -16,6 +16,10 @@
 // that was followed within about maxListAge.
 const maxDepartures = 4
 
+// maxLeaving bounds the searchers that are kept as leaving. They are forgotten once their departures
+// are outdated, but none becomes outdated while discovery keeps falling silent.
+const maxLeaving = 8192
+
 // departure is a report that a searcher leaves: an entry that says so, or a whole list that omits
 // the searcher.
 type departure struct {
@@ -73,6 +77,8 @@
 	serving  map[string]serving  // by id
 	Rejected int                 // entries of lists that were not accepted
 
+	Forgotten int // searchers forgotten because more than maxLeaving were leaving
+
 	source     string    // the source in use
 	aliveSince time.Time // since when it has not been silent
 	lastAlive  time.Time // when it last sent anything
@@ -130,6 +136,7 @@
 	l := f.leaving[id]
 	if l == nil {
 		l = &leaving{readySince: f.serving[id].readySince}
+		f.makeRoom()
 		f.leaving[id] = l
 	}
 	delete(f.serving, id)
@@ -153,6 +160,29 @@
 	known.started, known.revision = d.started, max(known.revision, d.revision)
 }
 
+// makeRoom forgets the searcher that has been leaving for longest if there is no room for another.
+func (f *MemberFilter) makeRoom() {
+	if len(f.leaving) < maxLeaving {
+		return
+	}
+	oldest := ""
+	for id, l := range f.leaving {
+		if oldest == "" || l.firstNotified().Before(f.leaving[oldest].firstNotified()) {
+			oldest = id
+		}
+	}
+	delete(f.leaving, oldest)
+	f.Forgotten++
+}
+
+// firstNotified returns when the first of the departures was reported; zero if there is none.
+func (l *leaving) firstNotified() time.Time {
+	if len(l.departures) == 0 {
+		return time.Time{}
+	}
+	return l.departures[0].since
+}
+
 // merge replaces the departures that other sources have reported by d, which reports the same one: a list that lags
 // can't report an earlier one if the searcher had been ready for longer than a list may lag. So the source of d
 // refutes them all when it reports the searcher as ready again.
--- a/internal/discovery/member_filter_test.go
+++ b/internal/discovery/member_filter_test.go
@@ -282,3 +282,21 @@
 		}
 	})
 }
+
+// While discovery keeps falling silent, the searchers that left are bounded, and those that left last are kept.
+func TestLeavingSearchersAreBounded(t *testing.T) {
+	var filter MemberFilter
+	now := began
+	for i := range maxLeaving + 10 {
+		now = now.Add(silenceTimeout)
+		m := catalog.Member{ID: fmt.Sprint("s", i), HostPort: "h:1", Phase: catalog.Terminating}
+		filter.Apply(now, "a", catalog.Update{Revision: int64(i), Members: []catalog.Member{m}})
+		filter.Alive(now, "a")
+		if got := filter.Reinstated(now); len(got) > 0 {
+			t.Fatalf("reinstated %v", got)
+		}
+	}
+	if len(filter.leaving) != maxLeaving || filter.Forgotten != 10 || filter.leaving["s9"] != nil || filter.leaving["s10"] == nil {
+		t.Errorf("%d are kept, %d forgotten", len(filter.leaving), filter.Forgotten)
+	}
+}
--- a/internal/netio/updates.go
+++ b/internal/netio/updates.go
@@ -49,7 +49,7 @@
 	n.stats.DuplicateMembers += u.Duplicates
 	rejectedBefore := n.memberFilter.Rejected
 	members := n.memberFilter.Apply(now, w.source, u)
-	n.stats.RejectedMembers = n.memberFilter.Rejected
+	n.stats.RejectedMembers, n.stats.ForgottenMembers = n.memberFilter.Rejected, n.memberFilter.Forgotten
 	n.log.Debug("update from discovery", "discovery", w.addr, "revision", u.Revision, "complete", u.Complete, "members", len(u.Members),
 		"rejected", n.memberFilter.Rejected-rejectedBefore)
 	n.forwardMembers(now, kind, members)
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -76,6 +76,7 @@
 	DelayedForUpdates        int // times that sends were delayed because an update had arrived that was not read yet
 	RejectedMembers          int // entries of ready members that were rejected because they came from an older list
 	ReinstatedMembers        int // of RejectedMembers: made ready later, once their list could not be outdated any more
+	ForgottenMembers         int // leaving searchers forgotten too early, because too many were leaving
 	EmptyLists               int // of Updates: complete lists without a single searcher, which were ignored
 
 	Epochs        int // epochs of the layout adopted
@@ -126,7 +127,7 @@
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "withdrawn", c.Withdrawn, "reports", c.Reports, "reports_bad", c.MalformedReports),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists,
-			"lists_bad", c.MalformedLists, "twice", c.DuplicateMembers, "news_first", c.DelayedForUpdates, "doubted", c.RejectedMembers, "reinstated", c.ReinstatedMembers),
+			"lists_bad", c.MalformedLists, "twice", c.DuplicateMembers, "news_first", c.DelayedForUpdates, "doubted", c.RejectedMembers, "reinstated", c.ReinstatedMembers, "forgotten", c.ForgottenMembers),
 		group("layout", "epochs", c.Epochs, "epochs_old", c.EpochsIgnored, "epochs_ahead", c.UnknownEpochs,
 			"translated", c.Translated),
 		group("config", "reloads", c.Reloads, "reload_fails", c.ReloadFails, "generations", c.Generations,
