Log an answer as withdrawn only if its query had not been answered yet

Core.Withdraw tells whether it could take the value back; the warning about a malformed frame said 'withdrawn' for values that were out already. Nothing else is changed.

--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -24,17 +24,19 @@
 }
 
 // Withdraw takes back the value of an attempt whose Result was OK: its answer has turned out to be spoilt. The
-// attempt may have been executed. Once the query has its final answer, nothing can be taken back.
-func (c *Core) Withdraw(now time.Time, a *Attempt) {
+// attempt may have been executed. Once the query has its final answer, nothing can be taken back: Withdraw returns
+// false.
+func (c *Core) Withdraw(now time.Time, a *Attempt) bool {
 	p := a.part
 	if p.removed || p.answeredBy != a {
-		return
+		return false
 	}
 	p.answered, p.answeredBy, p.score, p.value = false, nil, 0, ""
 	c.stats.Withdrawn++
 	c.addEvent(now, eiderwinch.Outcome{
 		Part: p.id, Attempt: a.number, Replica: a.Searcher, Status: eiderwinch.Reset, Took: now.Sub(a.decidedAt),
 	})
+	return true
 }
 
 // NotSent ends an attempt that was never written, so it certainly was not executed. The outcome
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -512,7 +512,7 @@
 	h.Withdraw(h.at, first) // the value below is that of another attempt
 	h.Result(h.at, h.calls[2][0], eiderwinch.OK, 1, "whole")
 	h.advance(5*ms, eiderwinch.Answer{Query: id, Whole: true})
-	h.Withdraw(h.at, second)
+	h.checkEqual("withdrawn after the reply", h.Withdraw(h.at, second), false)
 	h.advance(5 * ms)
 	h.checkEqual("replies", h.replies, []Reply{{Kind: Answered, Whole: true, Values: []ShardValue{{3, "whole"}, {4, "good"}}}})
 
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -275,15 +275,14 @@
 	c.close()
 }
 
-// withdrawProvisional withdraws the answer that was settled last if it is in doubt, and reports whether it was. It is
-// called when data behind that answer can't be read.
+// withdrawProvisional withdraws the answer that was settled last if it is in doubt, and reports whether it could still
+// do so. It is called when data behind that answer can't be read.
 func (c *searcherConn) withdrawProvisional(now time.Time) bool {
 	id, inDoubt := c.answers.Withdrawn()
 	if !inDoubt || c.provisional == nil || c.provisional.PartID() != id {
 		return false
 	}
-	c.pool.node.core.Withdraw(now, c.provisional)
-	return true
+	return c.pool.node.core.Withdraw(now, c.provisional)
 }
 
 var statusByEnd = map[frame.PartOutcome]eiderwinch.Status{
