Let the tracer of failing system calls run on arm64 as well

The registers and the skipping of a call are in one file an architecture now: on arm64 the general registers come as a register set, and the number of the call, which the kernel reads from a set of its own, is replaced by -1. Calls that arm64 lacks (poll, epoll_wait) go by the number of the call in their place.

On amd64 it was vetted (GOARCH=amd64) and not run: this machine has no such processor.

--- a/internal/trial/faults/plan.go
+++ b/internal/trial/faults/plan.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Target restricts a fault to calls whose first argument is a descriptor of one kind. Its value is a prefix of the
@@ -40,12 +42,16 @@
 	Faults []Fault
 }
 
-// syscallNumbers holds the system calls that can be made to fail, with their numbers on amd64.
+// syscallNumbers holds the system calls that can be made to fail, with their numbers. A call that the architecture
+// lacks has the number of the call that takes its place.
 var syscallNumbers = map[string]uint64{
-	"read": 0, "write": 1, "close": 3, "poll": 7, "ioctl": 16, "pread64": 17, "pwrite64": 18, "writev": 20,
-	"socket": 41, "connect": 42, "shutdown": 48, "bind": 49, "listen": 50, "getsockopt": 55, "fcntl": 72,
-	"fsync": 74, "fdatasync": 75, "ftruncate": 77, "epoll_wait": 232, "epoll_ctl": 233, "openat": 257,
-	"epoll_pwait": 281, "accept4": 288, "eventfd2": 290, "epoll_create1": 291,
+	"read": unix.SYS_READ, "write": unix.SYS_WRITE, "close": unix.SYS_CLOSE, "poll": pollNumber, "ioctl": unix.SYS_IOCTL,
+	"pread64": unix.SYS_PREAD64, "pwrite64": unix.SYS_PWRITE64, "writev": unix.SYS_WRITEV, "socket": unix.SYS_SOCKET,
+	"connect": unix.SYS_CONNECT, "shutdown": unix.SYS_SHUTDOWN, "bind": unix.SYS_BIND, "listen": unix.SYS_LISTEN,
+	"getsockopt": unix.SYS_GETSOCKOPT, "fcntl": unix.SYS_FCNTL, "fsync": unix.SYS_FSYNC, "fdatasync": unix.SYS_FDATASYNC,
+	"ftruncate": unix.SYS_FTRUNCATE, "epoll_wait": epollWaitNumber, "epoll_ctl": unix.SYS_EPOLL_CTL, "openat": unix.SYS_OPENAT,
+	"epoll_pwait": unix.SYS_EPOLL_PWAIT, "accept4": unix.SYS_ACCEPT4, "eventfd2": unix.SYS_EVENTFD2,
+	"epoll_create1": unix.SYS_EPOLL_CREATE1,
 }
 
 // takesDescriptor reports whether the first argument of a system call is a descriptor.
--- a/internal/trial/faults/trace_linux_amd64.go
+++ b/internal/trial/faults/trace_linux.go
@@ -181,49 +181,51 @@
 	if stopped.injectedResult == nil && stopped.originalCount == nil {
 		return
 	}
-	var regs syscall.PtraceRegs
-	if syscall.PtraceGetRegs(id, &regs) != nil {
+	regs, err := readRegisters(id)
+	if err != nil {
 		return
 	}
 	if stopped.injectedResult != nil {
-		regs.Rax = uint64(*stopped.injectedResult)
+		regs.setResult(*stopped.injectedResult)
 	}
 	if stopped.originalCount != nil {
-		regs.Rdx = *stopped.originalCount
+		regs.setThirdArgument(*stopped.originalCount)
 	}
 	stopped.injectedResult, stopped.originalCount = nil, nil
-	_ = syscall.PtraceSetRegs(id, &regs)
+	_ = regs.store(id)
 }
 
 // handleEntry applies a fault, if one is chosen, to a system call that is about to be made.
 func (t *tracer) handleEntry(id int, stopped *thread) {
-	var regs syscall.PtraceRegs
-	if syscall.PtraceGetRegs(id, &regs) != nil {
+	regs, err := readRegisters(id)
+	if err != nil {
 		return
 	}
-	fault := t.chooseFault(&regs)
+	fault := t.chooseFault(regs)
 	switch {
 	case fault == nil:
 		return
-	case fault.Errno == 0 && regs.Rdx <= 1:
+	case fault.Errno == 0 && regs.thirdArgument() <= 1:
 		return
 	case fault.Errno == 0:
-		count := regs.Rdx
-		stopped.originalCount, regs.Rdx = &count, 1
+		count := regs.thirdArgument()
+		stopped.originalCount = &count
+		regs.setThirdArgument(1)
+		_ = regs.store(id)
 	default:
 		result := -int64(fault.Errno)
-		stopped.injectedResult, regs.Orig_rax = &result, noSyscall
+		stopped.injectedResult = &result
+		_ = regs.skipCall(id)
 	}
-	_ = syscall.PtraceSetRegs(id, &regs)
 }
 
 // chooseFault returns the fault to apply to a system call, or nil.
-func (t *tracer) chooseFault(regs *syscall.PtraceRegs) *Fault {
+func (t *tracer) chooseFault(regs *registers) *Fault {
 	elapsed := time.Since(t.started)
 	for i := range t.plan.Faults {
 		f := &t.plan.Faults[i]
 		switch {
-		case syscallNumbers[f.Call] != regs.Orig_rax,
+		case syscallNumbers[f.Call] != regs.callNumber(),
 			elapsed < f.After, f.For > 0 && elapsed > f.After+f.For,
 			f.MaxFailures > 0 && t.faultCounts[i] >= f.MaxFailures,
 			f.Rate > 0 && t.rng.Float64() >= f.Rate,
@@ -238,11 +240,11 @@
 
 // matchesTarget reports whether the descriptor of a system call is of the fault's kind and path. It is true if the kind
 // is Any, and for calls without a descriptor.
-func (t *tracer) matchesTarget(f *Fault, regs *syscall.PtraceRegs) bool {
-	if f.Target == Any || !takesDescriptor(regs.Orig_rax) {
+func (t *tracer) matchesTarget(f *Fault, regs *registers) bool {
+	if f.Target == Any || !takesDescriptor(regs.callNumber()) {
 		return true
 	}
-	target, err := os.Readlink("/proc/" + strconv.Itoa(t.pid) + "/fd/" + strconv.Itoa(int(int32(regs.Rdi))))
+	target, err := os.Readlink("/proc/" + strconv.Itoa(t.pid) + "/fd/" + strconv.Itoa(int(int32(regs.firstArgument()))))
 	return err == nil && strings.HasPrefix(target, string(f.Target)) && strings.HasSuffix(target, f.Path)
 }
 
