--- a/internal/format/http1/request.go
+++ b/internal/format/http1/request.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"unsafe"
 )
 
 // Request is an HTTP request.
@@ -28,6 +29,15 @@
 // Buffered returns the number of bytes that were fed in and not parsed yet.
 func (p *RequestParser) Buffered() int { return len(p.buf) }
 
+// Held returns the number of bytes allocated for the incomplete request and for what was received behind it.
+func (p *RequestParser) Held() int {
+	held := cap(p.buf)
+	if p.req != nil {
+		held += cap(p.req.Body) + cap(p.req.Header)*int(unsafe.Sizeof(Field{}))
+	}
+	return held
+}
+
 // Idle reports whether no request has begun.
 func (p *RequestParser) Idle() bool { return p.req == nil && len(p.buf) == 0 }
 
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -155,6 +155,17 @@
 // OpenQueries returns the number of queries without a final answer.
 func (c *Core) OpenQueries() int { return len(c.queries) }
 
+// HeldText returns the number of bytes of text that open queries hold, with the values received for their parts.
+func (c *Core) HeldText() (bytes int) {
+	for _, q := range c.queries {
+		bytes += len(q.text)
+		for _, p := range q.parts {
+			bytes += len(p.value)
+		}
+	}
+	return bytes
+}
+
 // addEvent adds an event to those that the aggregator receives in its next turn.
 func (c *Core) addEvent(now time.Time, e eiderwinch.Event) {
 	if len(c.pendingEvents) == 0 {
--- a/internal/limit/table.go
+++ b/internal/limit/table.go
@@ -196,6 +196,18 @@
 	return t.lists[s].first
 }
 
+// Each calls f for each connection in a stage.
+func (t *Table[T]) Each(s Stage, f func(T)) {
+	for e := t.lists[s].first; e != nil; e = e.links[stageList].next {
+		f(e.Owner)
+	}
+	if s == Idle {
+		for e := t.idleOnce.first; e != nil; e = e.links[stageList].next {
+			f(e.Owner)
+		}
+	}
+}
+
 // Add adds a connection that has just been accepted.
 func (t *Table[T]) Add(now time.Time, e *Entry[T]) {
 	t.held++
--- a/internal/netio/clientconn.go
+++ b/internal/netio/clientconn.go
@@ -43,6 +43,7 @@
 	lastRequest  bool      // the connection ends with the current request
 	inputIgnored bool      // no more input is accepted; the current request is still answered
 	ending       bool      // the connection is about to be closed
+	closeReason  closeReason
 }
 
 // arrival records when data of a client was received.
@@ -57,6 +58,9 @@
 	return c
 }
 
+// Kind implements eventloop.Handler.
+func (c *clientConn) Kind() string { return "client" }
+
 // Opened implements eventloop.Handler.
 func (c *clientConn) Opened(conn *eventloop.Conn) {
 	node := c.node
@@ -72,6 +76,7 @@
 func (c *clientConn) Closed(reason error) {
 	c.releaseEntry()
 	c.ending = true
+	c.recordClose(reason)
 	if c.queryID != 0 {
 		c.node.log.Debug("client left while its query was open", "query", c.queryID, "reason", reason)
 		c.node.core.ClientDisconnected(time.Now(), c.queryID)
@@ -84,7 +89,7 @@
 	if c.ending {
 		// Closing at once would reset the connection, and the client could lose the error answer.
 		if c.discarded += len(data); c.discarded > maxDiscarded {
-			c.drop()
+			c.drop(closedForLength)
 		}
 		return
 	}
@@ -410,6 +415,7 @@
 // reject answers a request that is not a valid query. closes is set if nothing that follows it can be read.
 func (c *clientConn) reject(status int, reason string, closes bool) {
 	c.node.stats.Malformed++
+	c.node.stats.Rejected[http.StatusText(status)]++
 	c.lastRequest = c.lastRequest || closes
 	c.respond(status, []byte(reason+"\n"), http1.Field{Name: "Content-Type", Value: "text/plain"})
 }
@@ -444,7 +450,7 @@
 	case c.ending: // the write has failed
 	case c.conn.Buffered() > maxUnreadAnswers:
 		c.node.stats.ClosedUnread++
-		c.drop()
+		c.drop(closedForUnreadAnswers)
 	case closes:
 		c.closeGracefully()
 	}
@@ -470,8 +476,9 @@
 }
 
 // drop closes the connection without waiting for anything.
-func (c *clientConn) drop() {
+func (c *clientConn) drop(why closeReason) {
 	c.ending = true
+	c.closedFor(why)
 	c.releaseEntry()
 	c.conn.Close()
 }
@@ -505,7 +512,7 @@
 func (n *Node) evict(newest *clientConn) {
 	if _, rank := n.chooseVictim(&newest.entry); rank == limit.RankNewest || n.excessClients() > maxTransientExcess {
 		n.stats.Evicted[limit.RankNewest.String()]++
-		newest.closeNow()
+		newest.closeNow(evicted)
 		return
 	}
 	n.exec(func() {
@@ -525,7 +532,7 @@
 		if rank != limit.RankClosing && entry.Owner.hasPendingData() {
 			n.stats.EvictedInUse++
 		}
-		entry.Owner.closeNow()
+		entry.Owner.closeNow(evicted)
 	}
 }
 
@@ -545,19 +552,20 @@
 // has closed the connection. Both directions are closed at once: a client repeats a request that crosses the close and
 // was not read. If only the sending side were shut down and the rest discarded, a request could be read that nobody
 // answers.
-func (c *clientConn) closeIfUnused() bool {
+func (c *clientConn) closeIfUnused(why closeReason) bool {
 	if c.hasPendingData() {
 		c.node.stats.NotClosed++
 		return false
 	}
-	c.closeNow()
+	c.closeNow(why)
 	return true
 }
 
 // closeNow closes the connection at once. eventloop.Conn.Close would wait for the loop's next round, which may read
 // from the connection first.
-func (c *clientConn) closeNow() {
+func (c *clientConn) closeNow(why closeReason) {
 	c.ending = true
+	c.closedFor(why)
 	c.releaseEntry()
 	c.conn.CloseNow(nil)
 }
@@ -566,7 +574,7 @@
 func (n *Node) closeIdleClients() bool {
 	for _, stage := range [...]limit.Stage{limit.Silent, limit.Idle} {
 		for entry := n.clientTable.Oldest(stage); entry != nil; entry = n.clientTable.Oldest(stage) {
-			if !entry.Owner.closeIfUnused() {
+			if !entry.Owner.closeIfUnused(closedInDrain) {
 				return false // its request is read next
 			}
 		}
@@ -577,7 +585,7 @@
 // checkClients closes the connections whose time limit is over, and the longest idle ones if there are too many.
 func (n *Node) checkClients(now time.Time) {
 	n.closeOverdue(now)
-	for entry := n.clientTable.SurplusIdle(now); entry != nil && !n.draining && entry.Owner.closeIfUnused(); entry = n.clientTable.SurplusIdle(now) {
+	for entry := n.clientTable.SurplusIdle(now); entry != nil && !n.draining && entry.Owner.closeIfUnused(closedIdle); entry = n.clientTable.SurplusIdle(now) {
 		n.stats.ClosedIdle++
 	}
 	n.checkFlushing(now)
@@ -588,9 +596,9 @@
 	for entry := n.clientTable.Overdue(now); entry != nil; entry = n.clientTable.Overdue(now) {
 		switch c := entry.Owner; {
 		case entry.Stage() == limit.Closing:
-			c.drop()
+			c.drop(closedAfterAnswer)
 		case c.parser.Idle():
-			if !c.closeIfUnused() {
+			if !c.closeIfUnused(closedSilent) {
 				return // its request is read next
 			}
 			n.stats.ClosedSilent++
@@ -609,7 +617,7 @@
 			c.closeGracefully()
 		case !now.Before(until):
 			n.stats.ClosedUnread++
-			c.drop()
+			c.drop(closedForUnreadAnswers)
 		}
 	}
 }
--- a/internal/netio/clientconn_test.go
+++ b/internal/netio/clientconn_test.go
@@ -191,7 +191,7 @@
 		h.waitUntil("the new connection is accepted", func() bool { return h.clientTable.Count(limit.Silent) == 1 })
 		h.onLoop(func() {
 			c := h.clientTable.Oldest(limit.Silent).Owner
-			if !c.closeIfUnused() { // nothing was received
+			if !c.closeIfUnused(closedIdle) { // nothing was received
 				t.Errorf("%s: not closed", name)
 			}
 			c.Traffic([]byte(testpeer.Query("search", "x", time.Minute, 1)))
--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -280,6 +280,9 @@
 // Buffered returns the number of bytes given to Write that the system has not accepted yet.
 func (c *Conn) Buffered() int { return c.unsent.Len() }
 
+// Held returns the size of the buffer for the bytes given to Write that the system has not accepted yet.
+func (c *Conn) Held() int { return c.unsent.Cap() }
+
 // StopWriting stops all writing: bytes that the system has not accepted by now are never sent, and stay Buffered.
 func (c *Conn) StopWriting() {
 	c.writingStopped = true
--- a/internal/netio/eventloop/errors.go
+++ b/internal/netio/eventloop/errors.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -46,12 +47,25 @@
 	WakeFails           int            // failed writes to wake the loop
 	RegistrationRetries int            // retries of registrations with the poller
 	Pauses              int            // times that a connection was paused because the system had no memory or buffers
+
+	// LongestEvents holds the longest time that the loop took for one event, by the kind of its connection. The loop
+	// serves nobody else meanwhile.
+	LongestEvents map[string]time.Duration
+}
+
+// recordEvent records how long an event took.
+func (c *Counters) recordEvent(kind string, took time.Duration) {
+	if took > c.LongestEvents[kind] {
+		c.LongestEvents[kind] = took
+	}
 }
 
 // maxFailNames bounds the keys of Counters.Failures; further ones are counted as "other".
 const maxFailNames = 64
 
-func newCounters() Counters { return Counters{Failures: make(map[string]int)} }
+func newCounters() Counters {
+	return Counters{Failures: make(map[string]int), LongestEvents: make(map[string]time.Duration)}
+}
 
 // countFailure counts a system call that has failed, and logs the first failure of each call and error.
 func (l *Loop) countFailure(call string, err error) {
--- a/internal/netio/eventloop/loop.go
+++ b/internal/netio/eventloop/loop.go
@@ -30,6 +30,8 @@
 	// process closed the connection without an error. Closed may be called within Conn.Write. The descriptor
 	// is closed once Closed returns.
 	Closed(error)
+	// Kind names the kind of connection in the counters.
+	Kind() string
 }
 
 // Options configures a Loop.
@@ -116,6 +118,7 @@
 func (l *Loop) Counters() Counters {
 	c := l.counters
 	c.Failures = maps.Clone(c.Failures)
+	c.LongestEvents = maps.Clone(c.LongestEvents)
 	l.mu.Lock()
 	c.WakeFails = l.wakeFails
 	l.mu.Unlock()
@@ -189,17 +192,27 @@
 	}
 }
 
+// Kinds of events that belong to no connection, for the counters.
+const (
+	taskEvent   = "tasks"
+	acceptEvent = "accept"
+)
+
 func (l *Loop) handle(fd int, events netpoll.IOEvent) {
+	began, kind := time.Now(), taskEvent
 	switch {
 	case fd == l.wakeFD:
 		l.runTasks()
 	case fd == l.listener.fd:
+		kind = acceptEvent
 		l.accept()
 	default:
 		if c := l.conns[fd]; c != nil {
+			kind = c.handler.Kind()
 			c.handleEvents(events)
 		}
 	}
+	l.counters.recordEvent(kind, time.Since(began))
 	if l.opts.AfterEvent != nil && !l.stopped {
 		l.opts.AfterEvent()
 	}
--- a/internal/netio/eventloop/loop_test.go
+++ b/internal/netio/eventloop/loop_test.go
@@ -32,6 +32,7 @@
 }
 func (e *echo) Traffic(b []byte)    { _ = e.conn.Write(b) }
 func (e *echo) Closed(reason error) { e.ended <- reason }
+func (e *echo) Kind() string        { return "echo" }
 
 // serve runs a loop whose connections echo. It returns the loop, the channel of the reasons with which its
 // connections are closed, and the channel of Run's result.
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -325,6 +325,29 @@
 	c := n.loop.Counters()
 	n.stats.SystemFails, n.stats.WakeFails = c.Failures, c.WakeFails
 	n.stats.PollRetries, n.stats.Stalls = c.RegistrationRetries, c.Pauses
+	n.stats.LongestEvents = c.LongestEvents
+	n.stats.HeldBytes = n.heldBytes()
+}
+
+// heldBytes returns how many bytes are held, by kind.
+func (n *Node) heldBytes() map[string]int {
+	held := make(map[string]int)
+	for _, stage := range [...]limit.Stage{limit.Silent, limit.FirstRequest, limit.Busy, limit.Idle, limit.NextRequest, limit.Closing} {
+		n.clientTable.Each(stage, func(c *clientConn) {
+			held["requests"] += c.parser.Held()
+			held["answers"] += c.conn.Held()
+		})
+	}
+	for _, s := range n.pool.searchers {
+		for _, c := range s.conns {
+			if c.conn != nil {
+				held["calls"] += c.conn.Held()
+				held["results"] += len(c.answers.Incomplete())
+			}
+		}
+	}
+	held["queries"] = n.core.HeldText()
+	return held
 }
 
 // exec runs f on the event loop, without waiting for it. It does nothing if the node has not started or has ended.
@@ -359,9 +382,12 @@
 
 // runDue does everything that is due.
 func (n *Node) runDue() {
+	now := time.Now()
+	if !n.timerAt.IsZero() {
+		n.stats.LongestDelay = max(n.stats.LongestDelay, now.Sub(n.timerAt))
+	}
 	n.timerAt = time.Time{}
 	n.wakeups++
-	now := time.Now()
 	for _, w := range n.watches() {
 		if !now.Before(w.follower.Due()) {
 			w.run(now)
@@ -403,6 +429,9 @@
 			due = t
 		}
 	}
+	if now := time.Now(); due.Before(now) {
+		due = now
+	}
 	if n.timerAt.IsZero() || due.Before(n.timerAt) {
 		n.timerAt = due
 		n.timer.Reset(max(time.Until(due), 0))
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// Kind implements eventloop.Handler.
+func (c *searcherConn) Kind() string { return "searcher" }
+
 // Opened implements eventloop.Handler.
 func (c *searcherConn) Opened(conn *eventloop.Conn) {
 	now := time.Now()
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -121,6 +121,9 @@
 	}
 }
 
+// Kind implements eventloop.Handler.
+func (s *subscription) Kind() string { return "discovery" }
+
 // Opened implements eventloop.Handler.
 func (s *subscription) Opened(conn *eventloop.Conn) {
 	s.conn = conn
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
+	"time"
 )
 
 // Counters are the counters of one gatherer. They may be used only on the event loop that
@@ -14,6 +16,8 @@
 	Taken     int // queries accepted from clients
 	Malformed int // requests rejected with a 4xx or 5xx status because they were not valid queries
 
+	Rejected map[string]int // of Malformed, by the text of the status
+
 	Whole               int // answers marked whole
 	Partial             int // other answers
 	Refused             int // refusals, including those in RefusedAtLimit
@@ -55,6 +59,9 @@
 	NotClosed        int            // times that a client connection was left open because it had unread bytes or an unsent answer
 	EvictedInUse     int            // of Evicted: connections that had unread bytes or an unsent answer
 	ClosedUnread     int            // client connections closed because the client did not read its answers
+	ClosedClients    map[string]int // client connections that have ended, by reason
+
+	HeldBytes map[string]int // bytes held now, by kind
 
 	Dialed                   int // connections opened to searchers
 	DialFails                int // failed attempts to open one
@@ -93,22 +100,33 @@
 	Stalls      int            // times that a connection was paused because the system had no memory or buffers
 	DialRetries int            // dials retried after failing for a reason on this machine
 
+	LongestEvents map[string]time.Duration // longest time that the event loop took for one event, by kind of connection
+	LongestDelay  time.Duration            // longest time that due work waited for the event loop
+
 	Reloads     int // configurations reloaded
 	ReloadFails int // configurations that could not be used
 }
 
 // New returns counters that are all 0.
-func New() *Counters { return &Counters{Evicted: make(map[string]int)} }
+func New() *Counters {
+	return &Counters{
+		Evicted: make(map[string]int), Rejected: make(map[string]int), ClosedClients: make(map[string]int), HeldBytes: make(map[string]int),
+	}
+}
+
+// sortedPairs returns the keys and values of a map, in the order of the keys.
+func sortedPairs[V any](values map[string]V) (pairs []any) {
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		pairs = append(pairs, strings.ToLower(strings.ReplaceAll(key, " ", "_")), values[key])
+	}
+	return pairs
+}
 
 // LogValue implements slog.LogValuer.
 func (c *Counters) LogValue() slog.Value {
 	group := func(key string, pairs ...any) slog.Attr { return slog.Group(key, pairs...) }
-	var evicted []any
-	for _, rank := range slices.Sorted(maps.Keys(c.Evicted)) {
-		evicted = append(evicted, rank, c.Evicted[rank])
-	}
 	system := []any{"wake_fails", c.WakeFails, "poll_retries", c.PollRetries, "stalls", c.Stalls, "dial_retries", c.DialRetries}
-	for _, call := range slices.Sorted(maps.Keys(c.SystemFails)) {
+	for _, call := range slices.Sorted(maps.Keys(c.SystemFails)) { // names of calls and errors stay as the system spells them
 		system = append(system, call, c.SystemFails[call])
 	}
 	return slog.GroupValue(
@@ -116,7 +134,11 @@
 		group("in", "taken", c.Taken, "malformed", c.Malformed),
 		group("clients", "opened", c.Clients, "reused", c.Reused, "noticed", c.ClosedWithAnswer, "trimmed", c.ClosedIdle,
 			"silent", c.ClosedSilent, "spared", c.NotClosed, "crossed", c.EvictedInUse, "unread", c.ClosedUnread),
-		group("evicted", evicted...),
+		group("evicted", sortedPairs(c.Evicted)...),
+		group("closed", sortedPairs(c.ClosedClients)...),
+		group("rejected", sortedPairs(c.Rejected)...),
+		group("held", sortedPairs(c.HeldBytes)...),
+		group("longest", append(sortedPairs(c.LongestEvents), "delay", c.LongestDelay)...),
 		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.RefusedAtLimit,
 			"late", c.Late, "unsent", c.EndedUnsent, "failed", c.Failed, "overdue", c.DeadlineExceeded, "cut_short", c.CutShort, "gone", c.ClientsDisconnected, "left_unread", c.DisconnectedUnread),
 		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "further", c.Retries, "copies", c.SecondCopies, "cold", c.SentToCold, "second_steps", c.SecondSteps,
