--- a/internal/trial/fake/deployment.go
+++ b/internal/trial/fake/deployment.go
@@ -17,6 +17,7 @@
 	SegmentsPerCell int           // 0 means 3
 	ServiceTime     time.Duration // median time to serve a part; 0 means 6 ms
 	Seed            uint64
+	Received        func(Part) // see SearcherOptions
 
 	// Ring places the segments in a ring: each searcher is the first holder of two segments,
 	// which the next searcher holds as well. Cells and SegmentsPerCell are ignored.
@@ -110,7 +111,7 @@
 }
 
 func (d *Deployment) newSearcher(id string) (*Searcher, error) {
-	return NewSearcher(SearcherOptions{ID: id, Handler: d.handler, CallCost: callCost})
+	return NewSearcher(SearcherOptions{ID: id, Handler: d.handler, CallCost: callCost, Received: d.opts.Received})
 }
 
 // InitialLayout returns the initial layout. It is nil if the segments are assigned by cell.
--- a/internal/trial/fake/searcher.go
+++ b/internal/trial/fake/searcher.go
@@ -57,6 +57,9 @@
 	Slots    int           // number of parts served at the same time; 0 means 4, as on the platform's two cores
 	Queue    int           // number of parts that can wait for a slot, further ones are skipped; 0 means 64
 	CallCost time.Duration // time that a call takes in addition to its parts
+
+	// Received is called with each part as soon as its frame has arrived; nil for none. It must be safe for concurrent use.
+	Received func(Part)
 }
 
 // Searcher is a fake searcher on loopback. Its methods are safe for concurrent use.
@@ -207,6 +210,9 @@
 	cost := s.opts.CallCost
 	s.updateCounts(func(n *Counts) { n.Calls++; n.Parts += len(list) })
 	for _, p := range list {
+		if s.opts.Received != nil {
+			s.opts.Received(p)
+		}
 		s.mu.Lock()
 		draining := s.draining
 		if draining {
--- /dev/null
+++ b/internal/trial/hostile/hostile.go
@@ -0,0 +1,253 @@
+// Package hostile plays clients that behave badly towards a gatherer, beside usual ones. A Kind says
+// what such a client does; an Attack is a number of them. Addresses are expected to be on loopback.
+package hostile
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Kind is what a hostile client does.
+type Kind string
+
+// The kinds of clients.
+const (
+	StalledBody     Kind = "stalled body"     // sends nine tenths of a 64 KiB request, then a byte each 0.2 s
+	PiecewiseBody   Kind = "piecewise body"   // sends a 64 KiB query in pieces of 1,500 bytes, over one second
+	ShortFields     Kind = "short fields"     // sends a 16 KiB head of shortest fields, then half a body
+	LongHead        Kind = "long head"        // sends a 16 KiB head of few fields, then stops
+	TrickledHead    Kind = "trickled head"    // sends a head byte by byte
+	TinyChunks      Kind = "tiny chunks"      // sends a 64 KiB body in chunks of one byte with extensions, then stops
+	LargeQueries    Kind = "large queries"    // sends sound queries of 60 KiB, one after the other
+	WideQueries     Kind = "wide queries"     // sends 64 KiB of parts
+	NestedQueries   Kind = "nested queries"   // sends 64 KiB of opening brackets
+	UnreadAnswers   Kind = "unread answers"   // sends requests at full speed and reads nothing
+	LargePipeline   Kind = "large pipeline"   // sends a query and 80 KiB of further requests behind it
+	HealthFlood     Kind = "health flood"     // sends health requests at full speed and reads the answers
+	UnsoundFlood    Kind = "unsound flood"    // sends unsound queries at full speed, each with a new id
+	NewClasses      Kind = "new classes"      // sends queries at full speed, each with a new class
+	NewTenants      Kind = "new tenants"      // sends sound queries, each with a new tenant, key and id
+	Leavers         Kind = "leavers"          // send hundreds of queries at once and close at once
+	ConnectionChurn Kind = "connection churn" // opens and closes connections at full speed
+	Silent          Kind = "silent"           // opens a connection and says nothing
+)
+
+// Kinds returns all kinds.
+func Kinds() []Kind {
+	return []Kind{
+		StalledBody, PiecewiseBody, ShortFields, LongHead, TrickledHead, TinyChunks, LargeQueries, WideQueries, NestedQueries,
+		UnreadAnswers, LargePipeline, HealthFlood, UnsoundFlood, NewClasses, NewTenants, Leavers, ConnectionChurn, Silent,
+	}
+}
+
+// Attack is a number of clients of one kind.
+type Attack struct {
+	Kind     Kind
+	Clients  int
+	Addr     string // of the gatherer
+	Segments int    // number of segments of the catalogue
+	Seed     uint64
+	KeepOpen bool // clients keep their connections when the attack ends, until the gatherer closes them
+}
+
+// Report is what the clients of an attack have seen.
+type Report struct {
+	Connections   int
+	Answers       map[int]int   // by status
+	LongestToEnd  time.Duration // longest time from connecting to an error or a close, of the clients that are owed one
+	Unended       int           // connections that were owed an error or a close and got neither
+	ConnectFailed int
+	Left          map[string]time.Time // when a client of kind Leavers closed its connection, by the prefix of its ids
+}
+
+// String returns the report as one line.
+func (r Report) String() string {
+	return fmt.Sprintf("connections %d (%d failed), answers %v, longest time to an error or a close %v, without either %d",
+		r.Connections, r.ConnectFailed, r.Answers, r.LongestToEnd.Round(time.Millisecond), r.Unended)
+}
+
+// endsBy is how long after connecting a client that stops or is unsound is owed an error or a close.
+const endsBy = 3 * time.Second
+
+// dialTimeout bounds a connect. The system's queue of the listener may be full.
+const dialTimeout = 5 * time.Second
+
+// attacker runs one attack.
+type attacker struct {
+	Attack
+	mu     sync.Mutex
+	report Report
+}
+
+// Run runs the attack until ctx ends, and reports what its clients have seen.
+func (a Attack) Run(ctx context.Context) Report {
+	r := &attacker{Attack: a, report: Report{Answers: make(map[int]int), Left: make(map[string]time.Time)}}
+	var clients sync.WaitGroup
+	for i := range a.Clients {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			r.runClient(ctx, i)
+		}()
+	}
+	clients.Wait()
+	return r.report
+}
+
+// session is one connection of a hostile client.
+type session struct {
+	net.Conn
+	attacker  *attacker
+	name      string // unique among the connections of all attacks
+	rng       *rand.Rand
+	connected time.Time
+	owed      bool // an error or a close is owed within endsBy
+	once      sync.Once
+	ended     chan struct{} // closed once an error or a close has been received
+}
+
+// sessions returns what a client of each kind does with its connections.
+var sessions = map[Kind]func(context.Context, *session){
+	StalledBody: stallBody, PiecewiseBody: sendPieces, ShortFields: sendShortFields, LongHead: sendLongHead, TrickledHead: trickleHead,
+	TinyChunks: sendTinyChunks, LargeQueries: askLarge, WideQueries: askWide, NestedQueries: askNested, UnreadAnswers: ignoreAnswers,
+	LargePipeline: pipeline, HealthFlood: floodHealth, UnsoundFlood: floodUnsound, NewClasses: floodClasses, NewTenants: floodTenants,
+	Leavers: leave, ConnectionChurn: churn, Silent: stayWithoutRequest,
+}
+
+// owesEnd holds the kinds whose clients stop in a request or are unsound.
+var owesEnd = map[Kind]bool{
+	StalledBody: true, ShortFields: true, LongHead: true, TrickledHead: true, TinyChunks: true, WideQueries: true, NestedQueries: true,
+	UnsoundFlood: true, NewClasses: true, Silent: true,
+}
+
+// runClient uses one connection after the other until ctx ends.
+func (a *attacker) runClient(ctx context.Context, number int) {
+	rng := rand.New(rand.NewPCG(a.Seed, uint64(number)))
+	for i := 0; ctx.Err() == nil; i++ {
+		s := a.connect(ctx, fmt.Sprintf("h%s-%d-%d-%d", strings.ReplaceAll(string(a.Kind), " ", ""), a.Seed, number, i), rng)
+		if s == nil {
+			sleep(ctx, 10*time.Millisecond)
+			continue
+		}
+		stop := context.AfterFunc(ctx, s.stop)
+		sessions[a.Kind](ctx, s)
+		stop()
+		s.finish(ctx)
+	}
+}
+
+// connect opens a connection, or returns nil.
+func (a *attacker) connect(ctx context.Context, name string, rng *rand.Rand) *session {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", a.Addr)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.report.ConnectFailed++
+		return nil
+	}
+	a.report.Connections++
+	return &session{Conn: conn, attacker: a, name: name, rng: rng, connected: time.Now(), owed: owesEnd[a.Kind], ended: make(chan struct{})}
+}
+
+// stop ends what the client is doing when the attack ends.
+func (s *session) stop() {
+	if !s.attacker.KeepOpen {
+		_ = s.Close()
+	}
+}
+
+// finish closes the connection and counts whether an error or a close came that was owed. A client that keeps its
+// connection open waits for the gatherer to close it.
+func (s *session) finish(ctx context.Context) {
+	if s.owed {
+		select {
+		case <-s.ended:
+		case <-ctx.Done():
+		case <-time.After(time.Until(s.connected.Add(2 * endsBy))):
+		}
+		s.countEnd(ctx)
+	}
+	if s.attacker.KeepOpen && ctx.Err() != nil {
+		_, _ = io.Copy(io.Discard, s)
+	}
+	_ = s.Close()
+}
+
+func (s *session) countEnd(ctx context.Context) {
+	took := time.Since(s.connected)
+	a := s.attacker
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case <-s.ended:
+	default:
+		if ctx.Err() == nil || took > endsBy {
+			a.report.Unended++
+		}
+	}
+	if ctx.Err() == nil {
+		a.report.LongestToEnd = max(a.report.LongestToEnd, took)
+	}
+}
+
+// markEnded records that an error or a close was received.
+func (s *session) markEnded() { s.once.Do(func() { close(s.ended) }) }
+
+// readAnswers reads answers until the connection ends.
+func (s *session) readAnswers() { s.readEach(func() {}) }
+
+// readEach reads answers until the connection ends, and calls read after each.
+func (s *session) readEach(read func()) {
+	defer s.markEnded()
+	in := bufio.NewReader(s)
+	for {
+		response, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		s.countAnswer(response.StatusCode)
+		if response.StatusCode >= http.StatusBadRequest {
+			s.markEnded()
+		}
+		if err != nil {
+			return
+		}
+		read()
+	}
+}
+
+func (s *session) countAnswer(status int) {
+	s.attacker.mu.Lock()
+	defer s.attacker.mu.Unlock()
+	s.attacker.report.Answers[status]++
+}
+
+// sleep waits, and reports whether ctx is still open.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// reset makes the close of a connection send RST in place of FIN.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
--- /dev/null
+++ b/internal/trial/hostile/usual.go
@@ -0,0 +1,154 @@
+package hostile
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// UsualClients are clients that behave well: each sends one query after the other on a connection that it keeps.
+type UsualClients struct {
+	Addr     string
+	Clients  int
+	Segments int
+	Pause    time.Duration // between two queries of a client
+	Name     string        // prefix of the ids
+}
+
+// UsualReport is what usual clients have seen.
+type UsualReport struct {
+	Asked, Served, Refused, Failed int
+	Late                           int // answers after the client's time, or none at all
+	latencies                      []time.Duration
+}
+
+// lateTolerance is how long after its time an answer may still come: it takes a while to arrive and to be read.
+const lateTolerance = 50 * time.Millisecond
+
+// unansweredAfter is how long after its time a client gives a query up.
+const unansweredAfter = 2 * time.Second
+
+// Percentile returns the latency that a share of the answers did not exceed.
+func (r *UsualReport) Percentile(share float64) time.Duration {
+	if len(r.latencies) == 0 {
+		return 0
+	}
+	slices.Sort(r.latencies)
+	return r.latencies[min(int(share*float64(len(r.latencies))), len(r.latencies)-1)].Round(time.Millisecond)
+}
+
+// String returns the report as one line.
+func (r *UsualReport) String() string {
+	return fmt.Sprintf("asked %d, served %d, refused %d, failed %d, late or unanswered %d, p50 %v, p99 %v",
+		r.Asked, r.Served, r.Refused, r.Failed, r.Late, r.Percentile(0.5), r.Percentile(0.99))
+}
+
+// Run runs the clients until ctx ends.
+func (u UsualClients) Run(ctx context.Context) *UsualReport {
+	report, all := &UsualReport{}, sync.WaitGroup{}
+	var mu sync.Mutex
+	for i := range u.Clients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			u.runClient(ctx, i, func(status int, took time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				report.record(status, took)
+			})
+		}()
+	}
+	all.Wait()
+	return report
+}
+
+// record counts one query; status is 0 if it got no answer.
+func (r *UsualReport) record(status int, took time.Duration) {
+	r.Asked++
+	r.latencies = append(r.latencies, took)
+	if status == 0 || took > usualWait+lateTolerance {
+		r.Late++
+	}
+	switch status {
+	case http.StatusOK:
+		r.Served++
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		r.Refused++
+	default:
+		r.Failed++
+	}
+}
+
+// runClient sends the queries of one client.
+func (u UsualClients) runClient(ctx context.Context, number int, record func(int, time.Duration)) {
+	var c *usualConn
+	defer func() { c.close() }()
+	for i := 0; sleep(ctx, u.Pause); i++ {
+		body := queryBody((number+i)%u.Segments, 4, u.Segments, 0)
+		text := request("search", fmt.Sprintf("%s-%d-%d", u.Name, number, i), "", body)
+		sent := time.Now()
+		var status int
+		for range 2 { // a query that crosses the close of a kept connection is sent once more
+			fresh := c == nil
+			if fresh {
+				c = dialUsual(u.Addr)
+			}
+			var keep bool
+			if status, keep = c.ask(text); !keep {
+				c.close()
+				c = nil
+			}
+			if status != 0 || fresh {
+				break
+			}
+		}
+		record(status, time.Since(sent))
+	}
+}
+
+// usualConn is a connection of a usual client.
+type usualConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+// dialUsual connects to a gatherer, and returns nil if that fails.
+func dialUsual(addr string) *usualConn {
+	conn, err := net.DialTimeout("tcp", addr, usualWait)
+	if err != nil {
+		return nil
+	}
+	return &usualConn{conn, bufio.NewReader(conn)}
+}
+
+func (c *usualConn) close() {
+	if c != nil {
+		_ = c.Conn.Close()
+	}
+}
+
+// ask sends a query and returns the status of its answer, 0 if none came, and whether the connection can be kept.
+func (c *usualConn) ask(text string) (status int, keep bool) {
+	if c == nil {
+		return 0, false
+	}
+	_ = c.SetDeadline(time.Now().Add(usualWait + unansweredAfter))
+	if _, err := io.WriteString(c, text); err != nil {
+		return 0, false
+	}
+	response, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, false
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0, false
+	}
+	return response.StatusCode, !response.Close
+}
