Allocate a request's body once, and keep of its head only what is used

Callers saw: 67 MB for 600 clients that wrote a 64 KiB request in pieces, 32 allowed. Cause: received bytes went into a buffer that was cut from its front and grown by appending, then into a body that grew by appending as well, and a head kept its whole text until the body had come.

Change: bytes are parsed where they were read; what is left is copied once into a buffer of a size that the runtime allocates exactly (internal/memory); a body of known length is allocated once, a chunked one doubles; a head of over 512 bytes is reduced to the fields in use. Reserve lets the caller deny a body's buffer. Held counts bytes as allocated.

--- a/internal/format/http1/request.go
+++ b/internal/format/http1/request.go
@@ -1,9 +1,12 @@
 package http1
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 	"unsafe"
+
+	"eiderwinch/internal/memory"
 )
 
 // Request is an HTTP request.
@@ -15,60 +18,200 @@
 	Close  bool // the connection must be closed after the response
 }
 
-// RequestParser parses the requests that arrive on one connection.
+// RequestParser parses the requests that arrive on one connection. What it holds between two calls of Feed is counted by
+// Held, in bytes as allocated.
 type RequestParser struct {
-	buf            []byte
-	searched       int      // bytes of buf in which there is no end of a head
+	// KeepField says which header fields of a request are kept while its body is incomplete and its head is long. Nil
+	// keeps all.
+	KeepField func(name string) bool
+	// Reserve is asked before a buffer for a body is allocated, with the number of bytes. Nil allows each.
+	Reserve func(bytes int) bool
+
+	input          []byte   // received and not parsed
+	borrowed       bool     // input belongs to the caller of Feed
+	inputSize      int      // bytes allocated for input; 0 if it is borrowed
+	searched       int      // bytes of input in which there is no end of a head
 	req            *Request // the head is parsed, the body is incomplete; nil between requests
+	headSize       int      // bytes allocated for the head of req
 	body           bodyDecoder
 	awaitsContinue bool // the client waits for "100 Continue" before it sends the body
 }
 
-// Feed adds bytes that have arrived.
-func (p *RequestParser) Feed(b []byte) { p.buf = append(p.buf, b...) }
+// ErrNoRoom is returned by Next if Reserve has denied the buffer for a body. Next may be called again.
+var ErrNoRoom = errors.New("no room for the body")
+
+// Feed adds bytes that have arrived. The parser may use them in place: Retain has to be called before they are changed.
+func (p *RequestParser) Feed(b []byte) {
+	if len(p.input) == 0 {
+		p.setInput(b, true)
+		return
+	}
+	p.ownInput(len(b))
+	p.input = append(p.input, b...)
+}
+
+// Retain copies the bytes that were fed in and not parsed, so that the caller may use their memory.
+func (p *RequestParser) Retain() {
+	if p.borrowed {
+		p.ownInput(0)
+	}
+}
+
+// ownInput makes input the parser's own, with room for more bytes.
+func (p *RequestParser) ownInput(more int) {
+	if !p.borrowed && cap(p.input)-len(p.input) >= more {
+		return
+	}
+	owned := make([]byte, len(p.input), memory.BufferSize(len(p.input)+more))
+	copy(owned, p.input)
+	p.input, p.borrowed, p.inputSize = owned, false, cap(owned)
+}
+
+func (p *RequestParser) setInput(b []byte, borrowed bool) {
+	p.input, p.borrowed = b, borrowed
+	if len(b) == 0 {
+		p.input, p.borrowed = nil, false
+	}
+	if p.borrowed || p.input == nil {
+		p.inputSize = 0 // an open connection must not hold a buffer of the size of its longest request
+	}
+}
 
 // Buffered returns the number of bytes that were fed in and not parsed yet.
-func (p *RequestParser) Buffered() int { return len(p.buf) }
+func (p *RequestParser) Buffered() int { return len(p.input) }
 
 // Held returns the number of bytes allocated for the incomplete request and for what was received behind it.
 func (p *RequestParser) Held() int {
-	held := cap(p.buf)
+	held := p.inputSize
 	if p.req != nil {
-		held += cap(p.req.Body) + cap(p.req.Header)*int(unsafe.Sizeof(Field{}))
+		held += p.headSize + cap(p.req.Body)
 	}
 	return held
 }
 
+// Growth returns by how much Held grows at most if a number of bytes is fed in and kept.
+func (p *RequestParser) Growth(bytes int) int {
+	if p.inBody() {
+		return 0 // its buffer is reserved by Next
+	}
+	return max(memory.BufferSize(len(p.input)+bytes)-p.inputSize, 0)
+}
+
+// inBody reports whether the bytes that arrive next belong to a body whose buffer is allocated.
+func (p *RequestParser) inBody() bool { return p.req != nil && p.req.Body != nil && len(p.input) == 0 }
+
+// headReadSize is the number of bytes that Wanted returns if no body is being received: a usual request as a whole.
+const headReadSize = 2 << 10
+
+// Wanted returns how many bytes may be fed in next: those of the body that is being received, or those of a usual
+// request.
+func (p *RequestParser) Wanted() int {
+	if p.inBody() && p.body.state == fixedLength {
+		return int(p.body.remaining)
+	}
+	return headReadSize
+}
+
+// Progress returns how many bytes of the incomplete request have been received, and its length as far as it is known.
+func (p *RequestParser) Progress() (received, length int) {
+	if p.req == nil {
+		return len(p.input), MaxHead
+	}
+	if p.body.state != fixedLength {
+		return len(p.req.Body), MaxBody
+	}
+	received = len(p.req.Body) + len(p.input)
+	return received, len(p.req.Body) + int(p.body.remaining)
+}
+
 // Idle reports whether no request has begun.
-func (p *RequestParser) Idle() bool { return p.req == nil && len(p.buf) == 0 }
+func (p *RequestParser) Idle() bool { return p.req == nil && len(p.input) == 0 }
 
-// Next returns the next request, or nil while it is incomplete. After an error,
-// which is an *Error, the connection cannot be read any further.
+// Next returns the next request, or nil while it is incomplete. Its body may be a part of what was fed in. After an
+// *Error the connection cannot be read any further.
 func (p *RequestParser) Next() (*Request, error) {
 	if p.req == nil {
 		if err := p.parseHead(); err != nil || p.req == nil {
 			return nil, err
 		}
 	}
-	rest, err := p.body.decode(p.buf, func(b []byte) error {
+	if p.body.state == fixedLength && p.req.Body == nil && int64(len(p.input)) >= p.body.remaining {
+		length := int(p.body.remaining)
+		if length > 0 {
+			p.req.Body = p.input[:length:length]
+		}
+		p.body.state = done
+		p.setInput(p.input[length:], p.borrowed)
+		return p.takeRequest(), nil
+	}
+	if err := p.allocateBody(); err != nil {
+		return nil, err
+	}
+	rest, err := p.body.decode(p.input, func(b []byte) error {
 		if len(p.req.Body)+len(b) > MaxBody {
 			return errBodyTooLong
 		}
 		p.req.Body = append(p.req.Body, b...)
 		return nil
 	})
-	p.buf = rest // Feed reallocates it when it needs room
-	if len(rest) == 0 {
-		p.buf = nil // an open connection must not hold a buffer of the size of its longest request
-	}
+	p.setInput(rest, p.borrowed)
 	if err != nil || p.body.state != done {
 		return nil, err
 	}
+	return p.takeRequest(), nil
+}
+
+// takeRequest returns the complete request and begins the next one.
+func (p *RequestParser) takeRequest() *Request {
 	r := p.req
-	p.req, p.awaitsContinue = nil, false
-	return r, nil
+	p.req, p.headSize, p.awaitsContinue = nil, 0, false
+	return r
 }
 
+// allocateBody sees to it that the body has room for what is decoded next: a body of known length is allocated once.
+func (p *RequestParser) allocateBody() error {
+	length := len(p.req.Body)
+	wanted := length + int(p.body.remaining)
+	if p.body.state != fixedLength {
+		wanted = min(length+len(p.input), MaxBody)
+	}
+	if wanted <= cap(p.req.Body) {
+		return nil
+	}
+	p.compactHead()
+	size := memory.BufferSize(wanted)
+	if p.Reserve != nil && !p.Reserve(size) {
+		return ErrNoRoom
+	}
+	p.req.Body = append(make([]byte, 0, size), p.req.Body...)
+	return nil
+}
+
+// longHead is the size in bytes from which a head is compacted.
+const longHead = 512
+
+// compactHead drops what nobody needs of the head of a request whose body is incomplete. All strings of a head share the
+// memory of its text.
+func (p *RequestParser) compactHead() {
+	if p.headSize <= longHead || p.KeepField == nil {
+		return
+	}
+	r := p.req
+	kept := make(Header, 0, usualFields)
+	size := len(r.Method) + len(r.Target)
+	for _, field := range r.Header {
+		if p.KeepField(field.Name) {
+			kept = append(kept, Field{field.Name, strings.Clone(field.Value)})
+			size += len(field.Value)
+		}
+	}
+	r.Method, r.Target, r.Header = strings.Clone(r.Method), strings.Clone(r.Target), kept
+	p.headSize = min(size+cap(kept)*fieldSize, p.headSize)
+}
+
+// fieldSize is the memory that a header field takes beside its text.
+const fieldSize = int(unsafe.Sizeof(Field{}))
+
 // TakeContinue reports whether the client waits for "100 Continue" before it sends the body.
 // It returns true at most once for each request.
 func (p *RequestParser) TakeContinue() bool {
@@ -81,12 +224,13 @@
 
 // parseHead parses the head of a request, if it is complete, and prepares its body.
 func (p *RequestParser) parseHead() error {
-	for len(p.buf) >= 2 && p.buf[0] == '\r' && p.buf[1] == '\n' {
-		p.buf, p.searched = p.buf[2:], 0 // blank lines before a request must be ignored
+	for len(p.input) >= 2 && p.input[0] == '\r' && p.input[1] == '\n' { // blank lines before a request must be ignored
+		p.setInput(p.input[2:], p.borrowed)
+		p.searched = 0
 	}
-	parsed, rest, err := readHead(p.buf, p.searched)
+	parsed, rest, err := readHead(p.input, p.searched)
 	if parsed == nil || err != nil {
-		p.searched = len(p.buf)
+		p.searched = len(p.input)
 		return err
 	}
 	p.searched = 0
@@ -122,7 +266,9 @@
 	}
 	p.awaitsContinue = p.body.state != fixedLength || p.body.remaining > 0
 	p.awaitsContinue = p.awaitsContinue && strings.EqualFold(header.Get("expect"), "100-continue")
-	p.req, p.buf = r, rest
+	p.headSize = len(p.input) - len(rest) + cap(header)*fieldSize
+	p.req = r
+	p.setInput(rest, p.borrowed)
 	return nil
 }
 
--- a/internal/netio/clientconn.go
+++ b/internal/netio/clientconn.go
@@ -54,6 +54,7 @@
 
 func newClientConn(n *Node) *clientConn {
 	c := &clientConn{node: n}
+	c.parser.KeepField = keepField
 	c.entry.Owner = c
 	return c
 }
@@ -103,6 +104,7 @@
 		c.inputIgnored, c.lastRequest, c.parser = true, true, http1.RequestParser{}
 	}
 	c.processRequests()
+	c.parser.Retain()
 }
 
 // recordArrival records when data was received. While no request waits for its answer, all data of the incomplete
@@ -252,6 +254,15 @@
 	return min(timeout, left)
 }
 
+// usedFields are the header fields that queries and the rules of HTTP need.
+var usedFields = map[string]bool{
+	"x-trace-id": true, "x-qos": true, "idempotency-key": true, "x-second-try": true, "x-customer": true, "x-expires-in-ms": true,
+	"cookie": true, epochHeader: true,
+}
+
+// keepField reports whether a header field is needed once its head has been parsed.
+func keepField(name string) bool { return usedFields[name] }
+
 // queryBody is the body of a query.
 type queryBody struct {
 	Tablets []struct {
