--- a/internal/netio/clientconn.go
+++ b/internal/netio/clientconn.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,7 +10,6 @@
 
 	"eiderwinch/internal/format/http1"
 	"eiderwinch/internal/gatherer"
-	"eiderwinch/internal/layout"
 	"eiderwinch/internal/limit"
 	"eiderwinch/internal/netio/eventloop"
 )
@@ -254,123 +252,6 @@
 	return min(timeout, left)
 }
 
-// usedFields are the header fields that queries and the rules of HTTP need.
-var usedFields = map[string]bool{
-	"x-trace-id": true, "x-qos": true, "idempotency-key": true, "x-second-try": true, "x-customer": true, "x-expires-in-ms": true,
-	"cookie": true, epochHeader: true,
-}
-
-// keepField reports whether a header field is needed once its head has been parsed.
-func keepField(name string) bool { return usedFields[name] }
-
-// queryBody is the body of a query.
-type queryBody struct {
-	Tablets []struct {
-		Tablet   *int     `json:"tablet"`
-		Fraction *float64 `json:"fraction"`
-		Token    string   `json:"token"`
-	} `json:"tablets"`
-	Statement *string `json:"statement"`
-}
-
-// parseQuery reads a query from a request.
-func parseQuery(path string, r *http1.Request) (gatherer.QueryRequest, error) {
-	query := gatherer.QueryRequest{
-		Trace:          r.Header.Get("x-trace-id"),
-		Class:          r.Header.Get("x-qos"),
-		IdempotencyKey: r.Header.Get("idempotency-key"),
-		Repeat:         r.Header.Get("x-second-try") == "1",
-		Tenant:         r.Header.Unambiguous("x-customer"),
-		SubjectKey:     cookieKey(r.Header),
-	}
-	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	if query.Class == "" {
-		query.Class = first
-	}
-	if first != query.Class {
-		return query, fmt.Errorf("%w: the path does not begin with the class %q", gatherer.ErrInvalid, query.Class)
-	}
-	if !isValidName(query.Trace) || query.IdempotencyKey != "" && !isValidName(query.IdempotencyKey) {
-		return query, fmt.Errorf("%w: malformed trace id or idempotency key", gatherer.ErrInvalid)
-	}
-	if s := r.Header.Get("x-expires-in-ms"); s != "" {
-		ms, err := strconv.ParseUint(s, 10, 31)
-		if err != nil || ms == 0 {
-			return query, fmt.Errorf("%w: X-Expires-In-Ms is %q, want milliseconds from 1 on", gatherer.ErrInvalid, s)
-		}
-		query.Timeout = time.Duration(ms) * time.Millisecond
-	}
-	if s := r.Header.Get(epochHeader); s != "" {
-		epoch, err := strconv.ParseUint(s, 10, 64)
-		if err != nil || epoch == 0 {
-			return query, fmt.Errorf("%w: %s is %q, want a number from 1 on", gatherer.ErrInvalid, epochHeader, s)
-		}
-		query.Epoch = layout.Epoch(epoch)
-	}
-	var b queryBody
-	if err := json.Unmarshal(r.Body, &b); err != nil {
-		return query, fmt.Errorf("%w: %w", gatherer.ErrInvalid, err)
-	}
-	if b.Statement == nil {
-		return query, fmt.Errorf("%w: statement is missing", gatherer.ErrInvalid)
-	}
-	query.Text = *b.Statement
-	for i, t := range b.Tablets {
-		if t.Tablet == nil || t.Fraction == nil {
-			return query, fmt.Errorf("%w: tablets[%d] lacks tablet or fraction", gatherer.ErrInvalid, i)
-		}
-		if i == 0 && query.SubjectKey == "" && isValidKey(t.Token) {
-			query.SubjectKey = t.Token // the token stands for the key and this part's shard
-		}
-		query.Parts = append(query.Parts, gatherer.PartRequest{Shard: *t.Tablet, Weight: *t.Fraction})
-	}
-	return query, nil
-}
-
-// keyCookie is the cookie with the key of a query, where queries have one: what the query is about.
-const keyCookie = "user"
-
-// cookieKey returns the key of a query from its cookies. It returns none if a value can't be a key, since a query
-// without a key is served all the same, or if two keys differ, since neither can be trusted.
-func cookieKey(h http1.Header) string {
-	key := ""
-	for _, f := range h {
-		if f.Name != "cookie" {
-			continue
-		}
-		for pair := range strings.SplitSeq(f.Value, ";") {
-			name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-			switch {
-			case name != keyCookie:
-			case !isValidKey(value), key != "" && key != value:
-				return ""
-			default:
-				key = value
-			}
-		}
-	}
-	return key
-}
-
-// maxKeyLength bounds a key: clients send 16 hex digits.
-const maxKeyLength = 64
-
-// isValidKey reports whether s can be the key of a query.
-func isValidKey(s string) bool { return len(s) <= maxKeyLength && isValidName(s) }
-
-const maxNameLength = 128
-
-// isValidName reports whether s can be part of a frame to a searcher: it holds no blanks and none of the
-// characters that separate the frame's fields.
-func isValidName(s string) bool {
-	for i := range len(s) {
-		if s[i] <= ' ' || s[i] > '~' || s[i] == ',' || s[i] == '=' || s[i] == '+' {
-			return false
-		}
-	}
-	return s != "" && len(s) <= maxNameLength
-}
-
 // answerBody is the body of an answer.
 type answerBody struct {
 	Full   bool    `json:"full"`
@@ -506,58 +387,6 @@
 	return c.conn.Buffered() > 0 || pendingBytes(c.conn.FD()) > 0
 }
 
-// usableDescriptors returns how many descriptors clients and searchers may take together. The rest is for
-// discovery, and for connections accepted in one round of the loop.
-func (n *Node) usableDescriptors() int { return (n.cfg.MaxDescriptors - reservedDescriptors) * 7 / 8 }
-
-// excessClients returns by how many clients exceed their bound, or what the connections to searchers leave them.
-func (n *Node) excessClients() int {
-	return max(n.clientTable.Len()-n.clientTable.Bounds().Hard, n.clientTable.Len()+n.pool.connCount+n.pool.dialing-n.usableDescriptors())
-}
-
-// maxTransientExcess is how many connections may be held beyond the bound until the loop's next round.
-const maxTransientExcess = 8
-
-// evict makes room for a connection that is being opened, so that descriptors are never used up. If all others are
-// in use, or more than maxTransientExcess connections are held beyond the bound, it closes the new one, unread.
-func (n *Node) evict(newest *clientConn) {
-	if _, rank := n.chooseVictim(&newest.entry); rank == limit.RankNewest || n.excessClients() > maxTransientExcess {
-		n.stats.Evicted[limit.RankNewest.String()]++
-		newest.closeNow(evicted)
-		return
-	}
-	n.exec(func() {
-		n.evictOthers(newest)
-	})
-}
-
-// evictOthers closes the connections that are least needed, but not the newest. It runs between two rounds of the
-// loop: if data were read between the check of a connection and its close, it would be lost.
-func (n *Node) evictOthers(newest *clientConn) {
-	for n.excessClients() > 0 {
-		entry, rank := n.chooseVictim(&newest.entry)
-		if rank == limit.RankNewest {
-			return // all others have come into use; while that lasts, each further connection is closed
-		}
-		n.stats.Evicted[rank.String()]++
-		if rank != limit.RankClosing && entry.Owner.hasPendingData() {
-			n.stats.EvictedInUse++
-		}
-		entry.Owner.closeNow(evicted)
-	}
-}
-
-// chooseVictim returns the connection that is least needed, and its rank.
-func (n *Node) chooseVictim(newest *limit.Entry[*clientConn]) (*limit.Entry[*clientConn], limit.Rank) {
-	return n.clientTable.Victim(time.Now(), newest, func(entry *limit.Entry[*clientConn]) bool {
-		unread := entry.Owner.hasPendingData()
-		if unread {
-			n.stats.NotClosed++
-		}
-		return unread
-	})
-}
-
 // closeIfUnused closes a connection that is between requests, although no answer has announced the close to its
 // client. It does nothing if received data was not read yet or an answer is not fully written, and reports whether it
 // has closed the connection. Both directions are closed at once: a client repeats a request that crosses the close and
@@ -580,55 +409,3 @@
 	c.releaseEntry()
 	c.conn.CloseNow(nil)
 }
-
-// closeIdleClients closes the connections that are between requests, and reports whether none is left.
-func (n *Node) closeIdleClients() bool {
-	for _, stage := range [...]limit.Stage{limit.Silent, limit.Idle} {
-		for entry := n.clientTable.Oldest(stage); entry != nil; entry = n.clientTable.Oldest(stage) {
-			if !entry.Owner.closeIfUnused(closedInDrain) {
-				return false // its request is read next
-			}
-		}
-	}
-	return true
-}
-
-// checkClients closes the connections whose time limit is over, and the longest idle ones if there are too many.
-func (n *Node) checkClients(now time.Time) {
-	n.closeOverdue(now)
-	for entry := n.clientTable.SurplusIdle(now); entry != nil && !n.draining && entry.Owner.closeIfUnused(closedIdle); entry = n.clientTable.SurplusIdle(now) {
-		n.stats.ClosedIdle++
-	}
-	n.checkFlushing(now)
-}
-
-// closeOverdue closes the connections whose time limit is over.
-func (n *Node) closeOverdue(now time.Time) {
-	for entry := n.clientTable.Overdue(now); entry != nil; entry = n.clientTable.Overdue(now) {
-		switch c := entry.Owner; {
-		case entry.Stage() == limit.Closing:
-			c.drop(closedAfterAnswer)
-		case c.parser.Idle():
-			if !c.closeIfUnused(closedSilent) {
-				return // its request is read next
-			}
-			n.stats.ClosedSilent++
-		default:
-			c.reject(http.StatusRequestTimeout, "time-out: the request is incomplete", true)
-		}
-	}
-}
-
-// checkFlushing ends the connections whose last answer has been written, or takes too long.
-func (n *Node) checkFlushing(now time.Time) {
-	for c, until := range n.flushing {
-		switch {
-		case c.conn.Buffered() == 0:
-			delete(n.flushing, c)
-			c.closeGracefully()
-		case !now.Before(until):
-			n.stats.ClosedUnread++
-			c.drop(closedForUnreadAnswers)
-		}
-	}
-}
