Leave room for the pages of the program itself in the collector's memory limit

Callers saw: a gatherer over its memory limit while little was alive, e.g. 33 MB for 600 clients with long heads. Cause: the Go runtime's limit was three quarters of memory_mb, but the program's own pages (14 to 15 MB of file pages, measured) count as well: 24 + 15 MB in a process of 32 MB.

Change: memory.Divide gives the runtime what the file pages at the start, their growth, the C library and an overshoot of the collector leave.

Stopped bodies still take 53.1 MB: they are alive, which no collector mends.

--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -17,6 +17,7 @@
 	"eiderwinch/internal/durable"
 	"eiderwinch/internal/fleet/transport"
 	"eiderwinch/internal/format/config"
+	"eiderwinch/internal/memory"
 	"eiderwinch/internal/netio"
 	"eiderwinch/internal/stats"
 )
@@ -41,7 +42,8 @@
 	if err != nil {
 		return &exitError{exitConfig, fmt.Errorf("configuration: %w", err)}
 	}
-	debug.SetMemoryLimit(cfg.MemoryLimit / 4 * 3) // the remaining quarter is for stacks, the runtime and kernel memory
+	limits := memory.Divide(cfg.MemoryLimit, memory.FilePages())
+	debug.SetMemoryLimit(limits.Runtime)
 	log = log.With("node", cfg.Name)
 	if c.File != "" {
 		return c.serveWithOperatorsFile(e, cfg, level, log)
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -1,5 +1,5 @@
-// Package memory keeps account of the bytes that a gatherer's clients make it hold. It does no I/O and is not safe for
-// concurrent use.
+// Package memory divides the memory of a process, and keeps account of the bytes that a gatherer's clients make it hold.
+// Only FilePages does I/O. An Account is not safe for concurrent use.
 //
 // Each client connection is a Holder. A part of the account's capacity is guaranteed to the holders, the same for each,
 // and the rest is a pool for those that need more:
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -18,3 +18,21 @@
 		t.Errorf("grown to %q with capacity %d", grown, cap(grown))
 	}
 }
+
+// What a process takes beside the Go heap leaves the heap less than three quarters of a small memory limit, and nothing is
+// given twice.
+func TestDivideLeavesRoomForThePagesOfFiles(t *testing.T) {
+	for _, limitMB := range []int64{32, 48, 64, 192, 2048} {
+		const filePages = 15 << 20
+		l := Divide(limitMB<<20, filePages)
+		if l.Runtime+filePages+filePagesGrowth+otherAnonymous > limitMB<<20 || int64(l.Clients)*2 > l.Runtime || l.Clients < leastClients {
+			t.Errorf("%d MB: %+v", limitMB, l)
+		}
+	}
+	if l := Divide(16<<20, 15<<20); l.Runtime != leastRuntime || l.Clients < leastClients {
+		t.Errorf("less than the pages of files: %+v", l)
+	}
+	if pages := FilePages(); pages < 1<<20 {
+		t.Errorf("%d bytes of files in memory", pages)
+	}
+}
