Own what clients make the process hold in one account, and read only what there is room for

Callers saw: 56.5 MB for 600 clients that stopped in a body, of 32 allowed. Cause: every bound was by connection (head, body, 80 KiB behind an open request), none over all: 640 connections times 146 KiB.

Change: internal/memory.Account. Each connection is guaranteed a part of the clients' memory, the rest is a pool. A connection is read only as far as its account bears it: 2 KiB at a time, a body's rest once its buffer is granted, nothing behind an open request once some of the next is there. One without room waits unread (the peer's window closes), for 500 ms at most, then it is refused (503). While others wait, requests that come at under half of the rate that they need are refused first, the one that has sent least before others. What has arrived during a pause counts as received when the pause began. A connection that is not read is asked each 40 ms whether its client has left. The event loop gathers answers in one write where asked to, and drops a sent buffer.

--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -46,9 +46,9 @@
 	debug.SetMemoryLimit(limits.Runtime)
 	log = log.With("node", cfg.Name)
 	if c.File != "" {
-		return c.serveWithOperatorsFile(e, cfg, level, log)
+		return c.serveWithOperatorsFile(e, cfg, limits, level, log)
 	}
-	options := daemon.Options{ReportEvery: c.Report}
+	options := daemon.Options{ReportEvery: c.Report, ClientMemory: limits.Clients}
 	if c.Layout != "" {
 		if options.Layout, _, err = readValidLayout(c.Layout); err != nil {
 			return err
@@ -84,7 +84,7 @@
 
 // serveWithOperatorsFile runs a gatherer with an operators' file. Its configuration changes only by transactions, on
 // SIGHUP too.
-func (c serveCommand) serveWithOperatorsFile(e environment, cfg *config.Config, level *slog.LevelVar, log *slog.Logger) (err error) {
+func (c serveCommand) serveWithOperatorsFile(e environment, cfg *config.Config, limits memory.Limits, level *slog.LevelVar, log *slog.Logger) (err error) {
 	ops, err := readOperatorsFile(c.File)
 	if err != nil {
 		return err
@@ -112,7 +112,7 @@
 		}()
 	}
 	counters := stats.New()
-	options := daemon.Options{Layout: b.candidate.Layout, LiveSettings: b.initialLive(), Record: true, ReportEvery: c.Report}
+	options := daemon.Options{Layout: b.candidate.Layout, LiveSettings: b.initialLive(), Record: true, ReportEvery: c.Report, ClientMemory: limits.Clients}
 	share, divided := fleet.Share()
 	options.NoShareUntil = share.Until
 	node := daemon.New(b.candidate.Config, options, counters, log)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	LiveSettings *netio.LiveSettings // the settings that can change while the gatherer runs; nil: those of the configuration
 	Record       bool                // record the results of queries, for the admin socket
 	NoShareUntil time.Time           // until when no slot of the fleet's limits may be used; zero: the gatherer's own slot may be used from the start
+	ClientMemory int                 // bytes that clients may make the gatherer hold; 0 selects a share of the memory limit
 	ReportEvery  time.Duration       // interval at which the counters are logged; 0 means only on request
 }
 
@@ -44,7 +45,7 @@
 		live = *o.LiveSettings
 	}
 	return netio.New(netio.Config{
-		Listen: cfg.Listen, Discovery: cfg.Discovery, InitialMembers: cfg.KnownMembers, MemoryLimit: cfg.MemoryLimit, MaxDescriptors: cfg.SocketLimit,
+		Listen: cfg.Listen, Discovery: cfg.Discovery, InitialMembers: cfg.KnownMembers, MemoryLimit: cfg.MemoryLimit, ClientMemory: o.ClientMemory, MaxDescriptors: cfg.SocketLimit,
 		ReportEvery: o.ReportEvery, Multiplex: live.Multiplex, ConnectTimeout: live.ConnectTimeout, ConnIdle: live.ConnIdle,
 		DrainGrace: limits.DrainGrace, AnswerSlack: limits.AnswerSlack, NoShareUntil: o.NoShareUntil,
 		Gatherer: gatherer.Settings{
--- a/internal/limit/table.go
+++ b/internal/limit/table.go
@@ -37,6 +37,9 @@
 	numStages                 // the number of stages
 )
 
+// Stages returns all stages.
+func Stages() []Stage { return []Stage{Silent, FirstRequest, Busy, Idle, NextRequest, Closing} }
+
 var stageNames = [numStages]string{"silent", "first", "busy", "idle", "further", "ending"}
 
 // String returns the name of the stage, which is a metric key.
--- a/internal/netio/clientconn.go
+++ b/internal/netio/clientconn.go
@@ -7,19 +7,21 @@
 	"strconv"
 	"strings"
 	"time"
+	"unsafe"
 
 	"eiderwinch/internal/format/http1"
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/limit"
+	"eiderwinch/internal/memory"
 	"eiderwinch/internal/netio/eventloop"
 )
 
 const (
-	maxDiscarded     = 64 << 20                      // bytes discarded of a request that was answered before its end; bodies of 60 MB occur
-	maxPipelined     = http1.MaxHead + http1.MaxBody // bytes of requests that wait behind an unanswered one
-	maxUnreadAnswers = 1 << 20                       // bytes of answers that a client has not read
-	maxArrivals      = 32                            // arrival times kept of data that waits behind an unanswered request
-	flushTimeout     = 10 * time.Second              // for a client to read the last answer of its connection: 64 KiB at 6 KiB/s
+	maxDiscarded     = 64 << 20         // bytes discarded of a request that was answered before its end; bodies of 60 MB occur
+	maxUnreadAnswers = 1 << 20          // bytes of answers that a client has not read
+	maxArrivals      = 32               // arrival times kept of data that waits behind an unanswered request
+	flushTimeout     = 10 * time.Second // for a client to read the last answer of its connection: 64 KiB at 6 KiB/s
+	connectionSize   = 1 << 10          // bytes that the records of a connection take
 	healthPath       = "/_health"
 
 	epochHeader       = "x-layout-epoch"      // of requests and answers, if there is a layout
@@ -29,21 +31,28 @@
 
 // clientConn is the connection of a client. Its requests are answered one at a time.
 type clientConn struct {
-	node         *Node
-	conn         *eventloop.Conn
-	parser       http1.RequestParser
-	entry        limit.Entry[*clientConn]
-	received     uint64    // bytes given to the parser
-	arrivals     []arrival // of data that belongs to no request passed on yet
-	discarded    int       // bytes thrown away while ending
-	queryID      uint64    // the open query; 0 if there is none
-	busy         bool      // a request waits for its answer
-	lastRequest  bool      // the connection ends with the current request
-	inputIgnored bool      // no more input is accepted; the current request is still answered
-	ending       bool      // the connection is about to be closed
-	closeReason  closeReason
+	node        *Node
+	conn        *eventloop.Conn
+	parser      http1.RequestParser
+	entry       limit.Entry[*clientConn]
+	holder      memory.Holder // what the client makes the node hold
+	room        roomRequest
+	received    uint64    // bytes given to the parser
+	arrivals    []arrival // of data that belongs to no request passed on yet
+	pausedAt    time.Time // when reading was paused; zero if it is not
+	pausedUntil uint64    // offset behind the data that had arrived while reading was paused
+	pausedSince time.Time // when that pause began
+	discarded   int       // bytes thrown away while ending
+	queryID     uint64    // the open query; 0 if there is none
+	busy        bool      // a request waits for its answer
+	lastRequest bool      // the connection ends with the current request
+	ending      bool      // the connection is about to be closed
+	closeReason closeReason
 }
 
+// arrivalSize is the memory that an arrival takes, in bytes.
+const arrivalSize = int(unsafe.Sizeof(arrival{}))
+
 // arrival records when data of a client was received.
 type arrival struct {
 	endByte    uint64 // offset behind its last byte in the data received
@@ -52,7 +61,7 @@
 
 func newClientConn(n *Node) *clientConn {
 	c := &clientConn{node: n}
-	c.parser.KeepField = keepField
+	c.parser.KeepField, c.parser.Reserve = keepField, c.reserveBody
 	c.entry.Owner = c
 	return c
 }
@@ -66,6 +75,8 @@
 	c.conn = conn
 	node.stats.Clients++
 	node.clientTable.Add(time.Now(), &c.entry)
+	node.account.Open(&c.holder)
+	c.holder.Set(memory.Connections, connectionSize)
 	if node.excessClients() > 0 {
 		node.evict(c)
 	}
@@ -92,17 +103,55 @@
 		}
 		return
 	}
-	if c.inputIgnored {
-		return
-	}
 	c.recordArrival(time.Now(), len(data))
 	c.parser.Feed(data)
-	if c.busy && c.parser.Buffered() > maxPipelined {
-		// No client needs to send this far ahead. The open query is still answered.
-		c.inputIgnored, c.lastRequest, c.parser = true, true, http1.RequestParser{}
-	}
 	c.processRequests()
 	c.parser.Retain()
+	c.recordHeld()
+}
+
+// ReadLimit implements eventloop.Handler. Nothing is read behind a request that waits for its answer once some of the
+// next one is there, nor while there is no room for more.
+func (c *clientConn) ReadLimit() int {
+	if c.ending {
+		return eventloop.ReadBufferSize
+	}
+	wanted := c.parser.Wanted()
+	switch growth := c.parser.Growth(wanted); {
+	case c.room.waits(), c.busy && (c.parser.Buffered() > 0 || !c.holder.MayGrow(growth)):
+		wanted = 0
+	case !c.holder.MayGrow(growth):
+		c.awaitRoom(growth)
+		wanted = 0
+	}
+	if wanted == 0 && c.pausedAt.IsZero() {
+		c.pausedAt = time.Now()
+	}
+	return wanted
+}
+
+// Flushed implements eventloop.Handler.
+func (c *clientConn) Flushed() { c.recordHeld() }
+
+// recordHeld brings the account up to date, and reads on if reading was paused and need not be any more.
+func (c *clientConn) recordHeld() {
+	if c.ending {
+		c.parser = http1.RequestParser{}
+	}
+	c.holder.Set(memory.Requests, c.parser.Held()+cap(c.arrivals)*arrivalSize)
+	c.holder.Set(memory.Answers, c.conn.Held())
+	if c.conn.ReadingPaused() && c.ReadLimit() > 0 {
+		c.resumeReading()
+	}
+}
+
+// resumeReading reads on after a pause. What has arrived meanwhile counts as received when the pause began.
+func (c *clientConn) resumeReading() {
+	if !c.pausedAt.IsZero() {
+		c.pausedUntil, c.pausedSince = c.received+uint64(pendingBytes(c.conn.FD())), c.pausedAt
+		c.pausedAt = time.Time{}
+	}
+	c.conn.ResumeReading()
 }
 
 // recordArrival records when data was received. While no request waits for its answer, all data of the incomplete
@@ -114,6 +163,9 @@
 	if !c.busy {
 		c.arrivals = c.arrivals[:0]
 	}
+	if c.received <= c.pausedUntil {
+		now = c.pausedSince
+	}
 	if n := len(c.arrivals); n == maxArrivals {
 		c.arrivals[n-1].endByte = c.received
 		return
@@ -145,6 +197,10 @@
 func (c *clientConn) processRequests() {
 	for !c.busy && !c.ending {
 		r, err := c.parser.Next()
+		if errors.Is(err, http1.ErrNoRoom) {
+			c.awaitRequest()
+			return // the body is received once there is room
+		}
 		if err != nil {
 			var e *http1.Error
 			status, reason := http.StatusBadRequest, err.Error()
@@ -297,6 +353,8 @@
 		c.respond(http.StatusBadGateway, nil, fields...)
 	}
 	c.processRequests()
+	c.parser.Retain()
+	c.recordHeld()
 }
 
 // retryAfter returns the header with the time after which a client may try again.
@@ -358,6 +416,8 @@
 // received data is unread would reset the connection, and the answer could be lost.
 func (c *clientConn) closeGracefully() {
 	c.ending = true
+	c.recordHeld()
+	c.resumeReading() // what the client still sends is discarded
 	if c.conn.Buffered() > 0 {
 		c.setStage(limit.Busy) // until the answer is written
 		c.node.flushing[c] = time.Now().Add(flushTimeout)
@@ -379,6 +439,8 @@
 func (c *clientConn) releaseEntry() {
 	c.node.clientTable.Remove(&c.entry)
 	delete(c.node.flushing, c)
+	c.leaveRoomQueue()
+	c.holder.Close()
 }
 
 // hasPendingData reports whether received data was not read yet or an answer is not fully written: to close the
--- a/internal/netio/closereason.go
+++ b/internal/netio/closereason.go
@@ -16,6 +16,7 @@
 	closedAfterAnswer      closeReason = "answered" // its last answer was sent, and the client did not close
 	closedForLength        closeReason = "too_long" // too much was received behind its last answer
 	closedForUnreadAnswers closeReason = "unread"
+	closedForMemory        closeReason = "memory"
 	closedSilent           closeReason = "silent"
 	closedIdle             closeReason = "idle"
 	closedInDrain          closeReason = "drain"
--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -1,7 +1,6 @@
 package eventloop
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +11,8 @@
 
 	"github.com/panjf2000/gnet/v2/pkg/netpoll"
 	"golang.org/x/sys/unix"
+
+	"eiderwinch/internal/memory"
 )
 
 // interest is the set of events of a connection that the poller reports.
@@ -20,6 +21,7 @@
 const (
 	noEvents interest = iota
 	readEvents
+	writeEvents
 	readWriteEvents
 )
 
@@ -28,13 +30,15 @@
 	loop           *Loop
 	fd             int // -1 once it is closed
 	handler        Handler
-	unsent         bytes.Buffer // bytes given to Write that the system has not accepted yet
-	registered     interest     // what it is registered for with the poller
-	paused         bool         // nothing is read or written until a timer resumes it
-	pauses         int          // in a row, see pause
-	registerFails  int          // failed registrations with the poller, in a row
-	closing        bool         // it will be closed in the next round
-	writingStopped bool         // by StopWriting: nothing more is written
+	unsent         []byte   // bytes given to Write that the system has not accepted yet
+	unsentSize     int      // bytes allocated for unsent
+	registered     interest // what it is registered for with the poller
+	paused         bool     // nothing is read or written until a timer resumes it
+	readingPaused  bool     // nothing is read until ResumeReading
+	pauses         int      // in a row, see pause
+	registerFails  int      // failed registrations with the poller, in a row
+	closing        bool     // it will be closed in the next round
+	writingStopped bool     // by StopWriting: nothing more is written
 	closed         bool
 }
 
@@ -112,8 +116,12 @@
 	switch {
 	case c.paused:
 		return noEvents
-	case c.unsent.Len() > 0 && !c.writingStopped:
+	case len(c.unsent) > 0 && !c.writingStopped && c.readingPaused:
+		return writeEvents
+	case len(c.unsent) > 0 && !c.writingStopped:
 		return readWriteEvents
+	case c.readingPaused:
+		return noEvents
 	}
 	return readEvents
 }
@@ -123,6 +131,14 @@
 	switch {
 	case want == noEvents:
 		return poller.Delete(c.fd)
+	case want == writeEvents && c.registered != noEvents: // the poller can't change to it
+		if err := poller.Delete(c.fd); err != nil {
+			return err
+		}
+		c.registered = noEvents
+		return poller.AddWrite(attachment, false)
+	case want == writeEvents:
+		return poller.AddWrite(attachment, false)
 	case c.registered == noEvents && want == readEvents:
 		return poller.AddRead(attachment, false)
 	case c.registered == noEvents:
@@ -156,19 +172,28 @@
 // handleEvents handles the events that the poller has reported.
 func (c *Conn) handleEvents(events netpoll.IOEvent) {
 	const failed = unix.EPOLLERR | unix.EPOLLHUP
-	if events&(unix.EPOLLOUT|failed) != 0 && c.unsent.Len() > 0 {
+	if events&(unix.EPOLLOUT|failed) != 0 && len(c.unsent) > 0 {
 		c.flush()
 	}
+	if events&failed != 0 && c.readingPaused { // whatever was received: nobody waits for an answer any more
+		c.CloseNow(os.NewSyscallError("read", unix.ECONNRESET))
+		return
+	}
 	if events&(unix.EPOLLIN|unix.EPOLLPRI|unix.EPOLLRDHUP|failed) != 0 {
 		c.read()
 	}
 }
 
 func (c *Conn) read() {
-	if c.closed || c.paused {
+	if c.closed || c.paused || c.readingPaused {
 		return
 	}
-	n, err := retryInterrupted(func() (int, error) { return unix.Read(c.fd, c.loop.buffer) }, func() { c.loop.countFailure("read", unix.EINTR) })
+	limit := min(c.handler.ReadLimit(), len(c.loop.buffer))
+	if limit <= 0 {
+		c.pauseReading()
+		return
+	}
+	n, err := retryInterrupted(func() (int, error) { return unix.Read(c.fd, c.loop.buffer[:limit]) }, func() { c.loop.countFailure("read", unix.EINTR) })
 	switch {
 	case err == nil && n > 0:
 		c.pauses = 0
@@ -183,6 +208,25 @@
 	}
 }
 
+// pauseReading stops reading until ResumeReading.
+func (c *Conn) pauseReading() {
+	c.readingPaused = true
+	c.loop.unread++
+	c.updateInterest()
+}
+
+// ResumeReading continues reading after ReadLimit has returned 0. Further calls do nothing.
+func (c *Conn) ResumeReading() {
+	if c.readingPaused && !c.closed {
+		c.readingPaused = false
+		c.loop.unread--
+		c.updateInterest()
+	}
+}
+
+// ReadingPaused reports whether nothing is read until ResumeReading.
+func (c *Conn) ReadingPaused() bool { return c.readingPaused && !c.closed }
+
 // retryInterrupted repeats a system call while it fails with EINTR, up to maxInterruptTries times. It calls
 // interrupted for each of these failures.
 func retryInterrupted(call func() (int, error), interrupted func()) (n int, err error) {
@@ -208,7 +252,7 @@
 	c.updateInterest()
 	c.loop.retryAfter(c.pauses, func() {
 		c.paused = false
-		if c.unsent.Len() > 0 {
+		if len(c.unsent) > 0 {
 			c.flush()
 		}
 		c.updateInterest()
@@ -224,32 +268,85 @@
 	if c.closed {
 		return ErrClosed
 	}
-	if c.unsent.Len() > 0 || c.paused || c.writingStopped {
-		c.unsent.Write(b)
+	switch {
+	case len(c.unsent) > 0 || c.paused || c.writingStopped:
+		c.keepUnsent(b)
+		return nil
+	case c.loop.corked == c && len(c.loop.output)+len(b) <= maxGathered:
+		c.loop.output = append(c.loop.output, b...)
 		return nil
+	case c.loop.corked == c:
+		if err := c.sendGathered(); err != nil {
+			return err
+		}
+		return c.Write(b)
 	}
+	return c.sendOrKeep(b)
+}
+
+// sendOrKeep sends bytes, and keeps those that the system does not accept yet.
+func (c *Conn) sendOrKeep(b []byte) error {
 	n, err := c.send(b)
 	if err != nil {
 		return err
 	}
 	if n < len(b) {
-		c.unsent.Write(b[n:])
+		c.keepUnsent(b[n:])
 		c.updateInterest()
 	}
 	return nil
 }
 
+// keepUnsent appends to the bytes that the system has not accepted yet.
+func (c *Conn) keepUnsent(b []byte) {
+	grown := memory.Grow(c.unsent, len(b))
+	if cap(grown) != cap(c.unsent) {
+		c.unsentSize = cap(grown)
+	}
+	c.unsent = append(grown, b...)
+}
+
+// maxGathered is the most bytes that are gathered for one system call.
+const maxGathered = 16 << 10
+
+// Cork makes Write gather bytes until Uncork, so that several small writes take one system call. At most one connection
+// of a loop may be corked at a time.
+func (c *Conn) Cork() { c.loop.corked = c }
+
+// Uncork sends what was gathered since Cork. If it returns an error, the connection is closed.
+func (c *Conn) Uncork() error {
+	err := c.sendGathered()
+	c.loop.corked = nil
+	return err
+}
+
+// sendGathered sends what was gathered, and goes on gathering.
+func (c *Conn) sendGathered() error {
+	if c.loop.corked != c || len(c.loop.output) == 0 || c.closed {
+		return nil
+	}
+	gathered := c.loop.output
+	c.loop.output = c.loop.output[:0]
+	return c.sendOrKeep(gathered)
+}
+
 // flush sends the buffered bytes.
 func (c *Conn) flush() {
 	if c.closed || c.paused || c.writingStopped {
 		return
 	}
-	n, err := c.send(c.unsent.Bytes())
+	n, err := c.send(c.unsent)
 	if err != nil {
 		return
 	}
-	c.unsent.Next(n)
+	c.unsent = c.unsent[n:]
+	if len(c.unsent) == 0 {
+		c.unsent, c.unsentSize = nil, 0 // an open connection must not hold a buffer of the size of its longest answer
+	}
 	c.updateInterest()
+	if len(c.unsent) == 0 {
+		c.handler.Flushed()
+	}
 }
 
 // send passes bytes to the system and returns how many it has accepted. If it returns an error, the connection
@@ -278,10 +375,15 @@
 }
 
 // Buffered returns the number of bytes given to Write that the system has not accepted yet.
-func (c *Conn) Buffered() int { return c.unsent.Len() }
+func (c *Conn) Buffered() int {
+	if c.loop.corked == c {
+		return len(c.unsent) + len(c.loop.output)
+	}
+	return len(c.unsent)
+}
 
 // Held returns the size of the buffer for the bytes given to Write that the system has not accepted yet.
-func (c *Conn) Held() int { return c.unsent.Cap() }
+func (c *Conn) Held() int { return c.unsentSize }
 
 // StopWriting stops all writing: bytes that the system has not accepted by now are never sent, and stay Buffered.
 func (c *Conn) StopWriting() {
@@ -306,6 +408,12 @@
 		return
 	}
 	c.closed = true
+	if c.readingPaused {
+		c.loop.unread--
+	}
+	if c.loop.corked == c {
+		c.loop.corked, c.loop.output = nil, c.loop.output[:0]
+	}
 	delete(c.loop.conns, c.fd)
 	delete(c.loop.unregistered, c)
 	c.handler.Closed(reason)
--- a/internal/netio/eventloop/loop.go
+++ b/internal/netio/eventloop/loop.go
@@ -24,8 +24,13 @@
 type Handler interface {
 	// Opened is called once the connection is served.
 	Opened(*Conn)
+	// ReadLimit returns how many bytes may be read now. If it is 0, nothing is read until Conn.ResumeReading is called,
+	// so that the remote side has to wait.
+	ReadLimit() int
 	// Traffic is called with received bytes, which are valid until it returns.
 	Traffic([]byte)
+	// Flushed is called when the system has accepted all bytes given to Write, after some of them had to wait.
+	Flushed()
 	// Closed is called when either side closes the connection. The error is the reason; it is nil if this
 	// process closed the connection without an error. Closed may be called within Conn.Write. The descriptor
 	// is closed once Closed returns.
@@ -42,9 +47,11 @@
 	Seed       uint64 // of the jitter of retries
 }
 
+// ReadBufferSize is the most bytes that are read at once.
+const ReadBufferSize = 64 << 10
+
 // Times and bounds.
 const (
-	readBufferSize    = 64 << 10
 	minRetryWait      = time.Millisecond // before the first retry after a temporary failure; doubled each time
 	maxRetryWait      = 64 * time.Millisecond
 	maxInterruptTries = 64 // attempts in a row of a system call that is interrupted
@@ -66,6 +73,9 @@
 	unregistered   map[*Conn]struct{} // connections whose registration with the poller is to be retried
 	retryScheduled bool               // the timer of these retries runs
 	buffer         []byte
+	corked         *Conn  // the connection whose writes are gathered in output; nil if there is none
+	output         []byte // see Conn.Cork
+	unread         int    // connections whose reading is paused by their handlers
 	random         *rand.Rand
 	stopped        bool
 	counters       Counters
@@ -82,7 +92,7 @@
 func Open(address string, o Options) (*Loop, error) {
 	l := &Loop{
 		opts: o, wakeFD: -1, conns: make(map[int]*Conn), unregistered: make(map[*Conn]struct{}),
-		buffer: make([]byte, readBufferSize), random: rand.New(rand.NewPCG(o.Seed, 0)), counters: newCounters(),
+		buffer: make([]byte, ReadBufferSize), random: rand.New(rand.NewPCG(o.Seed, 0)), counters: newCounters(),
 	}
 	l.listener.fd = -1
 	if err := l.open(address); err != nil {
@@ -114,6 +124,10 @@
 // ListenerFD returns the descriptor of the listener. It may be called on the loop's goroutine only.
 func (l *Loop) ListenerFD() int { return l.listener.fd }
 
+// UnreadConns returns the number of connections whose reading is paused, see Handler.ReadLimit. The poller reports nothing
+// about such a connection unless bytes wait to be sent on it. It may be called on the loop's goroutine only.
+func (l *Loop) UnreadConns() int { return l.unread }
+
 // Counters returns the counts of failed system calls. It may be called on the loop's goroutine only.
 func (l *Loop) Counters() Counters {
 	c := l.counters
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -19,6 +19,7 @@
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/limit"
+	"eiderwinch/internal/memory"
 	"eiderwinch/internal/netio/eventloop"
 	"eiderwinch/internal/querystats"
 	"eiderwinch/internal/stats"
@@ -30,6 +31,7 @@
 	Discovery      string
 	InitialMembers catalog.Update
 	MemoryLimit    int64 // memory limit of the process in bytes; 0 gives member lists the lowest size limit
+	ClientMemory   int   // bytes that clients may make the node hold; 0 selects a share of MemoryLimit
 	MaxDescriptors int   // file descriptors that the process may hold
 	Multiplex      int   // most parts on one connection to a searcher
 	ConnectTimeout time.Duration
@@ -95,6 +97,12 @@
 	lastReport       time.Time // when the counters were last logged on schedule
 	clientTable      *limit.Table[*clientConn]
 
+	account       *memory.Account
+	roomQueue     []*clientConn // connections that wait for room in account, the longest waiting first
+	lastRoomCheck time.Time
+
+	lastPresenceCheck time.Time // see checkPresence
+
 	flushing map[*clientConn]time.Time // closing connections whose last answer is not fully written, with the time limit for that
 
 	halfOpenAfter time.Duration // see pool.silenceTimeout
@@ -116,9 +124,9 @@
 	}
 	n := &Node{
 		cfg: cfg, log: log, stats: counters,
-		clientTable: limit.New[*clientConn](cfg.Clients),
-		flushing:    make(map[*clientConn]time.Time),
-		started:     make(chan struct{}), acceptFor: drainAcceptTime, halfOpenAfter: cfg.ConnectTimeout,
+		clientTable: limit.New[*clientConn](cfg.Clients), account: newAccount(cfg),
+		flushing: make(map[*clientConn]time.Time),
+		started:  make(chan struct{}), acceptFor: drainAcceptTime, halfOpenAfter: cfg.ConnectTimeout,
 		dialContext: new(net.Dialer).DialContext,
 	}
 	n.serveFor = cfg.serveFor()
@@ -155,7 +163,7 @@
 // address, and the system may be short of descriptors for a moment.
 func (n *Node) openLoop() (*eventloop.Loop, error) {
 	options := eventloop.Options{
-		Accepted: func() eventloop.Handler { return newClientConn(n) }, AfterEvent: n.armTimer, Log: n.log, Seed: n.cfg.Gatherer.Module.Seed,
+		Accepted: func() eventloop.Handler { return newClientConn(n) }, AfterEvent: n.afterEvent, Log: n.log, Seed: n.cfg.Gatherer.Module.Seed,
 	}
 	for wait, end := bootRetryWait, time.Now().Add(bootTimeout); ; wait = min(2*wait, bootMaxRetryWait) {
 		loop, err := eventloop.Open(n.cfg.Listen, options)
@@ -332,12 +340,10 @@
 // heldBytes returns how many bytes are held, by kind.
 func (n *Node) heldBytes() map[string]int {
 	held := make(map[string]int)
-	for _, stage := range [...]limit.Stage{limit.Silent, limit.FirstRequest, limit.Busy, limit.Idle, limit.NextRequest, limit.Closing} {
-		n.clientTable.Each(stage, func(c *clientConn) {
-			held["requests"] += c.parser.Held()
-			held["answers"] += c.conn.Held()
-		})
+	for _, kind := range memory.Kinds() {
+		held[kind.String()] = n.account.Held(kind)
 	}
+	held["clients_peak"] = n.account.Peak()
 	for _, s := range n.pool.searchers {
 		for _, c := range s.conns {
 			if c.conn != nil {
@@ -359,7 +365,7 @@
 	}
 	_ = n.loop.Execute(func() { // it fails only if the loop has ended
 		f()
-		n.armTimer()
+		n.afterEvent()
 	})
 }
 
@@ -397,6 +403,14 @@
 	if !n.deferForUpdates(now) { // otherwise the loop reads first, and runDue is called again at once
 		n.core.Run(now)
 	}
+	if n.loop.UnreadConns() > 0 && now.Sub(n.lastPresenceCheck) >= presenceInterval {
+		n.lastPresenceCheck = now
+		n.checkPresence()
+	}
+	if now.Sub(n.lastRoomCheck) >= roomCheckInterval {
+		n.lastRoomCheck = now
+		n.checkRoom(now)
+	}
 	if now.Sub(n.lastHousekeeping) >= housekeepingInterval {
 		n.lastHousekeeping = now
 		n.pool.closeIdleConns(now)
@@ -413,12 +427,24 @@
 	}
 }
 
+// afterEvent is called after each event of the loop.
+func (n *Node) afterEvent() {
+	n.grantRoom()
+	n.armTimer()
+}
+
 // armTimer sets the timer to the time when the next work is due.
 func (n *Node) armTimer() {
 	if n.timer == nil || n.stopping {
 		return
 	}
 	due := n.lastHousekeeping.Add(housekeepingInterval)
+	if next := n.lastRoomCheck.Add(roomCheckInterval); len(n.roomQueue) > 0 && next.Before(due) {
+		due = next
+	}
+	if next := n.lastPresenceCheck.Add(presenceInterval); n.loop.UnreadConns() > 0 && next.Before(due) {
+		due = next
+	}
 	for _, t := range []time.Time{n.core.NextRun(), n.pool.nextDue()} {
 		if !t.IsZero() && t.Before(due) {
 			due = t
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -86,6 +86,12 @@
 // Kind implements eventloop.Handler.
 func (c *searcherConn) Kind() string { return "searcher" }
 
+// ReadLimit implements eventloop.Handler.
+func (c *searcherConn) ReadLimit() int { return eventloop.ReadBufferSize }
+
+// Flushed implements eventloop.Handler.
+func (c *searcherConn) Flushed() {}
+
 // Opened implements eventloop.Handler.
 func (c *searcherConn) Opened(conn *eventloop.Conn) {
 	now := time.Now()
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -124,6 +124,12 @@
 // Kind implements eventloop.Handler.
 func (s *subscription) Kind() string { return "discovery" }
 
+// ReadLimit implements eventloop.Handler.
+func (s *subscription) ReadLimit() int { return eventloop.ReadBufferSize }
+
+// Flushed implements eventloop.Handler.
+func (s *subscription) Flushed() {}
+
 // Opened implements eventloop.Handler.
 func (s *subscription) Opened(conn *eventloop.Conn) {
 	s.conn = conn
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -58,6 +58,9 @@
 	Evicted          map[string]int // client connections closed to make room for others, by rank
 	NotClosed        int            // times that a client connection was left open because it had unread bytes or an unsent answer
 	EvictedInUse     int            // of Evicted: connections that had unread bytes or an unsent answer
+	LeftUnread       int            // client connections whose client was found to have left while nothing was read from them
+	WaitedForRoom    int            // times that a request waited, unread, for room in the memory of clients
+	RefusedForMemory int            // requests refused because there was no room for them
 	ClosedUnread     int            // client connections closed because the client did not read its answers
 	ClosedClients    map[string]int // client connections that have ended, by reason
 
@@ -133,7 +136,7 @@
 		group("system", system...),
 		group("in", "taken", c.Taken, "malformed", c.Malformed),
 		group("clients", "opened", c.Clients, "reused", c.Reused, "noticed", c.ClosedWithAnswer, "trimmed", c.ClosedIdle,
-			"silent", c.ClosedSilent, "spared", c.NotClosed, "crossed", c.EvictedInUse, "unread", c.ClosedUnread),
+			"silent", c.ClosedSilent, "spared", c.NotClosed, "crossed", c.EvictedInUse, "unread", c.ClosedUnread, "left_unread", c.LeftUnread, "waited", c.WaitedForRoom, "no_room", c.RefusedForMemory),
 		group("evicted", sortedPairs(c.Evicted)...),
 		group("closed", sortedPairs(c.ClosedClients)...),
 		group("rejected", sortedPairs(c.Rejected)...),
