Give memory back to the system after a burst of clients

Callers saw: 10 MB of anonymous memory, 3 MB before, for as long as one looked after 600 clients had left. Cause: the runtime collects when the heap grows; after a burst nothing is allocated, and the next collection is two minutes away.

Change: once what clients hold (over 512 KiB) or what is allocated in a quarter of a second (over 8 MiB) has fallen under an eighth of its peak for a second, the heap is collected and given back, in a goroutine of its own.

--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 	"unsafe"
 )
 
@@ -36,3 +37,20 @@
 		t.Errorf("%d bytes of files in memory", pages)
 	}
 }
+
+func TestEndOfBurstIsReportedOnce(t *testing.T) {
+	b, now := Burst{Least: 100}, time.Unix(0, 0)
+	for i, c := range []struct {
+		value int64
+		want  bool
+	}{
+		{99, false}, {0, false}, {0, false}, {0, false}, // no burst
+		{800, false}, {101, false}, {100, false}, {50, false}, {100, true}, {0, false}, {0, false}, {0, false},
+		{200, false}, {0, false}, {200, false}, {0, false}, {0, false}, {0, true},
+	} {
+		now = now.Add(calmTime / 2)
+		if got := b.Over(now, c.value); got != c.want {
+			t.Errorf("sample %d (%d): have %v, want %v", i, c.value, got, c.want)
+		}
+	}
+}
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -97,6 +97,7 @@
 	lastReport       time.Time // when the counters were last logged on schedule
 	clientTable      *limit.Table[*clientConn]
 
+	trimmer       trimmer
 	account       *memory.Account
 	roomQueue     []*clientConn // connections that wait for room in account, the longest waiting first
 	lastRoomCheck time.Time
@@ -124,7 +125,7 @@
 	}
 	n := &Node{
 		cfg: cfg, log: log, stats: counters,
-		clientTable: limit.New[*clientConn](cfg.Clients), account: newAccount(cfg),
+		clientTable: limit.New[*clientConn](cfg.Clients), account: newAccount(cfg), trimmer: newTrimmer(),
 		flushing: make(map[*clientConn]time.Time),
 		started:  make(chan struct{}), acceptFor: drainAcceptTime, halfOpenAfter: cfg.ConnectTimeout,
 		dialContext: new(net.Dialer).DialContext,
@@ -344,6 +345,7 @@
 		held[kind.String()] = n.account.Held(kind)
 	}
 	held["clients_peak"] = n.account.Peak()
+	held["trims"] = n.trimmer.trims
 	for _, s := range n.pool.searchers {
 		for _, c := range s.conns {
 			if c.conn != nil {
@@ -416,6 +418,7 @@
 		n.pool.closeIdleConns(now)
 		n.reinstateRejected(now)
 		n.checkClients(now)
+		n.trimmer.check(now, n.account.Total()-n.account.Held(memory.Connections))
 		if every := n.cfg.ReportEvery; every > 0 && now.Sub(n.lastReport) >= every {
 			n.lastReport = now
 			n.report()
