Serve connections in turn, so that none takes the event loop from the others

Callers saw: p50 390 and p99 1,099 ms beside six clients with health requests at full speed, late and missing answers beside unsound queries and new classes. Cause: one event of the loop served all requests of a read of 64 KiB, with a write for each: longest.client 17.8 ms for health requests, times six.

Change: a read serves one request at once if it is short and its client has sent nothing unsound. All else waits in internal/fairqueue: a round of the loop serves requests up to a cost of 64 KiB of bodies, eight turns, connections with unsound requests behind the others, and sends the answers of a turn in one write. Due work and other goroutines get their chance each round. A query that has waited for its turn is not taken if its client has left. Answers that a client doesn't read stop its further requests, and are given up after 10 s, as its last answer was before. The rig measures the time to an error from the error, not from the end of the connection.

--- a/internal/format/http1/request.go
+++ b/internal/format/http1/request.go
@@ -34,6 +34,7 @@
 	req            *Request // the head is parsed, the body is incomplete; nil between requests
 	headSize       int      // bytes allocated for the head of req
 	body           bodyDecoder
+	bodyInPlace    bool // the body of the request that Next has returned last is a part of what was fed in
 	awaitsContinue bool // the client waits for "100 Continue" before it sends the body
 }
 
@@ -140,10 +141,11 @@
 		if length > 0 {
 			p.req.Body = p.input[:length:length]
 		}
-		p.body.state = done
+		p.body.state, p.bodyInPlace = done, length > 0
 		p.setInput(p.input[length:], p.borrowed)
 		return p.takeRequest(), nil
 	}
+	p.bodyInPlace = false
 	if err := p.allocateBody(); err != nil {
 		return nil, err
 	}
@@ -161,6 +163,15 @@
 	return p.takeRequest(), nil
 }
 
+// Detach makes the request that Next has returned last independent of what was fed in, so that it can be served later, and
+// returns the number of bytes that it takes.
+func (p *RequestParser) Detach(r *Request) (bytes int) {
+	if p.bodyInPlace {
+		r.Body, p.bodyInPlace = append(make([]byte, 0, memory.BufferSize(len(r.Body))), r.Body...), false
+	}
+	return p.compactHead(r) + cap(r.Body)
+}
+
 // takeRequest returns the complete request and begins the next one.
 func (p *RequestParser) takeRequest() *Request {
 	r := p.req
@@ -178,7 +189,7 @@
 	if wanted <= cap(p.req.Body) {
 		return nil
 	}
-	p.compactHead()
+	p.headSize = p.compactHead(p.req)
 	size := memory.BufferSize(wanted)
 	if p.Reserve != nil && !p.Reserve(size) {
 		return ErrNoRoom
@@ -190,25 +201,34 @@
 // longHead is the size in bytes from which a head is compacted.
 const longHead = 512
 
-// compactHead drops what nobody needs of the head of a request whose body is incomplete. All strings of a head share the
-// memory of its text.
-func (p *RequestParser) compactHead() {
-	if p.headSize <= longHead || p.KeepField == nil {
-		return
+// compactHead drops what nobody needs of a long head, and returns the number of bytes that the head takes. All strings of
+// a head share the memory of its text, whose size is at most the sum of theirs and of what stands between them.
+func (p *RequestParser) compactHead(r *Request) (bytes int) {
+	text, kept := len(r.Method)+len(r.Target), 0
+	all := text
+	for _, field := range r.Header {
+		all += len(field.Name) + len(field.Value) + fieldOverhead
+		if p.KeepField == nil || p.KeepField(field.Name) {
+			text += len(field.Value)
+			kept++
+		}
 	}
-	r := p.req
-	kept := make(Header, 0, usualFields)
-	size := len(r.Method) + len(r.Target)
+	if all += cap(r.Header) * fieldSize; all <= longHead || p.KeepField == nil {
+		return all
+	}
+	header := make(Header, 0, kept)
 	for _, field := range r.Header {
 		if p.KeepField(field.Name) {
-			kept = append(kept, Field{field.Name, strings.Clone(field.Value)})
-			size += len(field.Value)
+			header = append(header, Field{field.Name, strings.Clone(field.Value)})
 		}
 	}
-	r.Method, r.Target, r.Header = strings.Clone(r.Method), strings.Clone(r.Target), kept
-	p.headSize = min(size+cap(kept)*fieldSize, p.headSize)
+	r.Method, r.Target, r.Header = strings.Clone(r.Method), strings.Clone(r.Target), header
+	return text + kept*fieldSize
 }
 
+// fieldOverhead is the number of bytes of a field beside its name and value: a colon, white space and the line end.
+const fieldOverhead = 8
+
 // fieldSize is the memory that a header field takes beside its text.
 const fieldSize = int(unsafe.Sizeof(Field{}))
 
--- a/internal/netio/clientconn.go
+++ b/internal/netio/clientconn.go
@@ -20,7 +20,7 @@
 	maxDiscarded     = 64 << 20         // bytes discarded of a request that was answered before its end; bodies of 60 MB occur
 	maxUnreadAnswers = 1 << 20          // bytes of answers that a client has not read
 	maxArrivals      = 32               // arrival times kept of data that waits behind an unanswered request
-	flushTimeout     = 10 * time.Second // for a client to read the last answer of its connection: 64 KiB at 6 KiB/s
+	flushTimeout     = 10 * time.Second // for a client to read its answers while some can't be sent: 64 KiB at 6 KiB/s
 	connectionSize   = 1 << 10          // bytes that the records of a connection take
 	healthPath       = "/_health"
 
@@ -31,23 +31,28 @@
 
 // clientConn is the connection of a client. Its requests are answered one at a time.
 type clientConn struct {
-	node        *Node
-	conn        *eventloop.Conn
-	parser      http1.RequestParser
-	entry       limit.Entry[*clientConn]
-	holder      memory.Holder // what the client makes the node hold
-	room        roomRequest
-	received    uint64    // bytes given to the parser
-	arrivals    []arrival // of data that belongs to no request passed on yet
-	pausedAt    time.Time // when reading was paused; zero if it is not
-	pausedUntil uint64    // offset behind the data that had arrived while reading was paused
-	pausedSince time.Time // when that pause began
-	discarded   int       // bytes thrown away while ending
-	queryID     uint64    // the open query; 0 if there is none
-	busy        bool      // a request waits for its answer
-	lastRequest bool      // the connection ends with the current request
-	ending      bool      // the connection is about to be closed
-	closeReason closeReason
+	node         *Node
+	conn         *eventloop.Conn
+	parser       http1.RequestParser
+	entry        limit.Entry[*clientConn]
+	holder       memory.Holder // what the client makes the node hold
+	room         roomRequest
+	received     uint64         // bytes given to the parser
+	arrivals     []arrival      // of data that belongs to no request passed on yet
+	pausedAt     time.Time      // when reading was paused; zero if it is not
+	pausedUntil  uint64         // offset behind the data that had arrived while reading was paused
+	pausedSince  time.Time      // when that pause began
+	discarded    int            // bytes thrown away while ending
+	queryID      uint64         // the open query; 0 if there is none
+	deferred     *http1.Request // complete, and waits for its turn
+	deferredSize int            // bytes that it takes
+	queued       bool           // it waits for a turn, see Node.backlog
+	unsound      bool           // its last request was unsound
+	incomplete   bool           // the parser needs more data for the next request
+	busy         bool           // a request waits for its answer
+	lastRequest  bool           // the connection ends with the current request
+	ending       bool           // the connection is about to be closed
+	closeReason  closeReason
 }
 
 // arrivalSize is the memory that an arrival takes, in bytes.
@@ -105,7 +110,8 @@
 	}
 	c.recordArrival(time.Now(), len(data))
 	c.parser.Feed(data)
-	c.processRequests()
+	c.incomplete = false
+	c.serveInput()
 	c.parser.Retain()
 	c.recordHeld()
 }
@@ -118,7 +124,7 @@
 	}
 	wanted := c.parser.Wanted()
 	switch growth := c.parser.Growth(wanted); {
-	case c.room.waits(), c.busy && (c.parser.Buffered() > 0 || !c.holder.MayGrow(growth)):
+	case c.room.waits(), c.queued, c.conn.Blocked(), c.busy && (c.parser.Buffered() > 0 || !c.holder.MayGrow(growth)):
 		wanted = 0
 	case !c.holder.MayGrow(growth):
 		c.awaitRoom(growth)
@@ -131,20 +137,37 @@
 }
 
 // Flushed implements eventloop.Handler.
-func (c *clientConn) Flushed() { c.recordHeld() }
+func (c *clientConn) Flushed() {
+	c.enqueue()
+	c.recordHeld()
+}
 
 // recordHeld brings the account up to date, and reads on if reading was paused and need not be any more.
 func (c *clientConn) recordHeld() {
 	if c.ending {
-		c.parser = http1.RequestParser{}
+		c.parser, c.deferred, c.deferredSize = http1.RequestParser{}, nil, 0
 	}
-	c.holder.Set(memory.Requests, c.parser.Held()+cap(c.arrivals)*arrivalSize)
+	c.holder.Set(memory.Requests, c.parser.Held()+c.deferredSize+cap(c.arrivals)*arrivalSize)
 	c.holder.Set(memory.Answers, c.conn.Held())
+	c.watchFlush()
 	if c.conn.ReadingPaused() && c.ReadLimit() > 0 {
 		c.resumeReading()
 	}
 }
 
+// watchFlush sets the time limit for the client to read its answers, if some of them can't be sent.
+func (c *clientConn) watchFlush() {
+	flushing := c.node.flushing
+	_, watched := flushing[c]
+	switch {
+	case !c.entry.InTable():
+	case c.conn.Blocked() && !watched:
+		flushing[c] = time.Now().Add(flushTimeout)
+	case watched && !c.conn.Blocked() && !c.ending:
+		delete(flushing, c)
+	}
+}
+
 // resumeReading reads on after a pause. What has arrived meanwhile counts as received when the pause began.
 func (c *clientConn) resumeReading() {
 	if !c.pausedAt.IsZero() {
@@ -193,34 +216,6 @@
 // Disconnected implements gatherer.Client.
 func (c *clientConn) Disconnected() bool { return c.ending || remoteClosed(c.conn.FD()) }
 
-// processRequests serves the complete requests that were received.
-func (c *clientConn) processRequests() {
-	for !c.busy && !c.ending {
-		r, err := c.parser.Next()
-		if errors.Is(err, http1.ErrNoRoom) {
-			c.awaitRequest()
-			return // the body is received once there is room
-		}
-		if err != nil {
-			var e *http1.Error
-			status, reason := http.StatusBadRequest, err.Error()
-			if errors.As(err, &e) {
-				status, reason = e.Status, e.Reason
-			}
-			c.reject(status, reason, true)
-			return
-		}
-		if r == nil {
-			if c.parser.TakeContinue() {
-				c.write(http1.AppendContinue(nil))
-			}
-			c.awaitRequest()
-			return
-		}
-		c.serve(r)
-	}
-}
-
 // awaitRequest updates the connection's stage when there is no complete request.
 func (c *clientConn) awaitRequest() {
 	stage := c.entry.Stage()
@@ -274,7 +269,7 @@
 		var id uint64
 		id, err = c.node.core.Take(now, query, c)
 		if id != 0 {
-			c.queryID = id
+			c.queryID, c.unsound = id, false
 			return
 		}
 	}
@@ -352,8 +347,7 @@
 	default:
 		c.respond(http.StatusBadGateway, nil, fields...)
 	}
-	c.processRequests()
-	c.parser.Retain()
+	c.enqueue()
 	c.recordHeld()
 }
 
@@ -364,6 +358,7 @@
 
 // reject answers a request that is not a valid query. closes is set if nothing that follows it can be read.
 func (c *clientConn) reject(status int, reason string, closes bool) {
+	c.unsound = true
 	c.node.stats.Malformed++
 	c.node.stats.Rejected[http.StatusText(status)]++
 	c.lastRequest = c.lastRequest || closes
@@ -416,11 +411,12 @@
 // received data is unread would reset the connection, and the answer could be lost.
 func (c *clientConn) closeGracefully() {
 	c.ending = true
+	_ = c.conn.Uncork() // if it fails, Closed has been called
+	c.leaveBacklog()
 	c.recordHeld()
 	c.resumeReading() // what the client still sends is discarded
 	if c.conn.Buffered() > 0 {
 		c.setStage(limit.Busy) // until the answer is written
-		c.node.flushing[c] = time.Now().Add(flushTimeout)
 		return
 	}
 	c.setStage(limit.Closing)
@@ -440,13 +436,14 @@
 	c.node.clientTable.Remove(&c.entry)
 	delete(c.node.flushing, c)
 	c.leaveRoomQueue()
+	c.leaveBacklog()
 	c.holder.Close()
 }
 
 // hasPendingData reports whether received data was not read yet or an answer is not fully written: to close the
 // connection would harm its client.
 func (c *clientConn) hasPendingData() bool {
-	return c.conn.Buffered() > 0 || pendingBytes(c.conn.FD()) > 0
+	return c.queued || c.conn.Buffered() > 0 || pendingBytes(c.conn.FD()) > 0
 }
 
 // closeIfUnused closes a connection that is between requests, although no answer has announced the close to its
--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -97,13 +97,15 @@
 	}
 }
 
-// checkFlushing ends the connections whose last answer has been written, or takes too long.
+// checkFlushing ends the connections whose last answer has been written, or whose answers take too long.
 func (n *Node) checkFlushing(now time.Time) {
 	for c, until := range n.flushing {
 		switch {
 		case c.conn.Buffered() == 0:
 			delete(n.flushing, c)
-			c.closeGracefully()
+			if c.ending {
+				c.closeGracefully()
+			}
 		case !now.Before(until):
 			n.stats.ClosedUnread++
 			c.drop(closedForUnreadAnswers)
--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -382,6 +382,9 @@
 	return len(c.unsent)
 }
 
+// Blocked reports whether the system does not accept what was given to Write.
+func (c *Conn) Blocked() bool { return len(c.unsent) > 0 }
+
 // Held returns the size of the buffer for the bytes given to Write that the system has not accepted yet.
 func (c *Conn) Held() int { return c.unsentSize }
 
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -15,6 +15,7 @@
 
 	"eiderwinch"
 	"eiderwinch/internal/discovery"
+	"eiderwinch/internal/fairqueue"
 	"eiderwinch/internal/format/catalog"
 	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/layout"
@@ -97,6 +98,9 @@
 	lastReport       time.Time // when the counters were last logged on schedule
 	clientTable      *limit.Table[*clientConn]
 
+	backlog        fairqueue.Queue[*clientConn] // connections with requests that wait for their turn
+	roundScheduled bool                         // serveBacklog is called in the loop's next round
+
 	trimmer       trimmer
 	account       *memory.Account
 	roomQueue     []*clientConn // connections that wait for room in account, the longest waiting first
@@ -104,7 +108,7 @@
 
 	lastPresenceCheck time.Time // see checkPresence
 
-	flushing map[*clientConn]time.Time // closing connections whose last answer is not fully written, with the time limit for that
+	flushing map[*clientConn]time.Time // connections whose answers are not fully written, with the time limit for that
 
 	halfOpenAfter time.Duration // see pool.silenceTimeout
 	acceptFor     time.Duration // how long new connections are accepted in a drain
--- a/internal/netio/room.go
+++ b/internal/netio/room.go
@@ -63,7 +63,7 @@
 			return
 		}
 		c.leaveRoomQueue()
-		c.processRequests()
+		c.serveInput()
 		c.recordHeld()
 	}
 }
--- a/internal/trial/hostile/hostile.go
+++ b/internal/trial/hostile/hostile.go
@@ -112,6 +112,7 @@
 	owed      bool // an error or a close is owed within endsBy
 	once      sync.Once
 	ended     chan struct{} // closed once an error or a close has been received
+	endedAt   time.Time     // when that was; set before ended is closed
 }
 
 // sessions returns what a client of each kind does with its connections.
@@ -183,24 +184,26 @@
 }
 
 func (s *session) countEnd(ctx context.Context) {
-	took := time.Since(s.connected)
 	a := s.attacker
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	select {
 	case <-s.ended:
+		a.report.LongestToEnd = max(a.report.LongestToEnd, s.endedAt.Sub(s.connected))
 	default:
-		if ctx.Err() == nil || took > endsBy {
+		if ctx.Err() == nil || time.Since(s.connected) > endsBy {
 			a.report.Unended++
 		}
 	}
-	if ctx.Err() == nil {
-		a.report.LongestToEnd = max(a.report.LongestToEnd, took)
-	}
 }
 
 // markEnded records that an error or a close was received.
-func (s *session) markEnded() { s.once.Do(func() { close(s.ended) }) }
+func (s *session) markEnded() {
+	s.once.Do(func() {
+		s.endedAt = time.Now()
+		close(s.ended)
+	})
+}
 
 // readAnswers reads answers until the connection ends.
 func (s *session) readAnswers() { s.readEach(func() {}) }
