Reject a query with more parts than shards before its parts are read

Callers saw: 64 KiB of parts, 2,500 of them, took 3 to 5 ms of the loop and a megabyte of garbage, only to be rejected since a shard occurs twice. Cause: the whole body was read into records before anything was checked.

Change: the elements of the list are counted in the text first. Without a layout, a query with more parts than shards can't be valid (unknown shard, or one twice). With a layout there is no such bound, as the client may use an older epoch's segments.

--- a/internal/netio/clientconn.go
+++ b/internal/netio/clientconn.go
@@ -261,7 +261,7 @@
 
 // submit gives a query to the core.
 func (c *clientConn) submit(path string, r *http1.Request) {
-	query, err := parseQuery(path, r)
+	query, err := parseQuery(path, r, c.node.maxParts())
 	if err == nil {
 		now := time.Now()
 		query.Waited = c.sinceArrival(now)
--- a/internal/netio/queryrequest.go
+++ b/internal/netio/queryrequest.go
@@ -23,16 +23,71 @@
 
 // queryBody is the body of a query.
 type queryBody struct {
-	Tablets []struct {
-		Tablet   *int     `json:"tablet"`
-		Fraction *float64 `json:"fraction"`
-		Token    string   `json:"token"`
-	} `json:"tablets"`
-	Statement *string `json:"statement"`
+	Tablets   json.RawMessage `json:"tablets"`
+	Statement *string         `json:"statement"`
 }
 
-// parseQuery reads a query from a request.
-func parseQuery(path string, r *http1.Request) (gatherer.QueryRequest, error) {
+// tablet is one part in the body of a query.
+type tablet struct {
+	Tablet   *int     `json:"tablet"`
+	Fraction *float64 `json:"fraction"`
+	Token    string   `json:"token"`
+}
+
+// parseTablets reads the parts of a query. More than maxParts are rejected before they are read: each takes far more
+// memory and time than its bytes. 0 means no such limit.
+func parseTablets(text json.RawMessage, maxParts int) (list []tablet, err error) {
+	if len(text) == 0 {
+		return nil, nil
+	}
+	if n := countElements(text); maxParts > 0 && n > maxParts {
+		return nil, fmt.Errorf("%w: found %d parts, want at most %d", gatherer.ErrInvalid, n, maxParts)
+	}
+	if err := json.Unmarshal(text, &list); err != nil {
+		return nil, fmt.Errorf("%w: %w", gatherer.ErrInvalid, err)
+	}
+	return list, nil
+}
+
+// countElements returns the number of elements of a valid JSON array, or 1 for another value.
+func countElements(text []byte) int {
+	depth, count, inString, empty := 0, 1, false, true
+	for i := 0; i < len(text); i++ {
+		c := text[i]
+		switch {
+		case inString && c == '\\':
+			i++
+		case c == '"':
+			inString, empty = !inString, false
+		case inString, c == ' ', c == '\t', c == '\n', c == '\r':
+		case c == '[' || c == '{':
+			depth++
+			empty = empty && depth == 1
+		case c == ']' || c == '}':
+			depth--
+		case c == ',' && depth == 1:
+			count++
+		default:
+			empty = false
+		}
+	}
+	if empty {
+		return 0
+	}
+	return count
+}
+
+// maxParts returns how many parts a query may have: without a layout, each shard occurs once at most. With a layout, a
+// query may use the segments of an older epoch, whose number is not known here: then it returns 0.
+func (n *Node) maxParts() int {
+	if n.core.Epoch() != 0 {
+		return 0
+	}
+	return n.cfg.Gatherer.Module.Shards
+}
+
+// parseQuery reads a query from a request. maxParts is as for parseTablets.
+func parseQuery(path string, r *http1.Request, maxParts int) (gatherer.QueryRequest, error) {
 	query := gatherer.QueryRequest{
 		Trace:          r.Header.Get("x-trace-id"),
 		Class:          r.Header.Get("x-qos"),
@@ -73,7 +128,11 @@
 		return query, fmt.Errorf("%w: statement is missing", gatherer.ErrInvalid)
 	}
 	query.Text = *b.Statement
-	for i, t := range b.Tablets {
+	tablets, err := parseTablets(b.Tablets, maxParts)
+	if err != nil {
+		return query, err
+	}
+	for i, t := range tablets {
 		if t.Tablet == nil || t.Fraction == nil {
 			return query, fmt.Errorf("%w: tablets[%d] lacks tablet or fraction", gatherer.ErrInvalid, i)
 		}
