Take open queries, the values of their parts and unsent frames into the account of memory

Callers saw: 36.6 MB for 600 clients with sound queries of 60 KiB, and no answers for usual clients. Cause: a query's text, its parts, the values received for them and the frames to searchers were bounded by counts (max_open) and by connection only: 441 open queries of four parts may hold 64 KiB of text and four values each.

Change: the core tells a client's connection what its query takes; one without room is refused (503). Values that arrive are counted, and while there is an excess the costliest query is ended with an answer, or the connection closed whose client doesn't read. A quarter of the pool is kept from requests that are still being received. Unsent frames to searchers may take a quarter of the clients' memory; beyond, the connection with most of them is closed, whose parts have not run. An attempt drops its text once it is sent, and frames share a buffer. counters longest.round is new.

--- a/internal/discovery/leaving_test.go
+++ b/internal/discovery/leaving_test.go
@@ -91,6 +91,8 @@
 func (*simulation) CloseIdle(string)          {}
 func (*simulation) Reply(gatherer.Reply)      {}
 func (*simulation) Disconnected() bool        { return false }
+func (*simulation) MayHold(int) bool          { return true }
+func (*simulation) Hold(int)                  {}
 
 func (sim *simulation) apply(kind eiderwinch.ListKind, from int, u catalog.Update) {
 	states := map[catalog.Phase]eiderwinch.State{
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -20,6 +20,7 @@
 func (c *Core) Result(now time.Time, a *Attempt, status eiderwinch.Status, score int64, value string) {
 	if c.endAttempt(now, a, status) && status == eiderwinch.OK && !a.part.removed && !a.part.answered {
 		a.part.answered, a.part.answeredBy, a.part.score, a.part.value = true, a, score, value
+		a.part.query.holdValues()
 	}
 }
 
@@ -32,6 +33,7 @@
 		return false
 	}
 	p.answered, p.answeredBy, p.score, p.value = false, nil, 0, ""
+	p.query.holdValues()
 	c.stats.Withdrawn++
 	c.addEvent(now, eiderwinch.Outcome{
 		Part: p.id, Attempt: a.number, Replica: a.Searcher, Status: eiderwinch.Reset, Took: now.Sub(a.decidedAt),
@@ -111,6 +113,7 @@
 		added := c.addPart(q, p.shard, 1/float64(n), true)
 		event.Parts = append(event.Parts, added.modulePart())
 	}
+	q.holdValues()
 	c.addEvent(c.now, event)
 }
 
@@ -156,6 +159,14 @@
 	}
 }
 
+// EndEarly ends an open query before its deadline because of a shortage on this machine.
+func (c *Core) EndEarly(now time.Time, id uint64) {
+	if q := c.queries[id]; q != nil {
+		c.now = now
+		c.endEarly(q)
+	}
+}
+
 // endEarly ends a query before its deadline: with an answer from the parts received so far if they are enough,
 // else with a refusal if the client may safely ask again, else with a failure.
 func (c *Core) endEarly(q *query) {
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -52,6 +52,11 @@
 	// Disconnected reports whether the client has disconnected. It can be true before
 	// Core.ClientDisconnected is called, because the end of the connection may have arrived and not been read yet.
 	Disconnected() bool
+	// MayHold reports whether there is room for an open query of this client that takes a number of bytes.
+	MayHold(bytes int) bool
+	// Hold is called with the number of bytes that the client's open query takes, whenever that changes. It is not called
+	// when the query ends: then it takes none.
+	Hold(bytes int)
 }
 
 // ReplyKind is the kind of a final answer.
@@ -155,17 +160,6 @@
 // OpenQueries returns the number of queries without a final answer.
 func (c *Core) OpenQueries() int { return len(c.queries) }
 
-// HeldText returns the number of bytes of text that open queries hold, with the values received for their parts.
-func (c *Core) HeldText() (bytes int) {
-	for _, q := range c.queries {
-		bytes += len(q.text)
-		for _, p := range q.parts {
-			bytes += len(p.value)
-		}
-	}
-	return bytes
-}
-
 // addEvent adds an event to those that the aggregator receives in its next turn.
 func (c *Core) addEvent(now time.Time, e eiderwinch.Event) {
 	if len(c.pendingEvents) == 0 {
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -30,6 +30,8 @@
 	closed     []string
 	replies    []Reply
 	clientLeft bool // the client has disconnected, and the end of its connection has not been read yet
+	noRoom     bool // there is no room for further queries
+	held       int  // bytes that the open query takes
 }
 
 func (h *harness) Turn(now time.Duration, events []eiderwinch.Event) []eiderwinch.Action {
@@ -45,6 +47,8 @@
 func (h *harness) CloseIdle(searcher string)             { h.closed = append(h.closed, searcher) }
 func (h *harness) Reply(x Reply)                         { h.replies = append(h.replies, x) }
 func (h *harness) Disconnected() bool                    { return h.clientLeft }
+func (h *harness) MayHold(int) bool                      { return !h.noRoom }
+func (h *harness) Hold(bytes int)                        { h.held = bytes }
 
 func newHarness(t *testing.T) *harness {
 	settings := Settings{Tick: 5 * ms, MaxOpen: 20, Module: eiderwinch.Settings{
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -44,7 +44,7 @@
 const maxWeightError = 0.01
 
 // Take accepts a query whose last byte arrived request.Waited before now, and returns its ID.
-// If the query exceeds a limit on open queries, Take refuses it by client.Reply and returns 0.
+// If the query exceeds a limit on open queries, or there is no room for it, Take refuses it by client.Reply and returns 0.
 // If it returns an error, the query was not accepted and the caller must answer the client.
 func (c *Core) Take(now time.Time, request QueryRequest, client Client) (uint64, error) {
 	class, err := c.validate(request)
@@ -58,7 +58,7 @@
 	if c.settings.Recorder != nil {
 		c.settings.Recorder.Take(now, class)
 	}
-	if retryAfter, ok := c.admit(request, class); !ok {
+	if retryAfter, ok := c.admit(request, class, client); !ok {
 		c.recordOutcome(now, class, Reply{Kind: Refused}, 0)
 		client.Reply(Reply{Kind: Refused, RetryAfter: retryAfter, Generation: c.liveSettings.Generation})
 		return 0, nil
--- a/internal/gatherer/live_settings_test.go
+++ b/internal/gatherer/live_settings_test.go
@@ -121,6 +121,8 @@
 func (*echo) CloseIdle(string)   {}
 func (*echo) Reply(Reply)        {}
 func (*echo) Disconnected() bool { return false }
+func (*echo) MayHold(int) bool   { return true }
+func (*echo) Hold(int)           {}
 
 // BenchmarkQuery measures a query's path through the core, first with plain settings, then with
 // settings that can change at run time and recorded outcomes.
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -97,6 +97,7 @@
 		q.key = request.IdempotencyKey
 	}
 	c.queries[q.id] = q
+	client.Hold(querySize(len(q.text), len(request.Parts)))
 	c.queriesByTrace[q.trace] = q
 	c.openCount++
 	sum := 0.0
@@ -142,6 +143,7 @@
 	c.openCount--
 	delete(c.queries, q.id)
 	delete(c.queriesByTrace, q.trace)
+	q.text = "" // attempts that are still in flight keep the record
 }
 
 // removeEndedAttempts drops the attempts that have ended, and the removed parts
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -38,6 +38,7 @@
 
 // Account is the account of all holders.
 type Account struct {
+	capacity   int
 	guaranteed int // bytes that each holder may hold, whatever the others do
 	pool       int // bytes that all holders together may hold beyond these
 	pooled     int // bytes that they do hold beyond these
@@ -48,12 +49,15 @@
 // New returns an Account with the given capacity in bytes for up to the given number of holders.
 func New(capacity, holders int) *Account {
 	guaranteed := min(capacity/2/max(holders, 1), maxGuaranteed)
-	return &Account{guaranteed: guaranteed, pool: capacity - guaranteed*holders}
+	return &Account{capacity: capacity, guaranteed: guaranteed, pool: capacity - guaranteed*holders}
 }
 
 // maxGuaranteed is the most bytes that are guaranteed to each holder: enough for a request with the longest body.
 const maxGuaranteed = 96 << 10
 
+// Capacity returns the number of bytes that all holders may hold together.
+func (a *Account) Capacity() int { return a.capacity }
+
 // Guaranteed returns the number of bytes that each holder may hold, whatever the others do.
 func (a *Account) Guaranteed() int { return a.guaranteed }
 
@@ -128,20 +132,29 @@
 	a.peak = max(a.peak, a.Total())
 }
 
-// MayGrow reports whether there is room for the holder to hold more bytes. It is always true within what is guaranteed.
-func (h *Holder) MayGrow(bytes int) bool {
+// queryShare is the part (1/4) of the pool that requests may not take while they are received: a request that has come
+// whole is worth more than one that may never do.
+const queryShare = 4
+
+// MayGrow reports whether there is room for the holder to hold more bytes for a kind. It is always true within what is
+// guaranteed.
+func (h *Holder) MayGrow(k Kind, bytes int) bool {
 	a := h.account
 	if a == nil {
 		return false
 	}
+	room := a.Room()
+	if k == Requests {
+		room -= a.pool / queryShare
+	}
 	total := h.Total() + bytes
 	grows := a.beyondGuaranteed(total) - h.Pooled()
-	return total <= a.guaranteed || grows <= a.Room()
+	return total <= a.guaranteed || grows <= room
 }
 
 // Reserve records that the holder holds more bytes for a kind, if there is room for them.
 func (h *Holder) Reserve(k Kind, bytes int) bool {
-	if !h.MayGrow(bytes) {
+	if !h.MayGrow(k, bytes) {
 		return false
 	}
 	h.Set(k, h.held[k]+bytes)
--- a/internal/netio/backlog.go
+++ b/internal/netio/backlog.go
@@ -104,9 +104,17 @@
 // and timers get their chance here.
 func (n *Node) serveBacklog() {
 	n.roundScheduled = false
+	if now := time.Now(); n.roundBegan.IsZero() {
+		n.roundBegan = now
+	} else {
+		n.stats.LongestRound = max(n.stats.LongestRound, now.Sub(n.roundBegan))
+		n.roundBegan = now
+	}
 	n.backlog.Round(roundBudget, func(c *clientConn, quantum int) fairqueue.Turn { return c.serveTurn(quantum) })
 	if n.backlog.Len() > 0 {
 		n.scheduleRound()
+	} else {
+		n.roundBegan = time.Time{}
 	}
 	if !n.timerAt.IsZero() && !time.Now().Before(n.timerAt) {
 		n.runDue()
--- a/internal/netio/clientconn.go
+++ b/internal/netio/clientconn.go
@@ -96,6 +96,7 @@
 		c.node.log.Debug("client left while its query was open", "query", c.queryID, "reason", reason)
 		c.node.core.ClientDisconnected(time.Now(), c.queryID)
 		c.queryID = 0
+		c.holder.Set(memory.Queries, 0)
 	}
 }
 
@@ -124,9 +125,9 @@
 	}
 	wanted := c.parser.Wanted()
 	switch growth := c.parser.Growth(wanted); {
-	case c.room.waits(), c.queued, c.conn.Blocked(), c.busy && (c.parser.Buffered() > 0 || !c.holder.MayGrow(growth)):
+	case c.room.waits(), c.queued, c.conn.Blocked(), c.busy && (c.parser.Buffered() > 0 || !c.holder.MayGrow(memory.Requests, growth)):
 		wanted = 0
-	case !c.holder.MayGrow(growth):
+	case !c.holder.MayGrow(memory.Requests, growth):
 		c.awaitRoom(growth)
 		wanted = 0
 	}
@@ -213,6 +214,14 @@
 	return now.Sub(at)
 }
 
+// MayHold implements gatherer.Client. The request that the query came in is not needed any more.
+func (c *clientConn) MayHold(bytes int) bool {
+	return c.holder.MayGrow(memory.Queries, bytes-c.holder.Held(memory.Requests))
+}
+
+// Hold implements gatherer.Client.
+func (c *clientConn) Hold(bytes int) { c.holder.Set(memory.Queries, bytes) }
+
 // Disconnected implements gatherer.Client.
 func (c *clientConn) Disconnected() bool { return c.ending || remoteClosed(c.conn.FD()) }
 
@@ -318,6 +327,7 @@
 // Reply implements gatherer.Client.
 func (c *clientConn) Reply(r gatherer.Reply) {
 	c.queryID = 0
+	c.holder.Set(memory.Queries, 0)
 	var fields []http1.Field
 	if r.Generation != 0 {
 		fields = append(fields, http1.Field{Name: generationHeader, Value: strconv.FormatUint(r.Generation, 10)})
--- a/internal/netio/clientconn_test.go
+++ b/internal/netio/clientconn_test.go
@@ -8,7 +8,9 @@
 	"testing"
 	"time"
 
+	"eiderwinch"
 	"eiderwinch/internal/limit"
+	"eiderwinch/internal/memory"
 	"eiderwinch/internal/trial/testpeer"
 )
 
@@ -362,3 +364,55 @@
 		}
 	})
 }
+
+// The values of searchers count as held by the client whose query they answer. If there is no room for them, that query is
+// ended with an answer, and the others go on.
+func TestValuesWithoutRoomEndTheCostliestQuery(t *testing.T) {
+	h := startHarness(t, func(h *harness) { h.account = memory.New(64<<10, 8) })
+	large := h.sendQuery("search", "large", time.Minute, 2)
+	first, second := h.nextPart(), h.nextPart()
+	small := h.sendQuery("search", "small", time.Minute, 1)
+	third := h.nextPart()
+	first.Answer("served", 1, strings.Repeat("v", 60_000))
+	second.Answer("served", 1, strings.Repeat("v", 60_000))
+	if resp, _ := large.ReadResponse(); resp.StatusCode != 503 {
+		t.Errorf("the query with large values: %s", resp.Status)
+	}
+	third.Answer("served", 1, "v")
+	if resp, _ := small.ReadResponse(); resp.StatusCode != 200 {
+		t.Errorf("the other query: %s", resp.Status)
+	}
+	h.onLoop(func() {
+		if h.account.Excess() > 0 || h.account.Held(memory.Queries) > 0 || h.stats.ShedForMemory != 1 {
+			t.Errorf("excess %d, held by queries %d, shed %d", h.account.Excess(), h.account.Held(memory.Queries), h.stats.ShedForMemory)
+		}
+	})
+}
+
+// Unsent frames to searchers are bounded: their connection is closed, and a part whose frame was not sent whole has not
+// run.
+func TestUnsentFramesToSearchersAreBounded(t *testing.T) {
+	h := startHarness(t, func(h *harness) {
+		sendOnce(h)
+		h.pool.maxUnsent = 100 << 10
+	})
+	h.sendQuery("search", "t", time.Minute, 1)
+	h.nextPart()
+	h.onLoop(func() {
+		c := h.pool.searchers["s"].conns[0]
+		_ = setSendBuffer(c.conn.FD(), 1)
+		for !c.retired { // the searcher of this test does not read that fast
+			c.write([]byte("\x00\x01\x00\x01c" + strings.Repeat("x", 1<<16)))
+			if held := c.conn.Held(); held > 200<<10 {
+				t.Fatalf("%d bytes are unsent", held)
+			}
+		}
+		c.inFlight[0].endByte = c.written // as if the part's frame were behind these bytes
+		if h.stats.ClosedForMemory != 1 {
+			t.Errorf("%d connections were closed for memory, want 1", h.stats.ClosedForMemory)
+		}
+	})
+	if got := h.nextOutcome(); got.Status != eiderwinch.NoConnection {
+		t.Errorf("have %v", got.Status)
+	}
+}
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -66,6 +66,9 @@
 	answerMargin  = 200 * time.Millisecond // all answers must be written this long before the kill
 )
 
+// unsentShare is the part (1/4) of the clients' memory that unsent frames to searchers may take in addition to it.
+const unsentShare = 4
+
 // reservedDescriptors is the number of file descriptors reserved for the runtime, the poller, the listener and the
 // standard streams.
 const reservedDescriptors = 32
@@ -100,6 +103,7 @@
 
 	backlog        fairqueue.Queue[*clientConn] // connections with requests that wait for their turn
 	roundScheduled bool                         // serveBacklog is called in the loop's next round
+	roundBegan     time.Time                    // the last call of serveBacklog, if requests were left behind
 
 	trimmer       trimmer
 	account       *memory.Account
@@ -137,6 +141,7 @@
 	n.serveFor = cfg.serveFor()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.pool = newPool(n)
+	n.pool.maxUnsent = n.account.Capacity() / unsentShare
 	n.watch = newWatch(n, cfg.Discovery, cfg.InitialMembers.Revision)
 	now := time.Now()
 	n.core = gatherer.New(cfg.Gatherer, d, n.pool, counters, log, now)
@@ -358,7 +363,6 @@
 			}
 		}
 	}
-	held["queries"] = n.core.HeldText()
 	return held
 }
 
@@ -436,6 +440,7 @@
 
 // afterEvent is called after each event of the loop.
 func (n *Node) afterEvent() {
+	n.shedExcess()
 	n.grantRoom()
 	n.armTimer()
 }
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -7,6 +7,7 @@
 	"eiderwinch/internal/answerstream"
 	"eiderwinch/internal/format/frame"
 	"eiderwinch/internal/gatherer"
+	"eiderwinch/internal/memory"
 	"eiderwinch/internal/timerqueue"
 )
 
@@ -26,6 +27,8 @@
 	dialing             int                                 // connections being dialed, also those past their time limit until the dial has returned
 	awaitingDescriptors []*searcher                         // searchers whose calls wait for descriptors, the longest waiting first
 	timers              timerqueue.Queue[func(now time.Time)]
+	maxUnsent           int           // bytes that the connections may hold together that the system has not accepted
+	callBuffer          []byte        // for frames, which are copied where the system does not accept them at once
 	typicalLatency      time.Duration // smoothed latency of answered attempts; 0 until the first answer
 }
 
@@ -102,6 +105,54 @@
 	p.sendQueued(time.Now(), s) // not now: the turn may have taken long
 }
 
+// retainedCall is the largest buffer for frames, in bytes, that is kept for further calls.
+const retainedCall = 64 << 10
+
+// appendCall returns the frame of a call. It is valid until the next call of appendCall.
+func (p *pool) appendCall(parts []frame.Part) []byte {
+	size := 0
+	for _, part := range parts {
+		size += partOverhead + len(part.ID) + len(part.Text) + len(part.Options.Key)
+	}
+	if size > cap(p.callBuffer) {
+		p.callBuffer = make([]byte, 0, memory.BufferSize(size))
+	}
+	frameBytes := frame.AppendCall(p.callBuffer[:0], parts)
+	if cap(p.callBuffer) > retainedCall {
+		p.callBuffer = nil
+	}
+	return frameBytes
+}
+
+// boundUnsent closes the connection with the most unsent bytes while the connections to searchers hold more of these than
+// they may. The parts whose frames were not sent whole have not run and can go elsewhere.
+func (p *pool) boundUnsent() {
+	for {
+		held := 0
+		var largest *searcherConn
+		for _, s := range p.searchers {
+			for _, c := range s.conns {
+				if c.conn == nil || !c.conn.Blocked() {
+					continue
+				}
+				held += c.conn.Held()
+				if !c.retired && (largest == nil || c.conn.Held() > largest.conn.Held()) {
+					largest = c
+				}
+			}
+		}
+		if held <= p.maxUnsent || largest == nil {
+			return
+		}
+		p.node.stats.ClosedForMemory++
+		largest.conn.StopWriting() // the loop could write once more before it closes the connection
+		largest.close()
+	}
+}
+
+// partOverhead is about what a part takes in a frame beside its strings, in bytes.
+const partOverhead = 64
+
 // sendQueued sends queued calls on the connections that have room for them, and opens connections for the rest.
 func (p *pool) sendQueued(now time.Time, s *searcher) {
 	for len(s.queue) > 0 {
--- a/internal/netio/room.go
+++ b/internal/netio/room.go
@@ -30,7 +30,7 @@
 
 // reserveBody reports whether there is room for the buffer of a body.
 func (c *clientConn) reserveBody(bytes int) bool {
-	if c.holder.MayGrow(bytes) {
+	if c.holder.MayGrow(memory.Requests, bytes) {
 		return true
 	}
 	c.awaitRoom(bytes)
@@ -59,7 +59,7 @@
 func (n *Node) grantRoom() {
 	for range len(n.roomQueue) { // one that waits again is at the end
 		c := n.roomQueue[0]
-		if !c.holder.MayGrow(c.room.bytes) {
+		if !c.holder.MayGrow(memory.Requests, c.room.bytes) {
 			return
 		}
 		c.leaveRoomQueue()
@@ -75,7 +75,7 @@
 		return
 	}
 	for _, c := range n.slowRequests(now) {
-		if len(n.roomQueue) == 0 || n.roomQueue[0].holder.MayGrow(n.roomQueue[0].room.bytes) {
+		if len(n.roomQueue) == 0 || n.roomQueue[0].holder.MayGrow(memory.Requests, n.roomQueue[0].room.bytes) {
 			break
 		}
 		c.refuseForMemory()
@@ -115,6 +115,36 @@
 	c.respond(http.StatusServiceUnavailable, nil, c.node.retryFields()...)
 }
 
+// shedExcess ends what takes the most memory while clients hold more than there is room for. That happens when
+// something has arrived that could not be put off, as the answers of searchers.
+func (n *Node) shedExcess() {
+	for n.account.Excess() > 0 {
+		var costliest *clientConn
+		for _, stage := range limit.Stages() {
+			n.clientTable.Each(stage, func(c *clientConn) {
+				if costliest == nil || c.holder.Pooled() > costliest.holder.Pooled() {
+					costliest = c
+				}
+			})
+		}
+		if costliest == nil || costliest.holder.Pooled() == 0 {
+			return
+		}
+		n.stats.ShedForMemory++
+		costliest.shed()
+	}
+}
+
+// shed frees the memory that the connection takes: it ends its query with an answer, or closes it if its client does not
+// read its answers.
+func (c *clientConn) shed() {
+	if c.queryID != 0 && c.holder.Held(memory.Queries) >= c.holder.Held(memory.Answers) {
+		c.node.core.EndEarly(time.Now(), c.queryID)
+		return
+	}
+	c.closeNow(closedForMemory)
+}
+
 // retryFields returns the header fields of a refusal that tell when to ask again, if clients are told that.
 func (n *Node) retryFields() []http1.Field {
 	m := n.cfg.Gatherer.Module
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -144,13 +144,14 @@
 			Wait: a.Deadline.Sub(now), Key: a.Key, From: a.FirstStepShards, Whole: a.FirstStepWhole,
 		}}
 	}
-	frameBytes := frame.AppendCall(nil, parts)
+	frameBytes := c.pool.appendCall(parts)
 	for i, a := range attempts {
 		c.inFlight = append(c.inFlight, sentAttempt{
 			partID: parts[i].ID, attempt: a, sent: now, firstByte: c.written, endByte: c.written + uint64(len(frameBytes)),
 		})
 		c.answers.Sent(parts[i].ID)
 		c.pool.connByAttempt[a] = c
+		a.Text = "" // an attempt is sent once
 	}
 	if node := c.pool.node; c.write(frameBytes) && node.log.Enabled(node.ctx, slog.LevelDebug) {
 		for i, a := range attempts {
@@ -166,6 +167,7 @@
 	err := c.conn.Write(frameBytes)
 	if err == nil {
 		c.written += uint64(len(frameBytes))
+		c.pool.boundUnsent()
 	}
 	return err == nil
 }
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -163,6 +163,8 @@
 
 func (discardClient) Reply(gatherer.Reply) {}
 func (discardClient) Disconnected() bool   { return false }
+func (discardClient) MayHold(int) bool     { return true }
+func (discardClient) Hold(int)             {}
 
 // Updates that were received and not read are handled before anything is sent. The loop may have been blocked for
 // longer than the grace, and the task that would send may precede the update in the same round of the loop.
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -60,7 +60,8 @@
 	EvictedInUse     int            // of Evicted: connections that had unread bytes or an unsent answer
 	LeftUnread       int            // client connections whose client was found to have left while nothing was read from them
 	WaitedForRoom    int            // times that a request waited, unread, for room in the memory of clients
-	RefusedForMemory int            // requests refused because there was no room for them
+	RefusedForMemory int            // requests and queries refused because there was no room for them
+	ShedForMemory    int            // queries ended and connections closed because there was no room for what had arrived
 	ClosedUnread     int            // client connections closed because the client did not read its answers
 	ClosedClients    map[string]int // client connections that have ended, by reason
 
@@ -77,6 +78,7 @@
 	ClosedWithUnsentParts    int // connections closed because a part was still in their buffer when their searcher was reported as draining or removed
 	ConnsToRestartedSearcher int // connections closed because their searcher has restarted since they were opened
 	ClosedToAbandon          int // connections closed to abandon an attempt, because they carried the maximum number of attempts or had unsent data
+	ClosedForMemory          int // connections closed because unsent frames to searchers took too much memory
 	SkippedClosed            int // times that a connection was not used because its searcher had closed it, although the close had not been read yet
 	Watches                  int // watches opened
 	WatchFails               int // watches that failed or ended
@@ -104,6 +106,7 @@
 	DialRetries int            // dials retried after failing for a reason on this machine
 
 	LongestEvents map[string]time.Duration // longest time that the event loop took for one event, by kind of connection
+	LongestRound  time.Duration            // longest time that the event loop took for all connections in turn while requests waited
 	LongestDelay  time.Duration            // longest time that due work waited for the event loop
 
 	Reloads     int // configurations reloaded
@@ -136,19 +139,19 @@
 		group("system", system...),
 		group("in", "taken", c.Taken, "malformed", c.Malformed),
 		group("clients", "opened", c.Clients, "reused", c.Reused, "noticed", c.ClosedWithAnswer, "trimmed", c.ClosedIdle,
-			"silent", c.ClosedSilent, "spared", c.NotClosed, "crossed", c.EvictedInUse, "unread", c.ClosedUnread, "left_unread", c.LeftUnread, "waited", c.WaitedForRoom, "no_room", c.RefusedForMemory),
+			"silent", c.ClosedSilent, "spared", c.NotClosed, "crossed", c.EvictedInUse, "unread", c.ClosedUnread, "left_unread", c.LeftUnread, "waited", c.WaitedForRoom, "no_room", c.RefusedForMemory, "shed", c.ShedForMemory),
 		group("evicted", sortedPairs(c.Evicted)...),
 		group("closed", sortedPairs(c.ClosedClients)...),
 		group("rejected", sortedPairs(c.Rejected)...),
 		group("held", sortedPairs(c.HeldBytes)...),
-		group("longest", append(sortedPairs(c.LongestEvents), "delay", c.LongestDelay)...),
+		group("longest", append(sortedPairs(c.LongestEvents), "round", c.LongestRound, "delay", c.LongestDelay)...),
 		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.RefusedAtLimit,
 			"late", c.Late, "unsent", c.EndedUnsent, "failed", c.Failed, "overdue", c.DeadlineExceeded, "cut_short", c.CutShort, "gone", c.ClientsDisconnected, "left_unread", c.DisconnectedUnread),
 		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "further", c.Retries, "copies", c.SecondCopies, "cold", c.SentToCold, "second_steps", c.SecondSteps,
 			"not_sent", c.RejectedSends, "dialed", c.Dialed, "dial_fails", c.DialFails,
 			"idle_closed", c.IdleClosed, "left", c.ClosedBySearcher, "left_out", c.ClosedBySearcherInFlight,
 			"beside", c.ParallelDials, "half_open", c.HalfOpen, "spoilt", c.MalformedConns, "held_back", c.ClosedWithUnsentParts,
-			"outlived", c.ConnsToRestartedSearcher, "end_unread", c.SkippedClosed, "given_up", c.ClosedToAbandon),
+			"outlived", c.ConnsToRestartedSearcher, "end_unread", c.SkippedClosed, "given_up", c.ClosedToAbandon, "no_room", c.ClosedForMemory),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "withdrawn", c.Withdrawn, "reports", c.Reports, "reports_bad", c.MalformedReports),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists,
--- a/internal/trial/emulator/client.go
+++ b/internal/trial/emulator/client.go
@@ -116,6 +116,12 @@
 // has left.
 func (*client) Disconnected() bool { return false }
 
+// MayHold implements gatherer.Client.
+func (*client) MayHold(int) bool { return true }
+
+// Hold implements gatherer.Client.
+func (*client) Hold(int) {}
+
 // receive handles the gatherer's answer once it has reached the client.
 func (c *client) receive(r gatherer.Reply) {
 	switch {
