Give an id one life: a query whose id may have run is not taken again

Cause: the core knew the ids of open queries only; an id was free again as soon as its query had ended, while its parts might still be out at searchers or have run.

An id that was refused before anything was sent may come again, as may a request that was not read.

--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -203,7 +203,7 @@
 	}
 	c.recordOutcome(c.now, q.class, reply, took)
 	c.logCompletion(q, reply, took)
-	c.removeQuery(q)
+	c.removeQuery(c.now, q)
 	reply.Epoch, reply.Generation = q.epoch(), q.liveSettings.Generation
 	q.client.Reply(reply)
 }
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -14,6 +14,7 @@
 //	attempts       starts, cancels and times out attempts
 //	completion     records results and gives clients their final answers
 //	records        the records of queries, parts and members
+//	used_ids       the ids of ended queries, which are not taken again
 //	start_times    converts reported start times of searchers to the monotonic clock
 package gatherer
 
@@ -122,6 +123,7 @@
 	lastID         uint64
 	queries        map[uint64]*query
 	queriesByTrace map[string]*query
+	usedIDs        usedIDs                    // of queries that have ended
 	parts          map[uint64]*part           // parts of open queries, and parts with an attempt in flight
 	inFlight       timerqueue.Queue[*Attempt] // attempts in flight, by deadline
 	endedAttempts  []*Attempt                 // attempts that ended since the last Run
@@ -149,6 +151,7 @@
 		start: start, nextTurn: start,
 		queries:        make(map[uint64]*query),
 		queriesByTrace: make(map[string]*query),
+		usedIDs:        newUsedIDs(settings.Module.Classes),
 		parts:          make(map[uint64]*part),
 		members:        make(map[string]member),
 		startTimes:     newStartTimes(start, settings.Module.ColdDuration),
--- a/internal/gatherer/intake.go
+++ b/internal/gatherer/intake.go
@@ -37,7 +37,7 @@
 var (
 	ErrInvalid      = errors.New("malformed query")
 	ErrUnknownClass = errors.New("unknown class")
-	ErrDuplicate    = errors.New("a query with this trace id is open")
+	ErrDuplicate    = errors.New("a query with this trace id is open or may have run")
 )
 
 // maxWeightError is how far the sum of the weights may be from 1, however many parts there are.
@@ -47,7 +47,7 @@
 // If the query exceeds a limit on open queries, or there is no room for it, Take refuses it by client.Reply and returns 0.
 // If it returns an error, the query was not accepted and the caller must answer the client.
 func (c *Core) Take(now time.Time, request QueryRequest, client Client) (uint64, error) {
-	class, err := c.validate(request)
+	class, err := c.validate(now, request)
 	if err != nil {
 		return 0, err
 	}
@@ -83,7 +83,7 @@
 }
 
 // validate returns the class number of a query, or an error that says why it is malformed.
-func (c *Core) validate(request QueryRequest) (class int, err error) {
+func (c *Core) validate(now time.Time, request QueryRequest) (class int, err error) {
 	class = -1
 	for i, k := range c.settings.Module.Classes {
 		if k.Name == request.Class {
@@ -102,7 +102,7 @@
 		return 0, fmt.Errorf("%w: already expired", ErrInvalid)
 	case len(request.Parts) == 0:
 		return 0, fmt.Errorf("%w: no parts", ErrInvalid)
-	case c.queriesByTrace[request.Trace] != nil:
+	case c.queriesByTrace[request.Trace] != nil || c.usedIDs.contains(now, request.Trace):
 		return 0, ErrDuplicate
 	}
 	seen, sum := make(map[int]bool), 0.0
@@ -143,7 +143,7 @@
 			c.settings.Recorder.Record(now, q.class, querystats.Gone, now.Sub(q.takenAt))
 		}
 		c.addEvent(now, eiderwinch.Gone{Query: id})
-		c.removeQuery(q)
+		c.removeQuery(now, q)
 	}
 }
 
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -135,7 +135,10 @@
 }
 
 // removeQuery removes a query and its parts.
-func (c *Core) removeQuery(q *query) {
+func (c *Core) removeQuery(now time.Time, q *query) {
+	if q.sent {
+		c.usedIDs.add(now, q.trace)
+	}
 	c.releaseEpoch(q)
 	c.backstops.Stop(&q.backstopTimer)
 	c.openByClass[q.class]--
