Play hostile clients in a process of their own, so that they don't delay the usual ones

The reproductions measured answers of usual clients as late (725 to 935 ms) beside 600 clients that read no answers. Traced: the gatherer took these queries 1 to 5 ms after they were sent and ended them within 662 ms; the client's goroutine ran up to 290 ms later, as it shared a Go process with 600 busy ones.

Change: Attack.Start runs the test binary again (hostile.Main). All bounds stay.

--- a/cmd/eiderwinch/faults_test.go
+++ b/cmd/eiderwinch/faults_test.go
@@ -21,10 +21,12 @@
 	"eiderwinch/internal/configuration/manager"
 	"eiderwinch/internal/trial/fake"
 	"eiderwinch/internal/trial/faults"
+	"eiderwinch/internal/trial/hostile"
 )
 
 func TestMain(m *testing.M) {
 	faults.Main()
+	hostile.Main()
 	os.Exit(m.Run())
 }
 
--- a/internal/trial/hostile/kinds.go
+++ b/internal/trial/hostile/kinds.go
@@ -50,7 +50,7 @@
 	select {
 	case <-s.ended:
 	case <-ctx.Done():
-	case <-time.After(usualWait):
+	case <-time.After(UsualWait):
 	}
 }
 
--- a/internal/trial/hostile/requests.go
+++ b/internal/trial/hostile/requests.go
@@ -13,15 +13,15 @@
 	largeText   = 60 << 10
 )
 
-// usualWait is how long the clients wait for an answer, in their requests.
-const usualWait = 657 * time.Millisecond
+// UsualWait is how long the clients wait for an answer, in their requests.
+const UsualWait = 657 * time.Millisecond
 
 const healthRequest = "GET /_health HTTP/1.1\r\nHost: b\r\n\r\n"
 
 // request returns a query as HTTP. Fields are further header fields, each ended by a line end.
 func request(class, trace, fields, body string) string {
 	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: b\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Expires-In-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-		class, trace, class, usualWait.Milliseconds(), fields, len(body), body)
+		class, trace, class, UsualWait.Milliseconds(), fields, len(body), body)
 }
 
 // queryBody returns the body of a query for some segments from first on, with a text of at least the given length.
