Read what a searcher has sent before its attempt counts as timed out

Cause: an attempt whose deadline had passed ended as timed out though its answer lay unread in the socket, since the loop was late: the gatherer's own delay counted against the searcher.

Change: the core asks whether data of the attempt's connection is unread; then the attempt waits for up to four ticks, in which the loop reads it.

--- a/cmd/eiderwinch/hostile_test.go
+++ b/cmd/eiderwinch/hostile_test.go
@@ -126,6 +126,7 @@
 	before, after memoryUse
 	attacks       []hostile.Report
 	usual         *hostile.UsualReport
+	ejections     int // of searchers, all of which are well
 }
 
 // attack plays hostile clients beside usual ones, and reads the gatherer's memory before and after.
@@ -165,7 +166,16 @@
 		t.Logf("%d x %s: %v", attacks[i].Clients, attacks[i].Kind, a)
 	}
 	_ = g.Process.Signal(syscall.SIGUSR1)
-	t.Log(g.waitForLog(t, "msg=counters"))
+	for line := range g.lines {
+		if strings.Contains(line, "ejected") {
+			r.ejections++
+		}
+		if strings.Contains(line, "msg=counters") {
+			t.Log(line)
+			break
+		}
+	}
+	t.Logf("%d ejections", r.ejections)
 	return r
 }
 
--- a/internal/discovery/leaving_test.go
+++ b/internal/discovery/leaving_test.go
@@ -89,10 +89,13 @@
 
 func (*simulation) Abandon(*gatherer.Attempt) {}
 func (*simulation) CloseIdle(string)          {}
-func (*simulation) Reply(gatherer.Reply)      {}
-func (*simulation) Disconnected() bool        { return false }
-func (*simulation) MayHold(int) bool          { return true }
-func (*simulation) Hold(int)                  {}
+
+// DataUnread implements gatherer.Searchers.
+func (*simulation) DataUnread(*gatherer.Attempt) bool { return false }
+func (*simulation) Reply(gatherer.Reply)              {}
+func (*simulation) Disconnected() bool                { return false }
+func (*simulation) MayHold(int) bool                  { return true }
+func (*simulation) Hold(int)                          {}
 
 func (sim *simulation) apply(kind eiderwinch.ListKind, from int, u catalog.Update) {
 	states := map[catalog.Phase]eiderwinch.State{
--- a/internal/gatherer/attempts.go
+++ b/internal/gatherer/attempts.go
@@ -135,9 +135,18 @@
 	}
 }
 
-// expireAttempts ends the attempts whose deadline has passed.
+// unreadGrace is how long, in ticks, an attempt waits past its deadline for received data to be read.
+const unreadGrace = 4
+
+// expireAttempts ends the attempts whose deadline has passed. While data from their searcher has arrived and was not read,
+// the delay is this gatherer's own, and must not count against the searcher: the data is read first.
 func (c *Core) expireAttempts() {
 	for t := c.inFlight.Pop(c.now); t != nil; t = c.inFlight.Pop(c.now) {
+		if c.now.Before(t.Value.Deadline.Add(unreadGrace*c.settings.Tick)) && c.searchers.DataUnread(t.Value) {
+			c.stats.ExpiredUnread++
+			c.inFlight.Set(&t.Value.deadlineTimer, c.nextTurn)
+			continue
+		}
 		c.endAttempt(c.now, t.Value, eiderwinch.TimedOut)
 		c.searchers.Abandon(t.Value)
 	}
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -42,6 +42,9 @@
 	Call(now time.Time, attempts []*Attempt)
 	// Abandon reports that the result of an attempt is no longer needed.
 	Abandon(a *Attempt)
+	// DataUnread reports whether something was received on the connection of an attempt in flight that was not read yet:
+	// it may be the attempt's answer.
+	DataUnread(a *Attempt) bool
 	// CloseIdle closes the idle connections to a searcher.
 	CloseIdle(searcher string)
 }
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -30,6 +30,7 @@
 	closed     []string
 	replies    []Reply
 	clientLeft bool // the client has disconnected, and the end of its connection has not been read yet
+	dataUnread bool // something was received from searchers and not read yet
 	noRoom     bool // there is no room for further queries
 	held       int  // bytes that the open query takes
 }
@@ -45,6 +46,7 @@
 func (h *harness) Call(_ time.Time, attempts []*Attempt) { h.calls = append(h.calls, attempts) }
 func (h *harness) Abandon(a *Attempt)                    { h.abandoned = append(h.abandoned, a) }
 func (h *harness) CloseIdle(searcher string)             { h.closed = append(h.closed, searcher) }
+func (h *harness) DataUnread(*Attempt) bool              { return h.dataUnread }
 func (h *harness) Reply(x Reply)                         { h.replies = append(h.replies, x) }
 func (h *harness) Disconnected() bool                    { return h.clientLeft }
 func (h *harness) MayHold(int) bool                      { return !h.noRoom }
--- a/internal/gatherer/live_settings_test.go
+++ b/internal/gatherer/live_settings_test.go
@@ -117,12 +117,15 @@
 		e.core.Result(now, a, eiderwinch.OK, 1, "v")
 	}
 }
-func (*echo) Abandon(*Attempt)   {}
-func (*echo) CloseIdle(string)   {}
-func (*echo) Reply(Reply)        {}
-func (*echo) Disconnected() bool { return false }
-func (*echo) MayHold(int) bool   { return true }
-func (*echo) Hold(int)           {}
+func (*echo) Abandon(*Attempt) {}
+func (*echo) CloseIdle(string) {}
+
+// DataUnread implements gatherer.Searchers.
+func (*echo) DataUnread(*Attempt) bool { return false }
+func (*echo) Reply(Reply)              {}
+func (*echo) Disconnected() bool       { return false }
+func (*echo) MayHold(int) bool         { return true }
+func (*echo) Hold(int)                 {}
 
 // BenchmarkQuery measures a query's path through the core, first with plain settings, then with
 // settings that can change at run time and recorded outcomes.
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -346,6 +346,12 @@
 	c.write(frame.AppendCancel(nil, id))
 }
 
+// DataUnread implements gatherer.Searchers.
+func (p *pool) DataUnread(a *gatherer.Attempt) bool {
+	c := p.connByAttempt[a]
+	return c != nil && c.conn != nil && pendingBytes(c.conn.FD()) > 0
+}
+
 // recordLatency updates the typical latency by one answered attempt.
 func (p *pool) recordLatency(took time.Duration) {
 	if p.typicalLatency == 0 {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -43,6 +43,7 @@
 	Errors           int
 	Skipped          int
 	TimedOut         int
+	ExpiredUnread    int // times that an attempt was given more time because data of its searcher was not read yet
 	Unconnected      int
 	Reset            int
 	Cancelled        int
@@ -152,7 +153,7 @@
 			"idle_closed", c.IdleClosed, "left", c.ClosedBySearcher, "left_out", c.ClosedBySearcherInFlight,
 			"beside", c.ParallelDials, "half_open", c.HalfOpen, "spoilt", c.MalformedConns, "held_back", c.ClosedWithUnsentParts,
 			"outlived", c.ConnsToRestartedSearcher, "end_unread", c.SkippedClosed, "given_up", c.ClosedToAbandon, "no_room", c.ClosedForMemory),
-		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut,
+		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut, "unread", c.ExpiredUnread,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "withdrawn", c.Withdrawn, "reports", c.Reports, "reports_bad", c.MalformedReports),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists,
 			"lists_bad", c.MalformedLists, "twice", c.DuplicateMembers, "news_first", c.DelayedForUpdates, "doubted", c.RejectedMembers, "reinstated", c.ReinstatedMembers, "forgotten", c.ForgottenMembers),
