End the excess of a query whose client has left, and compare the account with the connections

TestAccountMatchesWhatConnectionsHold plays clients that send in pieces, read late and leave in drawn orders against a node with 64 KiB for clients, and compares the account with what each connection holds. It found the loop standing still: the core ends a query by itself when it finds that the client has left, and did not say so, so that shedExcess went on ending a query that was gone. Hold(0) says it now, EndEarly tells whether there was a query, and otherwise the connection is closed. Found in reading the same code: an answer of over 16 KiB in a turn would have recursed without end.

--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -159,12 +159,16 @@
 	}
 }
 
-// EndEarly ends an open query before its deadline because of a shortage on this machine.
-func (c *Core) EndEarly(now time.Time, id uint64) {
-	if q := c.queries[id]; q != nil {
-		c.now = now
-		c.endEarly(q)
+// EndEarly ends an open query before its deadline because of a shortage on this machine. It returns false if the query is
+// not open.
+func (c *Core) EndEarly(now time.Time, id uint64) bool {
+	q := c.queries[id]
+	if q == nil {
+		return false
 	}
+	c.now = now
+	c.endEarly(q)
+	return true
 }
 
 // endEarly ends a query before its deadline: with an answer from the parts received so far if they are enough,
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -58,8 +58,7 @@
 	Disconnected() bool
 	// MayHold reports whether there is room for an open query of this client that takes a number of bytes.
 	MayHold(bytes int) bool
-	// Hold is called with the number of bytes that the client's open query takes, whenever that changes. It is not called
-	// when the query ends: then it takes none.
+	// Hold is called with the number of bytes that the client's open query takes, whenever that changes; 0 once it has ended.
 	Hold(bytes int)
 }
 
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -146,6 +146,7 @@
 	c.openCount--
 	delete(c.queries, q.id)
 	delete(c.queriesByTrace, q.trace)
+	q.client.Hold(0)
 	q.text = "" // attempts that are still in flight keep the record
 }
 
--- a/internal/netio/clientconn.go
+++ b/internal/netio/clientconn.go
@@ -96,7 +96,6 @@
 		c.node.log.Debug("client left while its query was open", "query", c.queryID, "reason", reason)
 		c.node.core.ClientDisconnected(time.Now(), c.queryID)
 		c.queryID = 0
-		c.holder.Set(memory.Queries, 0)
 	}
 }
 
@@ -327,7 +326,6 @@
 // Reply implements gatherer.Client.
 func (c *clientConn) Reply(r gatherer.Reply) {
 	c.queryID = 0
-	c.holder.Set(memory.Queries, 0)
 	var fields []http1.Field
 	if r.Generation != 0 {
 		fields = append(fields, http1.Field{Name: generationHeader, Value: strconv.FormatUint(r.Generation, 10)})
--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -279,7 +279,10 @@
 		if err := c.sendGathered(); err != nil {
 			return err
 		}
-		return c.Write(b)
+		if c.Blocked() {
+			c.keepUnsent(b)
+			return nil
+		}
 	}
 	return c.sendOrKeep(b)
 }
--- a/internal/netio/room.go
+++ b/internal/netio/room.go
@@ -138,8 +138,8 @@
 // shed frees the memory that the connection takes: it ends its query with an answer, or closes it if its client does not
 // read its answers.
 func (c *clientConn) shed() {
-	if c.queryID != 0 && c.holder.Held(memory.Queries) >= c.holder.Held(memory.Answers) {
-		c.node.core.EndEarly(time.Now(), c.queryID)
+	queryCostsMost := c.holder.Held(memory.Queries) >= c.holder.Held(memory.Answers)
+	if queryCostsMost && c.queryID != 0 && c.node.core.EndEarly(time.Now(), c.queryID) {
 		return
 	}
 	c.closeNow(closedForMemory)
