End a drain before the kill beside clients that go on sending or never read

Cause: a connection with more input is kept until the time of the kill itself, so a client that pipelines without end keeps the process; one that doesn't read its answers holds its place for 10 s.

Change: from 200 ms before the kill on every answer ends its connection and new queries are refused; 100 ms later the node ends once no query is open and no answer has made progress in the last second.

TestADrainEndsBesideClientsThatGoOn fails without the change.

--- a/internal/netio/clientconn.go
+++ b/internal/netio/clientconn.go
@@ -21,6 +21,7 @@
 	maxUnreadAnswers = 1 << 20          // bytes of answers that a client has not read
 	maxArrivals      = 32               // arrival times kept of data that waits behind an unanswered request
 	flushTimeout     = 10 * time.Second // for a client to read its answers while some can't be sent: 64 KiB at 6 KiB/s
+	flushStall       = time.Second      // without progress, after which a draining node does not wait for its answers to be read
 	connectionSize   = 1 << 10          // bytes that the records of a connection take
 	healthPath       = "/_health"
 
@@ -162,7 +163,7 @@
 	switch {
 	case !c.entry.InTable():
 	case c.conn.Blocked() && !watched:
-		flushing[c] = time.Now().Add(flushTimeout)
+		flushing[c] = newFlush(time.Now(), c.conn.Buffered())
 	case watched && !c.conn.Blocked() && !c.ending:
 		delete(flushing, c)
 	}
@@ -269,6 +270,10 @@
 
 // submit gives a query to the core.
 func (c *clientConn) submit(path string, r *http1.Request) {
+	if c.node.pastAnswers(time.Now()) {
+		c.respond(http.StatusServiceUnavailable, nil)
+		return
+	}
 	query, err := parseQuery(path, r, c.node.maxParts())
 	if err == nil {
 		now := time.Now()
@@ -381,7 +386,7 @@
 // client has not asked for that. The answer announces it to the client, so no request crosses the close.
 func (c *clientConn) endsWithAnswer(now time.Time) bool {
 	if c.node.draining { // the client could open no new connection: this one is kept for as long as there is time
-		return !now.Before(c.node.serveUntil) && (!now.Before(c.node.killAt) || !c.hasMoreInput())
+		return !now.Before(c.node.serveUntil) && (c.node.pastAnswers(now) || !c.hasMoreInput())
 	}
 	return c.node.clientTable.ShouldClose(&c.entry) && !c.hasMoreInput()
 }
--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -99,14 +99,14 @@
 
 // checkFlushing ends the connections whose last answer has been written, or whose answers take too long.
 func (n *Node) checkFlushing(now time.Time) {
-	for c, until := range n.flushing {
+	for c, f := range n.flushing {
 		switch {
 		case c.conn.Buffered() == 0:
 			delete(n.flushing, c)
 			if c.ending {
 				c.closeGracefully()
 			}
-		case !now.Before(until):
+		case !now.Before(f.until):
 			n.stats.ClosedUnread++
 			c.drop(closedForUnreadAnswers)
 		}
--- a/internal/netio/drain.go
+++ b/internal/netio/drain.go
@@ -42,9 +42,19 @@
 // answerDeadline returns the time by which a draining node must have written all answers.
 func (n *Node) answerDeadline() time.Time { return n.killAt.Add(-answerMargin) }
 
+// pastAnswers reports whether a draining node has passed the time by which it must have written all answers. What is
+// received from then on is refused, and its connection ends.
+func (n *Node) pastAnswers(now time.Time) bool {
+	return n.draining && !now.Before(n.answerDeadline())
+}
+
 // drained reports whether a draining node has nothing left to do. It closes idle client connections, and refuses
-// incomplete requests once it has waited long enough for the rest of them.
+// incomplete requests once it has waited long enough for the rest of them. Clients that go on sending, or do not read, do
+// not hold it up: shortly before the kill it is done once no query is open.
 func (n *Node) drained(now time.Time) bool {
+	if n.pastAnswers(now.Add(-answerMargin / 2)) {
+		return n.core.OpenQueries() == 0 && !n.someFlush(now)
+	}
 	if !n.draining || now.Before(n.drainUntil) || now.Before(n.serveUntil) && n.clientTable.Len() > 0 {
 		return false
 	}
@@ -60,6 +70,36 @@
 	return closed && !incomplete && !inputUnread && n.core.OpenQueries() == 0 && n.clientTable.Count(limit.Busy) == 0
 }
 
+// someFlush reports whether a client is reading its answers, so that more of them can be written. A client that has read
+// nothing for flushStall does not count.
+func (n *Node) someFlush(now time.Time) bool {
+	some := false
+	for c, f := range n.flushing {
+		f.update(now, c.conn.Buffered())
+		some = some || now.Sub(f.progressAt) < flushStall
+	}
+	return some
+}
+
+// flush is the state of a connection whose answers are not fully written.
+type flush struct {
+	until      time.Time // when it is given up
+	buffered   int       // bytes that were left at the last look
+	progressAt time.Time // when some of them were last seen to have been written
+}
+
+func newFlush(now time.Time, buffered int) *flush {
+	return &flush{until: now.Add(flushTimeout), buffered: buffered, progressAt: now}
+}
+
+// update records how many bytes are left.
+func (f *flush) update(now time.Time, buffered int) {
+	if buffered < f.buffered {
+		f.progressAt = now
+	}
+	f.buffered = buffered
+}
+
 // refusePartialRequests refuses the requests that are incomplete: their rest may arrive after the end of the
 // process, and nobody would answer them.
 func (n *Node) refusePartialRequests() {
--- a/internal/netio/drain_test.go
+++ b/internal/netio/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -247,3 +248,35 @@
 func setSendBuffer(fd, bytes int) error {
 	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
 }
+
+// Clients that send without end, or never read, do not keep a draining node from its end before the kill.
+func TestADrainEndsBesideClientsThatGoOn(t *testing.T) {
+	h := startHarness(t, nil)
+	flooding, unread := testpeer.NewClient(t, h.Addr()), testpeer.NewClient(t, h.Addr())
+	go func() { _, _ = io.Copy(io.Discard, flooding) }()
+	requests := []byte(strings.Repeat("GET /_health HTTP/1.1\r\n\r\n", 200))
+	for _, c := range []*testpeer.Client{flooding, unread} {
+		go func() {
+			for {
+				if _, err := c.Write(requests); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	h.waitUntil("a client does not read", func() bool { return len(h.flushing) > 0 })
+	h.onLoop(func() {
+		for _, f := range h.flushing {
+			f.progressAt = f.progressAt.Add(-flushStall)
+		}
+	})
+	h.Drain()
+	const untilKill = 600 * time.Millisecond
+	began := time.Now()
+	h.onLoop(func() { h.drainUntil, h.serveUntil, h.killAt = began, began, began.Add(untilKill) })
+	select {
+	case <-h.ctx.Done():
+	case <-time.After(untilKill):
+		t.Errorf("the node still runs after %v", untilKill)
+	}
+}
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -48,6 +48,7 @@
 // Durations that are not configurable.
 const (
 	housekeepingInterval = 250 * time.Millisecond // how often idle connections, client time limits and rejected members are checked
+	drainCheckInterval   = 20 * time.Millisecond  // how often a draining node checks whether it is done
 	drainAcceptTime      = 600 * time.Millisecond // new connections keep arriving for 0.4 s after SIGTERM
 	partialRequestWait   = time.Second            // how much longer a draining node waits for the rest of incomplete requests
 	bootTimeout          = 5 * time.Second        // for opening the listener
@@ -112,7 +113,7 @@
 
 	lastPresenceCheck time.Time // see checkPresence
 
-	flushing map[*clientConn]time.Time // connections whose answers are not fully written, with the time limit for that
+	flushing map[*clientConn]*flush // connections whose answers are not fully written
 
 	halfOpenAfter time.Duration // see pool.silenceTimeout
 	acceptFor     time.Duration // how long new connections are accepted in a drain
@@ -134,7 +135,7 @@
 	n := &Node{
 		cfg: cfg, log: log, stats: counters,
 		clientTable: limit.New[*clientConn](cfg.Clients), account: newAccount(cfg), trimmer: newTrimmer(),
-		flushing: make(map[*clientConn]time.Time),
+		flushing: make(map[*clientConn]*flush),
 		started:  make(chan struct{}), acceptFor: drainAcceptTime, halfOpenAfter: cfg.ConnectTimeout,
 		dialContext: new(net.Dialer).DialContext,
 	}
@@ -451,6 +452,9 @@
 		return
 	}
 	due := n.lastHousekeeping.Add(housekeepingInterval)
+	if next := time.Now().Add(drainCheckInterval); n.draining && next.Before(due) {
+		due = next
+	}
 	if next := n.lastRoomCheck.Add(roomCheckInterval); len(n.roomQueue) > 0 && next.Before(due) {
 		due = next
 	}
--- a/internal/trial/hostile/process.go
+++ b/internal/trial/hostile/process.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"runtime"
 	"strconv"
 	"syscall"
@@ -39,6 +40,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.Duration)
 	defer cancel()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM)
+	defer stop()
 	if err := json.NewEncoder(os.Stdout).Encode(a.Run(ctx)); err != nil {
 		fmt.Fprintln(os.Stderr, "hostile:", err)
 		os.Exit(1)
@@ -71,6 +74,12 @@
 	return p, p.cmd.Start()
 }
 
+// Stop ends the attack early and returns its report.
+func (p *Process) Stop() (Report, error) {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	return p.Wait()
+}
+
 // Wait waits for the end of the attack and returns its report.
 func (p *Process) Wait() (r Report, err error) {
 	if err := p.cmd.Wait(); err != nil {
--- a/internal/trial/hostile/usual.go
+++ b/internal/trial/hostile/usual.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -19,6 +22,10 @@
 	Segments int
 	Pause    time.Duration // between two queries of a client
 	Name     string        // prefix of the ids
+
+	// UntilRefused makes a client end when it can open no connection, as beside a gatherer that is told to end. A query
+	// that was not read before its connection was closed is not counted then.
+	UntilRefused bool
 }
 
 // UsualReport is what usual clients have seen.
@@ -93,21 +100,29 @@
 		body := queryBody((number+i)%u.Segments, 4, u.Segments, 0)
 		text := request("search", fmt.Sprintf("%s-%d-%d", u.Name, number, i), "", body)
 		sent := time.Now()
-		var status int
+		status, unread := 0, true
 		for range 2 { // a query that crosses the close of a kept connection is sent once more
 			fresh := c == nil
 			if fresh {
 				c = dialUsual(u.Addr)
 			}
+			if c == nil && u.UntilRefused {
+				return
+			}
+			var err error
 			var keep bool
-			if status, keep = c.ask(text); !keep {
+			if status, keep, err = c.ask(text); !keep {
+				unread = status == 0 && c.wasUnread(err)
 				c.close()
 				c = nil
 			}
-			if status != 0 || fresh {
+			if status != 0 || fresh || !unread {
 				break
 			}
 		}
+		if status == 0 && unread && u.UntilRefused {
+			continue
+		}
 		record(status, time.Since(sent))
 	}
 }
@@ -133,22 +148,42 @@
 	}
 }
 
+// errNotConnected is returned by ask if there is no connection.
+var errNotConnected = errors.New("not connected")
+
 // ask sends a query and returns the status of its answer, 0 if none came, and whether the connection can be kept.
-func (c *usualConn) ask(text string) (status int, keep bool) {
+func (c *usualConn) ask(text string) (status int, keep bool, err error) {
 	if c == nil {
-		return 0, false
+		return 0, false, errNotConnected
 	}
 	_ = c.SetDeadline(time.Now().Add(UsualWait + unansweredAfter))
 	if _, err := io.WriteString(c, text); err != nil {
-		return 0, false
+		return 0, false, err
 	}
 	response, err := http.ReadResponse(c.in, nil)
 	if err != nil {
-		return 0, false
+		return 0, false, err
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return 0, false
+		return 0, false, err
+	}
+	return response.StatusCode, !response.Close, nil
+}
+
+// resetDelay is how long a reset takes to arrive over loopback.
+const resetDelay = 50 * time.Millisecond
+
+// wasUnread reports whether the connection was closed before its last query was read: the system answers data that
+// arrives after the close with a reset.
+func (c *usualConn) wasUnread(err error) bool {
+	if c == nil || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return true
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
 	}
-	return response.StatusCode, !response.Close
+	time.Sleep(resetDelay)
+	_, err = c.Conn.Write([]byte("\n"))
+	return err != nil
 }
