Accept up to 64 connections in a round while few exceed the bound

Cause: connections whose clients have left wait in the listener's queue until they are accepted; eight a round (about 2,500 a second, measured beside a flood) are fewer than come, so a usual client waited behind up to 4,096 of them.

Change: up to 64 a round, but no further one once eight exceed the bound of connections: those that must make room are closed between two rounds.

--- a/internal/netio/clients.go
+++ b/internal/netio/clients.go
@@ -19,6 +19,10 @@
 // maxTransientExcess is how many connections may be held beyond the bound until the loop's next round.
 const maxTransientExcess = 8
 
+// mayAccept reports whether a further connection may be accepted before the loop's next round, in which others are closed
+// for those that exceed the bound.
+func (n *Node) mayAccept() bool { return n.excessClients() < maxTransientExcess }
+
 // evict makes room for a connection that is being opened, so that descriptors are never used up. If all others are
 // in use, or more than maxTransientExcess connections are held beyond the bound, it closes the new one, unread.
 func (n *Node) evict(newest *clientConn) {
--- a/internal/netio/eventloop/listener.go
+++ b/internal/netio/eventloop/listener.go
@@ -82,12 +82,13 @@
 
 // acceptBatch is the most connections that are accepted in one round of the loop. If only one was, a new client would
 // wait for as many rounds as there are connections in front of it.
-const acceptBatch = 8
+const acceptBatch = 64
 
-// acceptSome accepts connections; the poller reports further ones in its next round.
+// acceptSome accepts connections, as long as Options.MayAccept allows further ones; the poller reports the rest in its next
+// round.
 func (l *Loop) acceptSome() {
 	for range acceptBatch {
-		if !l.accept() || l.stopped {
+		if !l.accept() || l.stopped || l.opts.MayAccept != nil && !l.opts.MayAccept() {
 			return
 		}
 	}
--- a/internal/netio/eventloop/loop.go
+++ b/internal/netio/eventloop/loop.go
@@ -42,6 +42,7 @@
 // Options configures a Loop.
 type Options struct {
 	Accepted   func() Handler // returns the handler of a new connection
+	MayAccept  func() bool    // whether a further connection may be accepted in the same round; nil allows it
 	AfterEvent func()         // called after each event and each round of functions; may be nil
 	Log        *slog.Logger
 	Seed       uint64 // of the jitter of retries
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -174,7 +174,7 @@
 // address, and the system may be short of descriptors for a moment.
 func (n *Node) openLoop() (*eventloop.Loop, error) {
 	options := eventloop.Options{
-		Accepted: func() eventloop.Handler { return newClientConn(n) }, AfterEvent: n.afterEvent, Log: n.log, Seed: n.cfg.Gatherer.Module.Seed,
+		Accepted: func() eventloop.Handler { return newClientConn(n) }, MayAccept: n.mayAccept, AfterEvent: n.afterEvent, Log: n.log, Seed: n.cfg.Gatherer.Module.Seed,
 	}
 	for wait, end := bootRetryWait, time.Now().Add(bootTimeout); ; wait = min(2*wait, bootMaxRetryWait) {
 		loop, err := eventloop.Open(n.cfg.Listen, options)
