--- a/internal/netio/drain.go
+++ b/internal/netio/drain.go
@@ -52,7 +52,7 @@
 // incomplete requests once it has waited long enough for the rest of them. Clients that go on sending, or do not read, do
 // not hold it up: shortly before the kill it is done once no query is open.
 func (n *Node) drained(now time.Time) bool {
-	if n.pastAnswers(now.Add(-answerMargin / 2)) {
+	if n.pastAnswers(now.Add(-drainCheckInterval)) {
 		return n.core.OpenQueries() == 0 && !n.someFlush(now)
 	}
 	if !n.draining || now.Before(n.drainUntil) || now.Before(n.serveUntil) && n.clientTable.Len() > 0 {
