--- a/cmd/eiderwinch/hostile_test.go
+++ b/cmd/eiderwinch/hostile_test.go
@@ -353,3 +353,16 @@
 		}
 	}
 }
+
+// Usual clients that write a large query slowly are served, as long as there is room for all of them.
+func TestSlowWritersAreServed(t *testing.T) {
+	const writers = 12
+	g := startSmallGatherer(t, buildProgram(t), fake.DeploymentOptions{Seed: 1})
+	r := g.attack(t, attackDuration, hostile.Attack{Kind: hostile.PiecewiseBody, Clients: writers, Seed: 1})
+	r.checkMemory(t)
+	r.checkUsual(t, servedShare)
+	answers := r.attacks[0].Answers
+	if served := answers[http.StatusOK]; len(answers) != 1 || served < writers {
+		t.Errorf("slow writers got %v, want only %d", answers, http.StatusOK)
+	}
+}
--- a/internal/gatherer/admission.go
+++ b/internal/gatherer/admission.go
@@ -39,13 +39,10 @@
 	return queryRecordSize + memory.BufferSize(textLength) + parts*partRecordSize
 }
 
-// holdValues tells a query's client what the query takes with the values received so far.
-func (q *query) holdValues() {
-	size := querySize(len(q.text), len(q.parts))
-	for _, p := range q.parts {
-		size += memory.BufferSize(len(p.value))
-	}
-	q.client.Hold(size)
+// hold adds bytes to what a query takes, and tells its client.
+func (q *query) hold(bytes int) {
+	q.size += bytes
+	q.client.Hold(q.size)
 }
 
 // retryAdvice returns how long a client that the core refuses should wait before it
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"eiderwinch"
+	"eiderwinch/internal/memory"
 	"eiderwinch/internal/querystats"
 )
 
@@ -20,7 +21,7 @@
 func (c *Core) Result(now time.Time, a *Attempt, status eiderwinch.Status, score int64, value string) {
 	if c.endAttempt(now, a, status) && status == eiderwinch.OK && !a.part.removed && !a.part.answered {
 		a.part.answered, a.part.answeredBy, a.part.score, a.part.value = true, a, score, value
-		a.part.query.holdValues()
+		a.part.query.hold(memory.BufferSize(len(value)))
 	}
 }
 
@@ -32,8 +33,8 @@
 	if p.removed || p.answeredBy != a {
 		return false
 	}
+	p.query.hold(-memory.BufferSize(len(p.value)))
 	p.answered, p.answeredBy, p.score, p.value = false, nil, 0, ""
-	p.query.holdValues()
 	c.stats.Withdrawn++
 	c.addEvent(now, eiderwinch.Outcome{
 		Part: p.id, Attempt: a.number, Replica: a.Searcher, Status: eiderwinch.Reset, Took: now.Sub(a.decidedAt),
@@ -113,7 +114,7 @@
 		added := c.addPart(q, p.shard, 1/float64(n), true)
 		event.Parts = append(event.Parts, added.modulePart())
 	}
-	q.holdValues()
+	q.hold(querySize(len(q.text), len(q.parts)) - q.size)
 	c.addEvent(c.now, event)
 }
 
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -22,6 +22,7 @@
 	deadline      time.Time
 	layout        *layout.Layout // the epoch that the query is bound to; nil if there is no layout
 	parts         []*part        // of the current step
+	size          int            // bytes that the query takes, with the values of its parts
 
 	sent            bool      // an attempt of a part was started
 	disconnected    bool      // the client was found to have disconnected
@@ -97,7 +98,7 @@
 		q.key = request.IdempotencyKey
 	}
 	c.queries[q.id] = q
-	client.Hold(querySize(len(q.text), len(request.Parts)))
+	q.hold(querySize(len(q.text), len(request.Parts)))
 	c.queriesByTrace[q.trace] = q
 	c.openCount++
 	sum := 0.0
@@ -146,7 +147,7 @@
 	c.openCount--
 	delete(c.queries, q.id)
 	delete(c.queriesByTrace, q.trace)
-	q.client.Hold(0)
+	q.hold(-q.size)
 	q.text = "" // attempts that are still in flight keep the record
 }
 
