--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -98,6 +98,7 @@
 	loop             *eventloop.Loop // nil until Run has opened it
 	timer            *time.Timer     // runs runDue
 	timerAt          time.Time       // when timer fires; zero if it is not armed
+	timerSetAt       time.Time       // when it was armed
 	lastHousekeeping time.Time
 	lastReport       time.Time // when the counters were last logged on schedule
 	clientTable      *limit.Table[*clientConn]
@@ -401,7 +402,8 @@
 func (n *Node) runDue() {
 	now := time.Now()
 	if !n.timerAt.IsZero() {
-		n.stats.LongestDelay = max(n.stats.LongestDelay, now.Sub(n.timerAt))
+		waited := min(now.Sub(n.timerAt), now.Sub(n.timerSetAt)) // what is due may have been so for long when the timer is set
+		n.stats.LongestDelay = max(n.stats.LongestDelay, waited)
 	}
 	n.timerAt = time.Time{}
 	n.wakeups++
@@ -452,8 +454,8 @@
 		return
 	}
 	due := n.lastHousekeeping.Add(housekeepingInterval)
-	if next := time.Now().Add(drainCheckInterval); n.draining && next.Before(due) {
-		due = next
+	if n.draining && n.timerAt.IsZero() {
+		due = time.Now().Add(drainCheckInterval)
 	}
 	if next := n.lastRoomCheck.Add(roomCheckInterval); len(n.roomQueue) > 0 && next.Before(due) {
 		due = next
@@ -471,11 +473,8 @@
 			due = t
 		}
 	}
-	if now := time.Now(); due.Before(now) {
-		due = now
-	}
 	if n.timerAt.IsZero() || due.Before(n.timerAt) {
-		n.timerAt = due
-		n.timer.Reset(max(time.Until(due), 0))
+		n.timerAt, n.timerSetAt = due, time.Now()
+		n.timer.Reset(max(due.Sub(n.timerSetAt), 0))
 	}
 }
