Answer what was read whole when memory is short and when a drain is forced to end

Two causes in the code of this issue: shed() closed a connection whose request waits for its turn or is being received, if it was the costliest while the pool is exceeded; and the forced end of a drain looked at open queries and answers alone, not at requests in the backlog or received in part.

Change: such a request is refused (503); the drain refuses what was received in part and waits for the backlog, until 80 ms past the time of the answers, so that 120 ms are left to close.

Measured: TestRequestThatWaitsForItsTurnIsRefusedWithoutRoom and TestWhatWasReadIsAnsweredBeforeADrainIsForcedToEnd fail before (unexpected EOF) and pass now.

--- a/internal/netio/clientconn_test.go
+++ b/internal/netio/clientconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"syscall"
@@ -416,3 +417,23 @@
 		t.Errorf("have %v", got.Status)
 	}
 }
+
+// A request that was read whole and waits for its turn is refused, not cut off, if there is no room for it any more.
+func TestRequestThatWaitsForItsTurnIsRefusedWithoutRoom(t *testing.T) {
+	h := startHarness(t, nil)
+	client := testpeer.NewClient(t, h.Addr())
+	body := `{"tablets":[{"tablet":0,"fraction":1}],"statement":"` + strings.Repeat("x", 2*maxInlineBody) + `"}`
+	text := fmt.Sprintf("POST /search HTTP/1.1\r\nX-Trace-Id: t\r\nX-Qos: search\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	h.waitUntil("the connection is accepted", func() bool { return h.clientTable.Count(limit.Silent) == 1 })
+	h.onLoop(func() {
+		owner := h.clientTable.Oldest(limit.Silent).Owner
+		owner.Traffic([]byte(text))
+		if owner.deferred == nil {
+			t.Fatal("the request does not wait for its turn")
+		}
+		owner.shed()
+	})
+	if resp, _ := client.ReadResponse(); resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("have %s", resp.Status)
+	}
+}
--- a/internal/netio/drain.go
+++ b/internal/netio/drain.go
@@ -53,7 +53,7 @@
 // not hold it up: shortly before the kill it is done once no query is open.
 func (n *Node) drained(now time.Time) bool {
 	if n.pastAnswers(now.Add(-drainCheckInterval)) {
-		return n.core.OpenQueries() == 0 && !n.someFlush(now)
+		return n.core.OpenQueries() == 0 && !n.someFlush(now) && (n.allReadAnswered() || n.pastAnswers(now.Add(-readGrace)))
 	}
 	if !n.draining || now.Before(n.drainUntil) || now.Before(n.serveUntil) && n.clientTable.Len() > 0 {
 		return false
@@ -70,6 +70,14 @@
 	return closed && !incomplete && !inputUnread && n.core.OpenQueries() == 0 && n.clientTable.Count(limit.Busy) == 0
 }
 
+// allReadAnswered refuses the requests that were received in part, and reports whether there was none and no request that
+// was received waits for its turn.
+func (n *Node) allReadAnswered() bool {
+	partial := n.clientTable.Count(limit.FirstRequest) + n.clientTable.Count(limit.NextRequest)
+	n.refusePartialRequests()
+	return partial == 0 && n.backlog.Len() == 0
+}
+
 // someFlush reports whether a client is reading its answers, so that more of them can be written. A client that has read
 // nothing for flushStall does not count.
 func (n *Node) someFlush(now time.Time) bool {
--- a/internal/netio/drain_test.go
+++ b/internal/netio/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -280,3 +281,30 @@
 		t.Errorf("the node still runs after %v", untilKill)
 	}
 }
+
+// A request that was read whole or in part gets an answer, also right before the kill.
+func TestWhatWasReadIsAnsweredBeforeADrainIsForcedToEnd(t *testing.T) {
+	h := startHarness(t, nil)
+	partial, waiting := testpeer.NewClient(t, h.Addr()), testpeer.NewClient(t, h.Addr())
+	partial.Send("POST /search HTTP/1.1\r\nX-Trace-Id: t\r\n")
+	h.waitUntil("a part of a request is read", func() bool { return h.clientTable.Count(limit.FirstRequest) == 1 })
+	body := `{"tablets":[{"tablet":0,"fraction":1}],"statement":"` + strings.Repeat("x", 2*maxInlineBody) + `"}`
+	text := fmt.Sprintf("POST /search HTTP/1.1\r\nX-Trace-Id: u\r\nX-Qos: search\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	h.waitUntil("the connection is accepted", func() bool { return h.clientTable.Count(limit.Silent) == 1 })
+	h.onLoop(func() {
+		h.clientTable.Oldest(limit.Silent).Owner.Traffic([]byte(text))
+		if h.backlog.Len() != 1 {
+			t.Fatal("the request does not wait for its turn")
+		}
+		now := time.Now()
+		h.draining, h.drainUntil, h.serveUntil, h.killAt = true, now, now, now.Add(answerMargin-drainCheckInterval)
+		if h.drained(now) {
+			t.Error("the node ends before it has answered what it has read")
+		}
+	})
+	for name, c := range map[string]*testpeer.Client{"in part": partial, "whole": waiting} {
+		if resp, _ := c.ReadResponse(); resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("a request read %s: %s", name, resp.Status)
+		}
+	}
+}
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -48,6 +48,7 @@
 // Durations that are not configurable.
 const (
 	housekeepingInterval = 250 * time.Millisecond // how often idle connections, client time limits and rejected members are checked
+	readGrace            = 80 * time.Millisecond  // past the time of the answers, for requests that were read; the rest of answerMargin is for closing
 	drainCheckInterval   = 20 * time.Millisecond  // how often a draining node checks whether it is done
 	drainAcceptTime      = 600 * time.Millisecond // new connections keep arriving for 0.4 s after SIGTERM
 	partialRequestWait   = time.Second            // how much longer a draining node waits for the rest of incomplete requests
--- a/internal/netio/room.go
+++ b/internal/netio/room.go
@@ -135,13 +135,17 @@
 	}
 }
 
-// shed frees the memory that the connection takes: it ends its query with an answer, or closes it if its client does not
-// read its answers.
+// shed frees the memory that the connection takes: it ends its query with an answer, refuses a request that was received,
+// or closes the connection if its client does not read its answers.
 func (c *clientConn) shed() {
 	queryCostsMost := c.holder.Held(memory.Queries) >= c.holder.Held(memory.Answers)
 	if queryCostsMost && c.queryID != 0 && c.node.core.EndEarly(time.Now(), c.queryID) {
 		return
 	}
+	if !c.busy && !c.ending && c.holder.Held(memory.Requests) >= c.holder.Held(memory.Answers) {
+		c.refuseForMemory()
+		return
+	}
 	c.closeNow(closedForMemory)
 }
 
