Review case 10: a second move of discovery, in place of a case that review/3 shows

Cause: a gatherer that comes back with an old layout is shown by review/3 already, which still fails. Change: the case of two new configurations within a probation takes its place; the gatherer's address is drawn anew if it is taken.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,7 +3,7 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
 [ -x "$root/bin/eiderwinch" ] && [ -x "$root/review/bin/standin2" ] || exit 2
-timeout -k 5 110 "$root/review/bin/standin2" behind "$root" "$folder"
+timeout -k 5 110 "$root/review/bin/standin2" moves "$root" "$folder"
 status=$?
 [ $status -le 2 ] || status=2
 exit $status
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -43,10 +43,7 @@
 		})
 	}
 	var err error
-	if d.discovery, err = newDiscovery(t, "A", d.members); err != nil {
-		return nil, err
-	}
-	d.listen, err = freeAddr()
+	d.discovery, err = newDiscovery(t, "A", d.members)
 	return d, err
 }
 
@@ -116,3 +113,9 @@
 	}
 	return path, os.Rename(path+".new", path)
 }
+
+// writeFile writes a file of the trial's folder.
+func (t *trial) writeFile(name, text string) (path string, err error) {
+	path = filepath.Join(t.dir, name)
+	return path, os.WriteFile(path, []byte(text), 0o600)
+}
--- a/review/standin2/keyed.go
+++ b/review/standin2/keyed.go
@@ -153,17 +153,10 @@
 		return false, err
 	}
 	k.deploy = d
-	path, err := t.writeConfig(d.config(d.discovery.addr(), d.discovery.whole()))
+	g, err := t.startGatherer(d, d.config(d.discovery.addr(), d.discovery.whole()), "exec bin/eiderwinch")
 	if err != nil {
 		return false, err
 	}
-	g, err := t.start("gatherer", "exec bin/eiderwinch", "LB_CONFIG="+path)
-	if err != nil {
-		return false, err
-	}
-	if err := t.awaitReady(g, d.listen); err != nil {
-		return false, err
-	}
 	time.Sleep(500 * time.Millisecond)
 	for i := range 2 * shardCount { // the gatherer gets to know how long calls take
 		if a := t.ask(d.listen, "reserve", []int{i % shardCount}, "c41e77d0", fmt.Sprintf("early%d", i), 4*time.Second); a.status != 200 {
--- a/review/standin2/operators.go
+++ b/review/standin2/operators.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"errors"
+	"path/filepath"
 	"sync"
 	"time"
 )
@@ -18,28 +20,34 @@
 
 // startWithHistory starts a gatherer with an operators' file that has a history.
 func (t *trial) startWithHistory(d *deployment, config object) (*process, error) {
-	admin, err := freeAddr()
-	if err != nil {
-		return nil, err
-	}
-	operators, err := t.writeFile("eiderwinch.xml", operatorsHead+"  <admin endpoint=\""+admin+"\"/>\n  <history file=\"history.db\"/>\n</eiderwinch>\n")
+	operators, err := t.writeFile("eiderwinch.xml", operatorsHead+"  <admin endpoint=\"unix:"+filepath.Join(t.dir, "admin.sock")+"\"/>\n  <history file=\"history.db\"/>\n</eiderwinch>\n")
 	if err != nil {
 		return nil, err
 	}
 	return t.startGatherer(d, config, "exec bin/eiderwinch serve --file "+operators)
 }
 
-// startGatherer writes a configuration, starts a gatherer and waits until it is ready.
-func (t *trial) startGatherer(d *deployment, config object, command string) (*process, error) {
-	path, err := t.writeConfig(config)
-	if err != nil {
-		return nil, err
-	}
-	g, err := t.start("gatherer", command, "LB_CONFIG="+path)
-	if err != nil {
-		return nil, err
+// startGatherer writes a configuration, starts a gatherer and waits until it is ready. If another process has taken the
+// address meanwhile, it tries again with another one.
+func (t *trial) startGatherer(d *deployment, config object, command string) (g *process, err error) {
+	for range 3 {
+		if d.listen, err = freeAddr(); err != nil {
+			return nil, err
+		}
+		config["listen"] = d.listen
+		path, err := t.writeConfig(config)
+		if err != nil {
+			return nil, err
+		}
+		if g, err = t.start("gatherer", command, "LB_CONFIG="+path); err != nil {
+			return nil, err
+		}
+		if err = t.awaitReady(g, d.listen); err == nil {
+			return g, nil
+		}
+		t.note("%v", err)
 	}
-	return g, t.awaitReady(g, d.listen)
+	return nil, errors.New("the gatherer did not get ready")
 }
 
 // load asks a search of all shards of a cell every interval until stop is closed.
