Count the parts whose last byte is sent when they might not be sent any more

Candidates before any change to what the program does, and what would show each: A the rest of a kept frame is sent without another look: `sent_barred.window` grows B the frame was accepted in time and read late: `sent.kept` is 0 C the retry is decided, or taken from the queue, after the window: `after` in the log line is short D the system was short of buffers: `system.stalls` grows E a second copy or a retry after a time-out: `outcomes.timed_out`, `cancelled` or `sent.copies` grow

What is sent is as before.

The tests of netio, gatherer and stats pass.

--- a/internal/gatherer/attempts.go
+++ b/internal/gatherer/attempts.go
@@ -166,27 +166,6 @@
 	return q.disconnected
 }
 
-// MaySend reports whether an attempt that has waited for a connection may still be written: its
-// result is still wanted, its searcher takes new work, and the class's repeat window allows it.
-func (c *Core) MaySend(now time.Time, a *Attempt) bool {
-	return !a.ended && now.Before(a.Deadline) && !c.notReady(a.Searcher) && !a.unwanted() && !c.repeatWindowOver(now, a)
-}
-
-// unwanted reports whether the result of an attempt in flight is no longer needed: its query or
-// step has ended and the aggregator has not cancelled the attempt yet or may not, or the client
-// has disconnected.
-func (a *Attempt) unwanted() bool { return a.part.removed || a.part.query.client.Disconnected() }
-
-// repeatWindowOver reports whether an attempt of a keyed part, of which another attempt may have
-// been executed, would arrive too late for its searcher to recognize it as a repeat. The aggregator
-// checked this when it decided, but the attempt may since have waited for a connection for too
-// long.
-func (c *Core) repeatWindowOver(now time.Time, a *Attempt) bool {
-	class, p := c.settings.Module.Classes[a.part.query.class], a.part
-	otherMayHaveRun := p.mayHaveRun || len(p.inFlight) > 1
-	return class.Effect == eiderwinch.Keyed && otherMayHaveRun && !now.Add(c.settings.Tick).Before(p.firstDecidedAt.Add(class.RepeatWindow))
-}
-
 // endAttempt ends an attempt and adds the Outcome event for the aggregator. It returns false if
 // the attempt had ended before.
 func (c *Core) endAttempt(now time.Time, a *Attempt, status eiderwinch.Status) bool {
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -12,6 +12,7 @@
 //	admission      refuses queries over the limits on open queries
 //	turn           runs a turn of the aggregator and carries out its actions
 //	attempts       starts, cancels and times out attempts
+//	sending        until when an attempt may be sent
 //	completion     records results and gives clients their final answers
 //	records        the records of queries, parts and members
 //	used_ids       the ids of ended queries, which are not taken again
--- /dev/null
+++ b/internal/gatherer/sending.go
@@ -0,0 +1,70 @@
+package gatherer
+
+import (
+	"time"
+
+	"eiderwinch"
+)
+
+// SendBar is why an attempt must not be sent, or must not be sent any further.
+type SendBar int
+
+// The reasons, in the order in which they are looked for.
+const (
+	SendAllowed      SendBar = iota
+	ResultUnwanted           // the query or its step has ended, or the client has disconnected
+	AttemptOver              // the attempt has timed out or was cancelled
+	RepeatWindowOver         // the searcher may not recognize the attempt as a repeat any more
+	SearcherNotReady         // the searcher is draining or not in the member list
+)
+
+// sendBarNames are the names of the reasons in counters and logs.
+var sendBarNames = map[SendBar]string{
+	SendAllowed: "allowed", ResultUnwanted: "unwanted", AttemptOver: "over", RepeatWindowOver: "window", SearcherNotReady: "not_ready",
+}
+
+// String returns the reason's name in counters and logs.
+func (b SendBar) String() string { return sendBarNames[b] }
+
+// MaySend reports whether the first byte of an attempt that has waited for a connection may be written.
+func (c *Core) MaySend(now time.Time, a *Attempt) bool { return c.SendBar(now, a) == SendAllowed }
+
+// SendBar returns why the first byte of an attempt must not be written.
+func (c *Core) SendBar(now time.Time, a *Attempt) SendBar {
+	if bar := c.CompletionBar(now, a); bar != SendAllowed {
+		return bar
+	}
+	if c.notReady(a.Searcher) {
+		return SearcherNotReady
+	}
+	return SendAllowed
+}
+
+// CompletionBar returns why the rest of an attempt must not be written whose first byte was. An attempt takes effect with
+// its last byte, so whatever bars its start bars its completion as well, except that its searcher has begun to drain: a
+// drain allows what was begun before it.
+func (c *Core) CompletionBar(now time.Time, a *Attempt) SendBar {
+	switch {
+	case a.unwanted():
+		return ResultUnwanted
+	case a.ended || !now.Before(a.Deadline):
+		return AttemptOver
+	case c.repeatWindowOver(now, a):
+		return RepeatWindowOver
+	}
+	return SendAllowed
+}
+
+// unwanted reports whether the result of an attempt in flight is no longer needed: its query or
+// step has ended and the aggregator has not cancelled the attempt yet or may not, or the client
+// has disconnected.
+func (a *Attempt) unwanted() bool { return a.part.removed || a.part.query.client.Disconnected() }
+
+// repeatWindowOver reports whether an attempt of a keyed part, of which another attempt may have
+// been executed, would arrive too late for its searcher to recognize it as a repeat. The aggregator
+// checked this when it decided, but the attempt may since have waited for too long.
+func (c *Core) repeatWindowOver(now time.Time, a *Attempt) bool {
+	class, p := c.settings.Module.Classes[a.part.query.class], a.part
+	otherMayHaveRun := p.mayHaveRun || len(p.inFlight) > 1
+	return class.Effect == eiderwinch.Keyed && otherMayHaveRun && !now.Add(c.settings.Tick).Before(p.firstDecidedAt.Add(class.RepeatWindow))
+}
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -25,14 +25,15 @@
 	answers       *answerstream.Stream
 	inFlight      []sentAttempt // including that whose answer is held by answers
 	openedAt      time.Time
-	unreadCancels map[string]bool   // abandoned parts whose cancel frame waits unread at the searcher
-	written       uint64            // bytes written to the connection, including its buffer
-	idleSince     time.Time         // when the last attempt in flight ended
-	lastReceived  time.Time         // when data was last received
-	frameTimer    timer             // set while a frame is incomplete: the time limit for its rest
-	holdTimer     timer             // set while an answer is held: when it is settled
-	provisional   *gatherer.Attempt // the attempt whose answer was settled last, which may still be withdrawn
-	halfOpen      bool              // it may be cut off, see checkHalfOpen
+	unreadCancels map[string]bool     // abandoned parts whose cancel frame waits unread at the searcher
+	written       uint64              // bytes written to the connection, including its buffer
+	idleSince     time.Time           // when the last attempt in flight ended
+	lastReceived  time.Time           // when data was last received
+	frameTimer    timer               // set while a frame is incomplete: the time limit for its rest
+	holdTimer     timer               // set while an answer is held: when it is settled
+	provisional   *gatherer.Attempt   // the attempt whose answer was settled last, which may still be withdrawn
+	halfOpen      bool                // it may be cut off, see checkHalfOpen
+	unsentCall    []*gatherer.Attempt // the call whose frame the system has not accepted whole
 }
 
 // sentAttempt is an attempt that is in flight on a connection.
@@ -89,9 +90,6 @@
 // ReadLimit implements eventloop.Handler.
 func (c *searcherConn) ReadLimit() int { return eventloop.ReadBufferSize }
 
-// Flushed implements eventloop.Handler.
-func (c *searcherConn) Flushed() {}
-
 // Opened implements eventloop.Handler.
 func (c *searcherConn) Opened(conn *eventloop.Conn) {
 	now := time.Now()
@@ -153,7 +151,13 @@
 		c.pool.connByAttempt[a] = c
 		a.Text = "" // an attempt is sent once
 	}
-	if node := c.pool.node; c.write(frameBytes) && node.log.Enabled(node.ctx, slog.LevelDebug) {
+	if !c.write(frameBytes) {
+		return
+	}
+	if c.conn.Buffered() > 0 {
+		c.keepCall(attempts)
+	}
+	if node := c.pool.node; node.log.Enabled(node.ctx, slog.LevelDebug) {
 		for i, a := range attempts {
 			node.log.Debug("part sent", "part", parts[i].ID, "searcher", c.searcher.id, "waited", now.Sub(a.DecidedAt()),
 				"buffered", c.conn.Buffered(), "last_news", now.Sub(node.watch.lastUpdate))
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -18,6 +18,8 @@
 
 	Rejected map[string]int // of Malformed, by the text of the status
 
+	SentBarred map[string]int // parts in KeptCalls whose last byte was sent when they might not be sent any more, by reason
+
 	Whole               int // answers marked whole
 	Partial             int // other answers
 	Refused             int // refusals, including those in RefusedAtLimit
@@ -39,6 +41,7 @@
 	SecondCopies     int // of Retries: sent while another attempt of the part was in flight
 	SentToCold       int // of Sent: parts to searchers that had started less than the configured cold time before
 	RejectedSends    int // sends that the core rejected
+	KeptCalls        int // of Calls: calls whose frame the system did not accept whole at once
 	OK               int // outcomes of attempts, by kind
 	Errors           int
 	Skipped          int
@@ -117,7 +120,7 @@
 // New returns counters that are all 0.
 func New() *Counters {
 	return &Counters{
-		Evicted: make(map[string]int), Rejected: make(map[string]int), ClosedClients: make(map[string]int), HeldBytes: make(map[string]int),
+		Evicted: make(map[string]int), Rejected: make(map[string]int), SentBarred: make(map[string]int), ClosedClients: make(map[string]int), HeldBytes: make(map[string]int),
 	}
 }
 
@@ -149,10 +152,11 @@
 		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.RefusedAtLimit,
 			"late", c.Late, "unsent", c.EndedUnsent, "failed", c.Failed, "overdue", c.DeadlineExceeded, "cut_short", c.CutShort, "gone", c.ClientsDisconnected, "left_unread", c.DisconnectedUnread),
 		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "further", c.Retries, "copies", c.SecondCopies, "cold", c.SentToCold, "second_steps", c.SecondSteps,
-			"not_sent", c.RejectedSends, "dialed", c.Dialed, "dial_fails", c.DialFails,
+			"not_sent", c.RejectedSends, "kept", c.KeptCalls, "dialed", c.Dialed, "dial_fails", c.DialFails,
 			"idle_closed", c.IdleClosed, "left", c.ClosedBySearcher, "left_out", c.ClosedBySearcherInFlight,
 			"beside", c.ParallelDials, "half_open", c.HalfOpen, "spoilt", c.MalformedConns, "held_back", c.ClosedWithUnsentParts,
 			"outlived", c.ConnsToRestartedSearcher, "end_unread", c.SkippedClosed, "given_up", c.ClosedToAbandon, "no_room", c.ClosedForMemory),
+		group("sent_barred", sortedPairs(c.SentBarred)...),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut, "unread", c.ExpiredUnread,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "withdrawn", c.Withdrawn, "reports", c.Reports, "reports_bad", c.MalformedReports),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists,
