Ask again before each write of a kept frame whether its parts may still be sent

A repeat whose frame the system took in part stayed in the connection's buffer while its searcher stood still, and left whole after the repeat window.

Cause: MaySend was asked once, before a call's first byte; an attempt takes effect with its last byte. What ends in between (the window, the client's connection, the attempt itself) was not seen. A cork is not a way there: only connections of clients are corked.

Change: the event loop asks its handler (MayFlush) before it writes bytes that had to wait, and a searcher's connection asks the core for each part of its unsent call; a timer asks every 20 ms while nothing can be written. If a part might not be sent any more, nothing more is written on the connection: the parts of the call have never run and end as not sent, blamed on the searcher only where the window is over. The connection stays open for the answers of parts that were sent whole on it, so that unsafe ones are not lost, and takes no further call. StopWriting frees the buffer. The counters `unsent.REASON` take the place of `sent_barred.REASON`.

Why this works: no byte of such a frame leaves but directly after the question, and without its last byte it has no effect.

--- a/internal/answerstream/stream.go
+++ b/internal/answerstream/stream.go
@@ -73,6 +73,9 @@
 	s.inFlight[id] = s.sent
 }
 
+// NotSent takes back Sent for a part whose frame will not be sent whole: it has no answer.
+func (s *Stream) NotSent(id string) { delete(s.inFlight, id) }
+
 // Abandon records that the answer to a part in flight is no longer wanted. It reports whether the
 // searcher has to be sent a cancel: not if the part's answer has arrived and is still held.
 func (s *Stream) Abandon(id string) (cancel bool) {
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -45,13 +45,17 @@
 // NotSent ends an attempt that was never written, so it certainly was not executed. The outcome
 // is NoConnection, which counts against the searcher, only if the result was still wanted.
 func (c *Core) NotSent(now time.Time, a *Attempt) {
-	status := eiderwinch.NoConnection
 	if !a.ended && a.unwanted() {
-		status = eiderwinch.NotSent
+		c.TakenBack(now, a)
+		return
 	}
-	c.endAttempt(now, a, status)
+	c.endAttempt(now, a, eiderwinch.NoConnection)
 }
 
+// TakenBack ends an attempt that was never written whole, so it certainly was not executed, for a reason that does not count
+// against its searcher.
+func (c *Core) TakenBack(now time.Time, a *Attempt) { c.endAttempt(now, a, eiderwinch.NotSent) }
+
 // ConnectionBroken ends an attempt whose connection broke after the attempt may have arrived.
 func (c *Core) ConnectionBroken(now time.Time, a *Attempt) { c.endAttempt(now, a, eiderwinch.Reset) }
 
--- a/internal/netio/clientconn.go
+++ b/internal/netio/clientconn.go
@@ -137,6 +137,9 @@
 	return wanted
 }
 
+// MayFlush implements eventloop.Handler.
+func (c *clientConn) MayFlush() bool { return true }
+
 // Flushed implements eventloop.Handler.
 func (c *clientConn) Flushed() {
 	c.enqueue()
--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -32,6 +32,7 @@
 	handler        Handler
 	unsent         []byte   // bytes given to Write that the system has not accepted yet
 	unsentSize     int      // bytes allocated for unsent
+	dropped        int      // bytes given to Write that are never sent, see StopWriting
 	registered     interest // what it is registered for with the poller
 	paused         bool     // nothing is read or written until a timer resumes it
 	readingPaused  bool     // nothing is read until ResumeReading
@@ -116,9 +117,9 @@
 	switch {
 	case c.paused:
 		return noEvents
-	case len(c.unsent) > 0 && !c.writingStopped && c.readingPaused:
+	case len(c.unsent) > 0 && c.readingPaused:
 		return writeEvents
-	case len(c.unsent) > 0 && !c.writingStopped:
+	case len(c.unsent) > 0:
 		return readWriteEvents
 	case c.readingPaused:
 		return noEvents
@@ -269,7 +270,10 @@
 		return ErrClosed
 	}
 	switch {
-	case len(c.unsent) > 0 || c.paused || c.writingStopped:
+	case c.writingStopped:
+		c.dropped += len(b)
+		return nil
+	case len(c.unsent) > 0 || c.paused:
 		c.keepUnsent(b)
 		return nil
 	case c.loop.corked == c && len(c.loop.output)+len(b) <= maxGathered:
@@ -335,7 +339,7 @@
 
 // flush sends the buffered bytes.
 func (c *Conn) flush() {
-	if c.closed || c.paused || c.writingStopped {
+	if c.closed || c.paused || c.writingStopped || !c.handler.MayFlush() {
 		return
 	}
 	n, err := c.send(c.unsent)
@@ -380,13 +384,13 @@
 // Buffered returns the number of bytes given to Write that the system has not accepted yet.
 func (c *Conn) Buffered() int {
 	if c.loop.corked == c {
-		return len(c.unsent) + len(c.loop.output)
+		return len(c.unsent) + c.dropped + len(c.loop.output)
 	}
-	return len(c.unsent)
+	return len(c.unsent) + c.dropped
 }
 
 // Blocked reports whether the system does not accept what was given to Write.
-func (c *Conn) Blocked() bool { return len(c.unsent) > 0 }
+func (c *Conn) Blocked() bool { return len(c.unsent)+c.dropped > 0 }
 
 // Held returns the size of the buffer for the bytes given to Write that the system has not accepted yet.
 func (c *Conn) Held() int { return c.unsentSize }
@@ -394,6 +398,8 @@
 // StopWriting stops all writing: bytes that the system has not accepted by now are never sent, and stay Buffered.
 func (c *Conn) StopWriting() {
 	c.writingStopped = true
+	c.dropped += len(c.unsent)
+	c.unsent, c.unsentSize = nil, 0
 	c.updateInterest()
 }
 
--- a/internal/netio/eventloop/loop.go
+++ b/internal/netio/eventloop/loop.go
@@ -29,6 +29,9 @@
 	ReadLimit() int
 	// Traffic is called with received bytes, which are valid until it returns.
 	Traffic([]byte)
+	// MayFlush is called before bytes given to Write that had to wait are passed to the system. If it returns false, they
+	// wait on: until the connection is writable in a later round, or for good if the handler has called StopWriting.
+	MayFlush() bool
 	// Flushed is called when the system has accepted all bytes given to Write, after some of them had to wait.
 	Flushed()
 	// Closed is called when either side closes the connection. The error is the reason; it is nil if this
--- a/internal/netio/eventloop/loop_test.go
+++ b/internal/netio/eventloop/loop_test.go
@@ -32,6 +32,7 @@
 }
 func (e *echo) Traffic(b []byte)    { _ = e.conn.Write(b) }
 func (e *echo) ReadLimit() int      { return ReadBufferSize }
+func (e *echo) MayFlush() bool      { return true }
 func (e *echo) Flushed()            {}
 func (e *echo) Closed(reason error) { e.ended <- reason }
 func (e *echo) Kind() string        { return "echo" }
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -34,6 +34,7 @@
 	provisional   *gatherer.Attempt   // the attempt whose answer was settled last, which may still be withdrawn
 	halfOpen      bool                // it may be cut off, see checkHalfOpen
 	unsentCall    []*gatherer.Attempt // the call whose frame the system has not accepted whole
+	unsentTimer   timer               // set while there is an unsent call: when it is checked again
 }
 
 // sentAttempt is an attempt that is in flight on a connection.
@@ -129,6 +130,7 @@
 	c.pool.timers.Stop(&c.dialTimer)
 	c.pool.timers.Stop(&c.frameTimer)
 	c.pool.timers.Stop(&c.holdTimer)
+	c.pool.timers.Stop(&c.unsentTimer)
 	c.pool.connCount--
 	c.searcher.conns = slices.DeleteFunc(c.searcher.conns, func(x *searcherConn) bool { return x == c })
 }
@@ -155,7 +157,7 @@
 		return
 	}
 	if c.conn.Buffered() > 0 {
-		c.keepCall(attempts)
+		c.keepCall(now, attempts)
 	}
 	if node := c.pool.node; node.log.Enabled(node.ctx, slog.LevelDebug) {
 		for i, a := range attempts {
--- /dev/null
+++ b/internal/netio/unsentcall_test.go
@@ -0,0 +1,226 @@
+package netio
+
+import (
+	"context"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"eiderwinch"
+	"eiderwinch/internal/format/catalog"
+	"eiderwinch/internal/trial/testpeer"
+)
+
+const (
+	largeStatement  = 60 << 10               // bytes, near the longest body that a client may send
+	smallSendBuffer = 4 << 10                // bytes
+	permissionEnds  = 500 * time.Millisecond // from the start of a test to when its unsent call might not be sent any more
+	sendGrace       = 100 * time.Millisecond // the latest that a part may be sent after its permission has ended
+)
+
+// stalledHarness is a harness with a second searcher, "stalled", that reads a number of frames and then nothing until
+// resume. The system accepts little of what is written to it.
+type stalledHarness struct {
+	*harness
+	stalled *testpeer.Searcher
+	resume  func()
+}
+
+func startStalledHarness(t *testing.T, framesRead int, set func(*harness)) *stalledHarness {
+	t.Helper()
+	stalled, resume := testpeer.NewStalledSearcher(t, framesRead)
+	h := startHarness(t, func(h *harness) {
+		h.cfg.InitialMembers.Members = append(h.cfg.InitialMembers.Members, catalog.Member{ID: "stalled", HostPort: stalled.Addr, Phase: catalog.Ready})
+		limitSendBuffer(h, stalled.Addr)
+		set(h)
+	})
+	return &stalledHarness{h, stalled, resume}
+}
+
+// limitSendBuffer gives connections to an address a small send buffer.
+func limitSendBuffer(h *harness, addr string) {
+	real, limited := h.dialContext, net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		failed := raw.Control(func(fd uintptr) { err = setSendBuffer(int(fd), smallSendBuffer) })
+		if failed != nil {
+			return failed
+		}
+		return err
+	}}
+	h.dialContext = func(ctx context.Context, network, to string) (net.Conn, error) {
+		if to == addr {
+			return limited.DialContext(ctx, network, to)
+		}
+		return real(ctx, network, to)
+	}
+}
+
+// sendLargeQuery sends a query of four parts, whose call takes 240 KiB.
+func (h *stalledHarness) sendLargeQuery(class, trace string, expires time.Duration) *testpeer.Client {
+	h.t.Helper()
+	text := testpeer.QueryWithStatement(class, trace, expires, 4, strings.Repeat("x", largeStatement))
+	return testpeer.NewClient(h.t, h.Addr()).Send(text)
+}
+
+// waitUntilHalfSent waits until a call to the stalled searcher is written in part.
+func (h *stalledHarness) waitUntilHalfSent() {
+	h.t.Helper()
+	h.waitUntil("a call is written in part", func() bool {
+		c := h.stalledConn()
+		return c != nil && c.unsentCall != nil && c.conn.Buffered() < 4*largeStatement
+	})
+}
+
+// stalledConn returns the open connection to the stalled searcher; nil if there is none.
+func (h *stalledHarness) stalledConn() *searcherConn {
+	for _, c := range h.pool.searchers["stalled"].conns {
+		if c.conn != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// checkNothingArrives lets the stalled searcher read on, and checks that its connection ends with no further part.
+func (h *stalledHarness) checkNothingArrives() {
+	h.t.Helper()
+	h.resume()
+	select {
+	case p := <-h.stalled.Parts:
+		h.t.Errorf("part %s arrives, %v after its permission has ended", p.ID, sendGrace)
+	case <-h.stalled.ClosedConns:
+	case <-time.After(testpeer.Timeout):
+		h.t.Error("the connection does not end")
+	}
+}
+
+// sendAll scripts an aggregator that sends each part to a searcher, and again to another one if it was reset.
+func sendAll(to, afterReset string) func(*harness) {
+	return func(h *harness) {
+		h.decide = func(e eiderwinch.Event) (out []eiderwinch.Action) {
+			switch e := e.(type) {
+			case eiderwinch.Query:
+				for _, p := range e.Parts {
+					out = append(out, eiderwinch.Send{Part: p.ID, Replica: to})
+				}
+			case eiderwinch.Outcome:
+				if e.Status == eiderwinch.Reset {
+					out = append(out, eiderwinch.Send{Part: e.Part, Replica: afterReset})
+				}
+			}
+			return out
+		}
+	}
+}
+
+// Guards against a reservation that is made twice: the frame of a repeat is written in part while its searcher stands
+// still, and its rest must not leave after the repeat window.
+func TestHalfSentRepeatIsNotCompletedAfterItsWindow(t *testing.T) {
+	h := startStalledHarness(t, 0, func(h *harness) {
+		sendAll("s", "stalled")(h)
+		h.cfg.Gatherer.Module.Classes[1].RepeatWindow = permissionEnds
+		h.rebuildCore()
+	})
+	h.sendLargeQuery("reserve", "t", time.Minute)
+	var first testpeer.Part
+	for range 4 {
+		first = h.nextPart()
+	}
+	first.Conn.Close()
+	h.waitUntilHalfSent()
+	time.Sleep(permissionEnds + sendGrace)
+	h.checkNothingArrives()
+	for range 4 {
+		if got := h.nextOutcome(); got.Status != eiderwinch.Reset {
+			t.Errorf("first attempts: have %v", got.Status)
+		}
+	}
+	for range 4 {
+		if got := h.nextOutcome(); got.Status != eiderwinch.NoConnection || got.Took > permissionEnds+sendGrace {
+			t.Errorf("repeats: have %v after %v", got.Status, got.Took)
+		}
+	}
+}
+
+// Guards against work for a client that has left: the rest of a frame that was written in part must not leave then.
+func TestHalfSentCallIsNotCompletedAfterItsClientHasLeft(t *testing.T) {
+	for _, class := range []string{"search", "reserve"} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			h := startStalledHarness(t, 0, sendAll("stalled", "s"))
+			client := h.sendLargeQuery(class, "t", time.Minute)
+			h.waitUntilHalfSent()
+			client.Close()
+			h.waitUntil("the client has left", func() bool { return h.stats.ClientsDisconnected == 1 })
+			time.Sleep(sendGrace)
+			h.checkNothingArrives()
+			for range 4 {
+				if got := h.nextOutcome(); got.Status != eiderwinch.NotSent {
+					t.Errorf("have %v", got.Status)
+				}
+			}
+		})
+	}
+}
+
+// Guards against the loss of what was sent whole: when a call behind it is given up, its answer still counts, above all that
+// of an unsafe part, which must not be sent again.
+func TestPartsSentWholeAreAnsweredThoughACallBehindThemIsGivenUp(t *testing.T) {
+	h := startStalledHarness(t, 1, func(h *harness) {
+		sendAll("stalled", "s")(h)
+		h.cfg.Gatherer.Module.Classes[0].Effect = eiderwinch.Unsafe
+		h.rebuildCore()
+	})
+	h.sendQuery("search", "whole", time.Minute, 1)
+	whole := testpeer.Receive(t, h.stalled.Parts, "the part that is sent whole")
+	behind := h.sendLargeQuery("search", "behind", time.Minute)
+	h.waitUntilHalfSent()
+	behind.Close()
+	for range 4 {
+		if got := h.nextOutcome(); got.Status != eiderwinch.NotSent {
+			t.Errorf("the call that is given up: have %v", got.Status)
+		}
+	}
+	whole.Answer("served", 1, "v")
+	if got := h.nextOutcome(); got.Status != eiderwinch.OK {
+		t.Errorf("the part that was sent whole: have %v", got.Status)
+	}
+	h.checkNothingArrives()
+}
+
+// Guards against blame by association: the other parts of a call that is given up for a client that has left have not run, and
+// that says nothing about their searcher.
+func TestOtherPartsOfACallThatIsGivenUpGoElsewhere(t *testing.T) {
+	var queries int
+	var parts []eiderwinch.Action
+	h := startStalledHarness(t, 0, func(h *harness) {
+		h.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+			switch e := e.(type) {
+			case eiderwinch.Query:
+				queries++
+				for _, p := range e.Parts[:2] {
+					parts = append(parts, eiderwinch.Send{Part: p.ID, Replica: "stalled"})
+				}
+				if queries == 2 { // the parts of both queries travel as one call
+					return parts
+				}
+			case eiderwinch.Outcome:
+				if e.Status == eiderwinch.NotSent {
+					return []eiderwinch.Action{eiderwinch.Send{Part: e.Part, Replica: "s"}}
+				}
+			}
+			return nil
+		}
+	})
+	leaves := h.sendLargeQuery("search", "leaves", time.Minute)
+	h.sendLargeQuery("search", "stays", time.Minute)
+	h.waitUntilHalfSent()
+	leaves.Close()
+	for range 2 {
+		if p := h.nextPart(); !strings.HasPrefix(p.ID, "stays.") {
+			t.Errorf("part %s is sent elsewhere", p.ID)
+		}
+	}
+	h.checkNothingArrives()
+}
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -127,6 +127,9 @@
 // ReadLimit implements eventloop.Handler.
 func (s *subscription) ReadLimit() int { return eventloop.ReadBufferSize }
 
+// MayFlush implements eventloop.Handler.
+func (s *subscription) MayFlush() bool { return true }
+
 // Flushed implements eventloop.Handler.
 func (s *subscription) Flushed() {}
 
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -18,7 +18,7 @@
 
 	Rejected map[string]int // of Malformed, by the text of the status
 
-	SentBarred map[string]int // parts in KeptCalls whose last byte was sent when they might not be sent any more, by reason
+	GivenUpCalls map[string]int // of KeptCalls: given up before their last byte was sent, because a part might not be sent any more, by reason
 
 	Whole               int // answers marked whole
 	Partial             int // other answers
@@ -120,7 +120,7 @@
 // New returns counters that are all 0.
 func New() *Counters {
 	return &Counters{
-		Evicted: make(map[string]int), Rejected: make(map[string]int), SentBarred: make(map[string]int), ClosedClients: make(map[string]int), HeldBytes: make(map[string]int),
+		Evicted: make(map[string]int), Rejected: make(map[string]int), GivenUpCalls: make(map[string]int), ClosedClients: make(map[string]int), HeldBytes: make(map[string]int),
 	}
 }
 
@@ -156,7 +156,7 @@
 			"idle_closed", c.IdleClosed, "left", c.ClosedBySearcher, "left_out", c.ClosedBySearcherInFlight,
 			"beside", c.ParallelDials, "half_open", c.HalfOpen, "spoilt", c.MalformedConns, "held_back", c.ClosedWithUnsentParts,
 			"outlived", c.ConnsToRestartedSearcher, "end_unread", c.SkippedClosed, "given_up", c.ClosedToAbandon, "no_room", c.ClosedForMemory),
-		group("sent_barred", sortedPairs(c.SentBarred)...),
+		group("unsent", sortedPairs(c.GivenUpCalls)...),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut, "unread", c.ExpiredUnread,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "withdrawn", c.Withdrawn, "reports", c.Reports, "reports_bad", c.MalformedReports),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists,
--- a/internal/trial/testpeer/testpeer.go
+++ b/internal/trial/testpeer/testpeer.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,6 +66,9 @@
 	Parts       chan Part
 	Cancels     chan string   // ids of cancelled parts
 	ClosedConns chan struct{} // receives a value for each connection that has ended
+
+	readsFirst int           // frames that each connection reads before it waits for resumed
+	resumed    chan struct{} // nil if the searcher reads all the time
 }
 
 // Part is a part that a Searcher has received. Call is the number of the frame that carried
@@ -82,9 +86,36 @@
 	return s
 }
 
+// stalledReadBuffer bounds, in bytes, what the system accepts for a stalled searcher, beside the sender's buffer.
+const stalledReadBuffer = 4 << 10
+
+// NewStalledSearcher starts a Searcher that reads the given number of frames on each connection, and then nothing until
+// resume is called.
+func NewStalledSearcher(t testing.TB, frames int) (s *Searcher, resume func()) {
+	s = &Searcher{
+		Parts: make(chan Part, 100), Cancels: make(chan string, 100), ClosedConns: make(chan struct{}, 100),
+		readsFirst: frames, resumed: make(chan struct{}),
+	}
+	s.Addr = listen(t, s.serve)
+	resume = sync.OnceFunc(func() { close(s.resumed) })
+	t.Cleanup(resume) // runs before the cleanup of the listener, which waits for the connections
+	return s, resume
+}
+
+// awaitResume waits until the searcher may read a frame of a connection.
+func (s *Searcher) awaitResume(framesRead int) {
+	if s.resumed != nil && framesRead >= s.readsFirst {
+		<-s.resumed
+	}
+}
+
 func (s *Searcher) serve(c net.Conn) {
 	defer func() { s.ClosedConns <- struct{}{} }()
+	if s.resumed != nil {
+		_ = c.(*net.TCPConn).SetReadBuffer(stalledReadBuffer)
+	}
 	for call := 0; ; call++ {
+		s.awaitResume(call)
 		letter, payload, err := fake.ReadFrame(c)
 		if err != nil {
 			return
@@ -182,11 +213,16 @@
 
 // Query returns the text of an HTTP request for a query of the given number of parts.
 func Query(class, trace string, expires time.Duration, parts int) string {
+	return QueryWithStatement(class, trace, expires, parts, "text")
+}
+
+// QueryWithStatement is Query with a statement, which must not need escapes in JSON.
+func QueryWithStatement(class, trace string, expires time.Duration, parts int, statement string) string {
 	var list []string
 	for i := range parts {
 		list = append(list, fmt.Sprintf(`{"tablet":%d,"fraction":%v}`, i, 1/float64(parts)))
 	}
-	body := fmt.Sprintf(`{"tablets":[%s],"statement":"text"}`, strings.Join(list, ","))
+	body := fmt.Sprintf(`{"tablets":[%s],"statement":%q}`, strings.Join(list, ","), statement)
 	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: b\r\nX-Qos: %s\r\nX-Trace-Id: %s\r\nIdempotency-Key: k\r\n"+
 		"X-Expires-In-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", class, class, trace, expires.Milliseconds(), len(body), body)
 }
