Answer parts that were sent whole although a call behind them is given up

What callers saw: an unsafe query failed (502), a keyed one lost an attempt, whose part had long been sent whole, because another query's call waited behind it on the same connection and was cancelled, timed out, or its searcher began to leave.

Cause: Abandon and cancelUnsent closed the whole connection when a frame in its buffer was given up, so that all parts in flight on it ended as those of a broken connection. Where the part was not to be sent again, Abandon only wrote a cancel behind the kept frame, which went on. A close comes in the loop's next round, and the rest of the frame could leave before it.

Change: both give the unsent call up as the check before a write does: nothing more is written, its attempts have never run, and the connection stays for the answers to what was sent whole. The unsent call is read off the attempts in flight, by the offsets of their frames, so no second list of it can go stale. close() itself stops all writing.

Why this works: without its last byte the frame has no effect, whether or not the connection is closed.

--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -145,7 +145,6 @@
 			return
 		}
 		p.node.stats.ClosedForMemory++
-		largest.conn.StopWriting() // the loop could write once more before it closes the connection
 		largest.close()
 	}
 }
@@ -192,8 +191,8 @@
 }
 
 // cancelUnsent ends what has not been sent yet to a searcher that is leaving: calls that wait for a connection,
-// and frames whose first byte is still in a connection's buffer. These have certainly not run; other parts in
-// flight on such a connection may have.
+// and those whose first byte is still in a connection's buffer. These have certainly not run; the parts that were sent
+// whole on such a connection are still answered.
 func (p *pool) cancelUnsent(now time.Time, id string) {
 	s := p.searchers[id]
 	if s == nil {
@@ -201,14 +200,9 @@
 	}
 	p.sendQueued(now, s)
 	for _, c := range s.conns {
-		if c.conn == nil {
-			continue
-		}
-		flushed := c.written - uint64(c.conn.Buffered())
-		if slices.ContainsFunc(c.inFlight, func(f sentAttempt) bool { return f.firstByte >= flushed }) {
+		if c.conn != nil && c.callNotBegun() {
 			p.node.stats.ClosedWithUnsentParts++
-			c.conn.StopWriting() // the loop could write once more before it closes the connection
-			c.close()
+			c.giveUpUnsentCall(now, gatherer.SearcherNotReady)
 		}
 	}
 }
@@ -330,8 +324,13 @@
 	if c == nil {
 		return // it is still queued, and is dropped from the queue
 	}
+	now := time.Now()
+	if c.isUnsent(a) {
+		c.giveUpUnsentCall(now, p.node.core.CompletionBar(now, a))
+		return
+	}
 	id, blocked := a.PartID(), c.full() || c.conn.Buffered() > 0
-	c.checkHalfOpen(time.Now(), c.removeAttempt(a))
+	c.checkHalfOpen(now, c.removeAttempt(a))
 	if !c.answers.Abandon(id) {
 		c.setHoldTimer()
 		return // the searcher has answered it
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -25,16 +25,15 @@
 	answers       *answerstream.Stream
 	inFlight      []sentAttempt // including that whose answer is held by answers
 	openedAt      time.Time
-	unreadCancels map[string]bool     // abandoned parts whose cancel frame waits unread at the searcher
-	written       uint64              // bytes written to the connection, including its buffer
-	idleSince     time.Time           // when the last attempt in flight ended
-	lastReceived  time.Time           // when data was last received
-	frameTimer    timer               // set while a frame is incomplete: the time limit for its rest
-	holdTimer     timer               // set while an answer is held: when it is settled
-	provisional   *gatherer.Attempt   // the attempt whose answer was settled last, which may still be withdrawn
-	halfOpen      bool                // it may be cut off, see checkHalfOpen
-	unsentCall    []*gatherer.Attempt // the call whose frame the system has not accepted whole
-	unsentTimer   timer               // set while there is an unsent call: when it is checked again
+	unreadCancels map[string]bool   // abandoned parts whose cancel frame waits unread at the searcher
+	written       uint64            // bytes written to the connection, including its buffer
+	idleSince     time.Time         // when the last attempt in flight ended
+	lastReceived  time.Time         // when data was last received
+	frameTimer    timer             // set while a frame is incomplete: the time limit for its rest
+	holdTimer     timer             // set while an answer is held: when it is settled
+	provisional   *gatherer.Attempt // the attempt whose answer was settled last, which may still be withdrawn
+	halfOpen      bool              // it may be cut off, see checkHalfOpen
+	unsentTimer   timer             // set while there is an unsent call: when it is checked again
 }
 
 // sentAttempt is an attempt that is in flight on a connection.
@@ -157,7 +156,7 @@
 		return
 	}
 	if c.conn.Buffered() > 0 {
-		c.keepCall(now, attempts)
+		c.callKept(now)
 	}
 	if node := c.pool.node; node.log.Enabled(node.ctx, slog.LevelDebug) {
 		for i, a := range attempts {
@@ -190,9 +189,11 @@
 	return sent
 }
 
-// close closes the connection; Closed is called later, on the loop.
+// close closes the connection; Closed is called later, on the loop. Nothing more is written until then: the loop could
+// otherwise complete a frame whose parts are sent elsewhere.
 func (c *searcherConn) close() {
 	c.retired = true
+	c.conn.StopWriting()
 	c.conn.Close()
 }
 
@@ -331,7 +332,7 @@
 			"buffered", c.conn.Buffered(), "reason", reason)
 	}
 	c.settleAtEnd(now)
-	flushed := c.written - uint64(c.conn.Buffered())
+	flushed := c.flushed()
 	unanswered := c.inFlight
 	if !c.retired {
 		c.pool.node.stats.ClosedBySearcher++
--- a/internal/netio/unsentcall_test.go
+++ b/internal/netio/unsentcall_test.go
@@ -68,7 +68,7 @@
 	h.t.Helper()
 	h.waitUntil("a call is written in part", func() bool {
 		c := h.stalledConn()
-		return c != nil && c.unsentCall != nil && c.conn.Buffered() < 4*largeStatement
+		return c != nil && len(c.unsentCall()) > 0 && c.conn.Buffered() < 4*largeStatement
 	})
 }
 
@@ -224,3 +224,71 @@
 	}
 	h.checkNothingArrives()
 }
+
+// Guards against the loss of what was sent whole: an attempt of a call behind it is cancelled so that its part can go elsewhere.
+func TestPartsSentWholeAreAnsweredThoughACallBehindThemIsCancelled(t *testing.T) {
+	var cancelled uint64
+	h := startStalledHarness(t, 1, func(h *harness) {
+		h.decide = func(e eiderwinch.Event) (out []eiderwinch.Action) {
+			switch e := e.(type) {
+			case eiderwinch.Query:
+				cancelled = e.Parts[0].ID
+				for _, p := range e.Parts {
+					out = append(out, eiderwinch.Send{Part: p.ID, Replica: "stalled"})
+				}
+			case eiderwinch.Share: // the test's signal
+				out = append(out, eiderwinch.Cancel{Part: cancelled})
+			case eiderwinch.Outcome:
+				if e.Status == eiderwinch.Cancelled || e.Status == eiderwinch.NotSent {
+					out = append(out, eiderwinch.Send{Part: e.Part, Replica: "s"})
+				}
+			}
+			return out
+		}
+	})
+	h.sendQuery("search", "whole", time.Minute, 1)
+	whole := testpeer.Receive(t, h.stalled.Parts, "the part that is sent whole")
+	h.sendLargeQuery("search", "behind", time.Minute)
+	h.waitUntilHalfSent()
+	h.SetShare(0, time.Now())
+	for range 4 { // one was cancelled, the others were in its frame
+		if p := h.nextPart(); !strings.HasPrefix(p.ID, "behind.") {
+			t.Errorf("part %s is sent elsewhere", p.ID)
+		}
+		h.nextOutcome()
+	}
+	whole.Answer("served", 1, "v")
+	if got := h.nextOutcome(); got.Status != eiderwinch.OK {
+		t.Errorf("the part that was sent whole: have %v", got.Status)
+	}
+	h.checkNothingArrives()
+}
+
+// holdBehindPadding makes the last attempt in flight on a connection look as if no byte of its frame were sent.
+func (h *harness) holdBehindPadding(c *searcherConn) {
+	_ = setSendBuffer(c.conn.FD(), 1)
+	for c.conn.Buffered() == 0 { // the searcher of these tests does not read that fast
+		c.write([]byte("\x00\x01\x00\x01c" + strings.Repeat("x", 1<<16)))
+	}
+	last := &c.inFlight[len(c.inFlight)-1]
+	last.firstByte, last.endByte = c.written, c.written+1
+}
+
+// Guards against the loss of what was sent whole: a call behind it is given up because its searcher begins to leave.
+func TestPartsSentWholeToALeavingSearcherAreAnswered(t *testing.T) {
+	h := startHarness(t, sendOnce)
+	watch := testpeer.Receive(t, h.discovery.Watches, "a watch")
+	h.sendQuery("search", "whole", time.Minute, 1)
+	whole := h.nextPart()
+	h.sendQuery("search", "behind", time.Minute, 1)
+	h.nextPart()
+	h.onLoop(func() { h.holdBehindPadding(h.pool.searchers["s"].conns[0]) })
+	watch.Send(testpeer.MemberList(42, false, testpeer.Member("s", h.searcher.Addr, "Terminating", 0)))
+	if got := h.nextOutcome(); got.Status != eiderwinch.NoConnection {
+		t.Errorf("the part that was not sent: have %v", got.Status)
+	}
+	whole.Answer("served", 1, "v")
+	if got := h.nextOutcome(); got.Status != eiderwinch.OK {
+		t.Errorf("the part that was sent whole: have %v", got.Status)
+	}
+}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -79,7 +79,7 @@
 	ParallelDials            int // of Dialed and DialFails: dialed while another connection to the same searcher was open
 	HalfOpen                 int // connections to searchers considered half-open because nothing was received while an attempt was in flight
 	MalformedConns           int // connections to searchers closed because of a malformed response
-	ClosedWithUnsentParts    int // connections closed because a part was still in their buffer when their searcher was reported as draining or removed
+	ClosedWithUnsentParts    int // connections given up because a part was still in their buffer when their searcher was reported as draining or removed
 	ConnsToRestartedSearcher int // connections closed because their searcher has restarted since they were opened
 	ClosedToAbandon          int // connections closed to abandon an attempt, because they carried the maximum number of attempts or had unsent data
 	ClosedForMemory          int // connections closed because unsent frames to searchers took too much memory
