Tell searchers no more time than is left when the last byte of their call is sent

What callers saw: searchers worked on for up to 2 s after their client's time was over: a frame that tells 1.996 s was completed with 1.33 s left, or later.

Cause: the time is written into the frame when the call begins. A frame that the system accepts in part goes on telling it for as long as it is kept, and nothing looked at it again.

Change: an attempt is barred (`unsent.told`) from when its client has 50 ms less left than its searcher is told. So that honest searchers that read slowly keep their calls, a call that may not leave at once tells half of what is left and has the other half to be sent: one of which over 16 KiB are ahead of the searcher's reading, its own bytes included. Usual calls tell what they told.

Why this works: the bar is asked before each write of the rest, as the window and the client are; a time told is never raised.

--- a/internal/gatherer/attempts.go
+++ b/internal/gatherer/attempts.go
@@ -28,6 +28,7 @@
 	part          *part
 	number        int
 	decidedAt     time.Time
+	sendBy        time.Time // when its last byte must have been sent, see TellWait; zero if its searcher was told nothing yet
 	ended         bool
 	deadlineTimer timerqueue.Timer[*Attempt] // expires at Deadline
 }
--- a/internal/gatherer/sending.go
+++ b/internal/gatherer/sending.go
@@ -14,13 +14,14 @@
 	SendAllowed      SendBar = iota
 	ResultUnwanted           // the query or its step has ended, or the client has disconnected
 	AttemptOver              // the attempt has timed out or was cancelled
+	ToldTooMuch              // the client has less time left than the searcher is told
 	RepeatWindowOver         // the searcher may not recognize the attempt as a repeat any more
 	SearcherNotReady         // the searcher is draining or not in the member list
 )
 
 // sendBarNames are the names of the reasons in counters and logs.
 var sendBarNames = map[SendBar]string{
-	SendAllowed: "allowed", ResultUnwanted: "unwanted", AttemptOver: "over", RepeatWindowOver: "window", SearcherNotReady: "not_ready",
+	SendAllowed: "allowed", ResultUnwanted: "unwanted", AttemptOver: "over", ToldTooMuch: "told", RepeatWindowOver: "window", SearcherNotReady: "not_ready",
 }
 
 // String returns the reason's name in counters and logs.
@@ -49,12 +50,34 @@
 		return ResultUnwanted
 	case a.ended || !now.Before(a.Deadline):
 		return AttemptOver
+	case !a.sendBy.IsZero() && !now.Before(a.sendBy):
+		return ToldTooMuch
 	case c.repeatWindowOver(now, a):
 		return RepeatWindowOver
 	}
 	return SendAllowed
 }
 
+const (
+	// toldSlack is by how much the time that a searcher is told may exceed what is left to the client when the attempt's last
+	// byte is sent. Searchers allow 150 ms; the rest is for delays behind this process and between its clock and its write.
+	toldSlack = 50 * time.Millisecond
+	// sendShare is the part (1/2) of the time left to the client that sending an attempt may take where that may be slow.
+	sendShare = 2
+)
+
+// TellWait returns the time that the searcher of an attempt is told that the gatherer waits for its answer, and bars the
+// attempt from when the client has less than that left. A searcher counts the time from the last byte, so where sending may
+// be slow, it is told less.
+func (a *Attempt) TellWait(now time.Time, maySendSlowly bool) time.Duration {
+	wait := a.Deadline.Sub(now)
+	if maySendSlowly {
+		wait = min(wait, a.part.query.deadline.Sub(now)/sendShare)
+	}
+	a.sendBy = a.part.query.deadline.Add(toldSlack - wait)
+	return wait
+}
+
 // unwanted reports whether the result of an attempt in flight is no longer needed: its query or
 // step has ended and the aggregator has not cancelled the attempt yet or may not, or the client
 // has disconnected.
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -108,12 +108,16 @@
 // retainedCall is the largest buffer for frames, in bytes, that is kept for further calls.
 const retainedCall = 64 << 10
 
-// appendCall returns the frame of a call. It is valid until the next call of appendCall.
-func (p *pool) appendCall(parts []frame.Part) []byte {
-	size := 0
+// callSize returns about how many bytes the frame of a call takes.
+func callSize(parts []frame.Part) (size int) {
 	for _, part := range parts {
 		size += partOverhead + len(part.ID) + len(part.Text) + len(part.Options.Key)
 	}
+	return size
+}
+
+// appendCall returns the frame of a call, which takes about size bytes. It is valid until the next call of appendCall.
+func (p *pool) appendCall(parts []frame.Part, size int) []byte {
 	if size > cap(p.callBuffer) {
 		p.callBuffer = make([]byte, 0, memory.BufferSize(size))
 	}
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -27,6 +27,7 @@
 	openedAt      time.Time
 	unreadCancels map[string]bool   // abandoned parts whose cancel frame waits unread at the searcher
 	written       uint64            // bytes written to the connection, including its buffer
+	read          uint64            // how many of these the searcher has certainly read: it has answered a part behind them
 	idleSince     time.Time         // when the last attempt in flight ended
 	lastReceived  time.Time         // when data was last received
 	frameTimer    timer             // set while a frame is incomplete: the time limit for its rest
@@ -140,10 +141,14 @@
 	parts := make([]frame.Part, len(attempts))
 	for i, a := range attempts {
 		parts[i] = frame.Part{ID: a.PartID(), Shard: a.Shard, Text: a.Text, Options: frame.PartOptions{
-			Wait: a.Deadline.Sub(now), Key: a.Key, From: a.FirstStepShards, Whole: a.FirstStepWhole,
+			Key: a.Key, From: a.FirstStepShards, Whole: a.FirstStepWhole,
 		}}
 	}
-	frameBytes := c.pool.appendCall(parts)
+	size := callSize(parts)
+	for i, a := range attempts {
+		parts[i].Options.Wait = a.TellWait(now, c.maySendSlowly(size))
+	}
+	frameBytes := c.pool.appendCall(parts, size)
 	for i, a := range attempts {
 		c.inFlight = append(c.inFlight, sentAttempt{
 			partID: parts[i].ID, attempt: a, sent: now, firstByte: c.written, endByte: c.written + uint64(len(frameBytes)),
@@ -262,6 +267,7 @@
 func (c *searcherConn) useAnswer(now time.Time, answer answerstream.Answer) *gatherer.Attempt {
 	index := slices.IndexFunc(c.inFlight, func(f sentAttempt) bool { return f.partID == answer.ID })
 	a := c.inFlight[index].attempt
+	c.read = max(c.read, c.inFlight[index].endByte)
 	c.pool.recordLatency(answer.ReceivedAt.Sub(c.removeAttempt(a)))
 	switch {
 	case answer.Report.Present:
--- a/internal/netio/unsentcall.go
+++ b/internal/netio/unsentcall.go
@@ -14,6 +14,15 @@
 // 0.1 s within which nothing more may be sent for a client that has left.
 const unsentCheckInterval = 20 * time.Millisecond
 
+// promptBytes is how many bytes the system accepts at once on a connection whose searcher has read everything before: the
+// smallest usual send buffer.
+const promptBytes = 16 << 10
+
+// maySendSlowly reports whether the system may accept a frame of the given size only once the searcher reads.
+func (c *searcherConn) maySendSlowly(size int) bool {
+	return c.written-c.read+uint64(size) > promptBytes
+}
+
 // callKept is called when the system did not accept the frame of a call whole.
 func (c *searcherConn) callKept(now time.Time) {
 	c.pool.node.stats.KeptCalls++
--- a/internal/netio/unsentcall_test.go
+++ b/internal/netio/unsentcall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"syscall"
@@ -15,7 +16,7 @@
 
 const (
 	largeStatement  = 60 << 10               // bytes, near the longest body that a client may send
-	smallSendBuffer = 4 << 10                // bytes
+	smallSendBuffer = 16 << 10               // bytes
 	permissionEnds  = 500 * time.Millisecond // from the start of a test to when its unsent call might not be sent any more
 	sendGrace       = 100 * time.Millisecond // the latest that a part may be sent after its permission has ended
 )
@@ -39,10 +40,14 @@
 	return &stalledHarness{h, stalled, resume}
 }
 
-// limitSendBuffer gives connections to an address a small send buffer.
+// limitSendBuffer gives connections to an address a small send buffer, and segments of a size that fits it.
 func limitSendBuffer(h *harness, addr string) {
 	real, limited := h.dialContext, net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		failed := raw.Control(func(fd uintptr) { err = setSendBuffer(int(fd), smallSendBuffer) })
+		failed := raw.Control(func(fd uintptr) {
+			if err = setSendBuffer(int(fd), smallSendBuffer); err == nil {
+				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment)
+			}
+		})
 		if failed != nil {
 			return failed
 		}
@@ -88,7 +93,7 @@
 	h.resume()
 	select {
 	case p := <-h.stalled.Parts:
-		h.t.Errorf("part %s arrives, %v after its permission has ended", p.ID, sendGrace)
+		h.t.Errorf("part %s arrives although it might not be sent any more", p.ID)
 	case <-h.stalled.ClosedConns:
 	case <-time.After(testpeer.Timeout):
 		h.t.Error("the connection does not end")
@@ -292,3 +297,63 @@
 		t.Errorf("the part that was sent whole: have %v", got.Status)
 	}
 }
+
+// stated returns the time that a part tells its searcher.
+func stated(t *testing.T, p testpeer.Part) time.Duration {
+	t.Helper()
+	var ms int64
+	if _, err := fmt.Sscanf(p.Fields, "d=%d", &ms); err != nil {
+		t.Fatalf("part %s states %q: %v", p.ID, p.Fields, err)
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// Guards against a searcher that is told more time than its client has left: the frame that tells it is written in part, and is
+// completed much later or not at all.
+func TestHalfSentCallTellsNoMoreThanIsLeft(t *testing.T) {
+	const expires, slack = 2 * time.Second, 150 * time.Millisecond
+	for name, c := range map[string]struct {
+		resumeAfter time.Duration
+		arrives     bool
+	}{
+		"the searcher reads on soon": {expires / 4, true}, "it reads on late": {expires * 3 / 4, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := startStalledHarness(t, 0, sendAll("stalled", "s"))
+			began := time.Now()
+			h.sendLargeQuery("reserve", "t", expires)
+			h.waitUntilHalfSent()
+			time.Sleep(time.Until(began.Add(c.resumeAfter)))
+			if !c.arrives {
+				h.checkNothingArrives()
+				if got := h.nextOutcome(); got.Status != eiderwinch.NoConnection {
+					t.Errorf("have %v", got.Status)
+				}
+				return
+			}
+			h.resume()
+			for range 4 {
+				p := testpeer.Receive(t, h.stalled.Parts, "a part")
+				if left := expires - time.Since(began); stated(t, p) > left+slack {
+					t.Errorf("part %s states %v, %v is left", p.ID, stated(t, p), left)
+				}
+			}
+		})
+	}
+}
+
+// Guards against calls that tell less than is left though nothing holds them up.
+func TestSmallCallTellsAllThatIsLeft(t *testing.T) {
+	h := startHarness(t, sendOnce)
+	for i := range 200 { // more than promptBytes in all
+		client := h.sendQuery("search", fmt.Sprint("t", i), time.Minute, 1)
+		p := h.nextPart()
+		if stated(t, p) < time.Minute-testpeer.Timeout {
+			t.Fatalf("part %s states %v of a minute", p.ID, stated(t, p))
+		}
+		p.Answer("served", 1, "v")
+		client.ReadResponse()
+		client.Close()
+	}
+}
--- a/internal/trial/testpeer/testpeer.go
+++ b/internal/trial/testpeer/testpeer.go
@@ -86,8 +86,12 @@
 	return s
 }
 
-// stalledReadBuffer bounds, in bytes, what the system accepts for a stalled searcher, beside the sender's buffer.
-const stalledReadBuffer = 4 << 10
+// The receive buffers of a stalled searcher, in bytes: the first bounds what the system accepts for it, beside the sender's
+// buffer.
+const (
+	stalledReadBuffer = 4 << 10
+	resumedReadBuffer = 1 << 20
+)
 
 // NewStalledSearcher starts a Searcher that reads the given number of frames on each connection, and then nothing until
 // resume is called.
@@ -102,10 +106,11 @@
 	return s, resume
 }
 
-// awaitResume waits until the searcher may read a frame of a connection.
-func (s *Searcher) awaitResume(framesRead int) {
-	if s.resumed != nil && framesRead >= s.readsFirst {
+// awaitResume waits until the searcher may read a frame of a connection. Then it reads at full speed.
+func (s *Searcher) awaitResume(c net.Conn, framesRead int) {
+	if s.resumed != nil && framesRead == s.readsFirst {
 		<-s.resumed
+		_ = c.(*net.TCPConn).SetReadBuffer(resumedReadBuffer)
 	}
 }
 
@@ -115,7 +120,7 @@
 		_ = c.(*net.TCPConn).SetReadBuffer(stalledReadBuffer)
 	}
 	for call := 0; ; call++ {
-		s.awaitResume(call)
+		s.awaitResume(c, call)
 		letter, payload, err := fake.ReadFrame(c)
 		if err != nil {
 			return
