Read updates from discovery before the first byte of a kept call leaves

The drain rule counts a send from its first byte. A frame of which no byte has left is kept after a full socket, or while the system is short of buffers; if the loop was held up beyond the drain grace, it could find the connection writable before it read that the searcher leaves, and begin the call then.

Cause: a turn and the queue wait for unread updates (deferForUpdates); the write of kept bytes did not. It also asked for what bars a call's completion only, where its first byte was still to come.

Change: a call of which no byte was sent waits as the queue does, and is barred by what bars a first byte (SendBar).

Why this works: the wait is the one that turns have, with its bound; the update is read in the loop's same or next round.

--- a/internal/netio/unsentcall.go
+++ b/internal/netio/unsentcall.go
@@ -29,8 +29,15 @@
 	c.pool.timers.Set(&c.unsentTimer, now.Add(unsentCheckInterval))
 }
 
-// MayFlush implements eventloop.Handler.
-func (c *searcherConn) MayFlush() bool { return c.checkUnsentCall(time.Now()) }
+// MayFlush implements eventloop.Handler. A call of which no byte was sent waits until updates from discovery have been read:
+// its searcher may have begun to leave.
+func (c *searcherConn) MayFlush() bool {
+	now := time.Now()
+	if c.callNotBegun() && c.pool.node.deferForUpdates(now) {
+		return false
+	}
+	return c.checkUnsentCall(now)
+}
 
 // Flushed implements eventloop.Handler.
 func (c *searcherConn) Flushed() { c.pool.timers.Stop(&c.unsentTimer) }
@@ -62,8 +69,12 @@
 // without one of its parts. It reports whether the rest of the frame may be written.
 func (c *searcherConn) checkUnsentCall(now time.Time) bool {
 	attempts := c.unsentCall()
+	barOf := c.pool.node.core.CompletionBar
+	if c.callNotBegun() {
+		barOf = c.pool.node.core.SendBar
+	}
 	for _, a := range attempts {
-		if bar := c.pool.node.core.CompletionBar(now, a); bar != gatherer.SendAllowed {
+		if bar := barOf(now, a); bar != gatherer.SendAllowed {
 			c.giveUpUnsentCall(now, bar)
 			return false
 		}
--- a/internal/netio/unsentcall_test.go
+++ b/internal/netio/unsentcall_test.go
@@ -357,3 +357,30 @@
 		client.Close()
 	}
 }
+
+// Guards against a call that begins after its searcher's drain grace: the loop was held up, and finds the connection writable
+// before it reads that the searcher leaves.
+func TestKeptCallDoesNotBeginBeforeUpdatesAreRead(t *testing.T) {
+	h := startHarness(t, sendOnce)
+	watch := testpeer.Receive(t, h.discovery.Watches, "a watch")
+	h.sendQuery("search", "t", time.Minute, 1)
+	h.nextPart()
+	h.onLoop(func() {
+		c := h.pool.searchers["s"].conns[0]
+		if !c.MayFlush() {
+			t.Error("a connection without an unsent call may not be written")
+		}
+		h.holdBehindPadding(c)
+		if !c.MayFlush() {
+			t.Error("the call may not begin although there is no update")
+		}
+		watch.Send(testpeer.MemberList(42, false, testpeer.Member("s", h.searcher.Addr, "Terminating", 0)))
+		h.spinUntil("the update is received", func() bool { return h.deferForUpdates(time.Now()) })
+		if c.MayFlush() {
+			t.Error("the call may begin before the update is read")
+		}
+	})
+	if got := h.nextOutcome(); got.Status != eiderwinch.NoConnection {
+		t.Errorf("have %v", got.Status)
+	}
+}
