Answer parts that were sent whole when unsent frames take too much memory

What callers saw: under a searcher that stands still, a part that was sent whole long ago ends as that of a broken connection because of the frames behind it; an unsafe one is lost.

Cause: boundUnsent frees the buffer of the connection with most unsent bytes by closing it, which is not needed for that.

Change: the connection is stopped as for a call that might not be sent any more (stopSending): its buffer is freed, the unsent call has never run, and the answers to what was sent whole still count. The counter keeps its key `sent.no_room`.

A test of the event loop shows that bytes which had to wait for want of buffers are asked about as those after a full socket.

--- a/internal/netio/eventloop/loop_test.go
+++ b/internal/netio/eventloop/loop_test.go
@@ -157,6 +157,56 @@
 	_ = l.Execute(l.Stop)
 }
 
+// gate is a Handler that decides whether bytes that had to wait may be sent.
+type gate struct {
+	echo
+	open bool
+}
+
+func (g *gate) MayFlush() bool { return g.open }
+
+// Guards against bytes that leave without a question after a shortage of buffers: whatever made them wait, the handler is asked.
+func TestBytesThatHadToWaitAreSentIfTheHandlerAllows(t *testing.T) {
+	l, ended, _ := serve(t)
+	peer, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	c, err := net.Dial("tcp", peer.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	remote, err := peer.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer remote.Close()
+	h := &gate{echo: echo{ended: ended, opened: make(chan *Conn, 1)}}
+	if err := l.Enroll(c, h); err != nil {
+		t.Fatal(err)
+	}
+	conn := testpeer.Receive(t, h.opened, "the connection")
+	left := make(chan int, 2)
+	_ = l.Execute(func() {
+		conn.pause("write", unix.ENOBUFS)
+		_ = conn.Write([]byte("kept"))
+		conn.paused = false // as when the pause is over
+		conn.flush()
+		left <- conn.Buffered()
+		h.open = true
+		conn.flush()
+		left <- conn.Buffered()
+	})
+	if n := testpeer.Receive(t, left, "what is left"); n != len("kept") {
+		t.Errorf("%d bytes wait that might not be sent", n)
+	}
+	if n := testpeer.Receive(t, left, "what is left"); n != 0 {
+		t.Errorf("%d bytes wait that may be sent", n)
+	}
+	_ = l.Execute(l.Stop)
+}
+
 func TestTransientErrors(t *testing.T) {
 	for err, want := range map[syscall.Errno]bool{
 		unix.EINTR: true, unix.ENFILE: true, unix.EMFILE: true, unix.ENOBUFS: true, unix.ENOMEM: true,
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -128,8 +128,8 @@
 	return frameBytes
 }
 
-// boundUnsent closes the connection with the most unsent bytes while the connections to searchers hold more of these than
-// they may. The parts whose frames were not sent whole have not run and can go elsewhere.
+// boundUnsent stops sending on the connection with the most unsent bytes while the connections to searchers hold more of these
+// than they may. The parts whose frames were not sent whole have not run and can go elsewhere.
 func (p *pool) boundUnsent() {
 	for {
 		held := 0
@@ -148,8 +148,8 @@
 		if held <= p.maxUnsent || largest == nil {
 			return
 		}
-		p.node.stats.ClosedForMemory++
-		largest.close()
+		p.node.stats.StoppedForMemory++
+		largest.stopSending(time.Now(), p.node.core.NotSent)
 	}
 }
 
--- a/internal/netio/unsentcall.go
+++ b/internal/netio/unsentcall.go
@@ -85,25 +85,29 @@
 	return true
 }
 
-// giveUpUnsentCall ends the attempts of the unsent call. Nothing more is written to the connection, so they have certainly not
-// run and can go elsewhere. The connection stays open until the parts that were sent whole on it have ended.
+// giveUpUnsentCall ends the unsent call because a part of it might not be sent any more.
 func (c *searcherConn) giveUpUnsentCall(now time.Time, bar gatherer.SendBar) {
 	node := c.pool.node
-	attempts := c.unsentCall()
-	node.log.Debug("call given up before it was sent whole", "searcher", c.searcher.id, "parts", len(attempts),
-		"unsent", c.conn.Buffered(), "reason", bar)
+	node.log.Debug("call given up before it was sent whole", "searcher", c.searcher.id, "unsent", c.conn.Buffered(), "reason", bar)
 	node.stats.GivenUpCalls[bar.String()]++
+	if bar == gatherer.ResultUnwanted || bar == gatherer.AttemptOver { // of one part, which says nothing about the searcher
+		c.stopSending(now, node.core.TakenBack)
+	} else {
+		c.stopSending(now, node.core.NotSent)
+	}
+}
+
+// stopSending ends the attempts of the unsent call by the given function. Nothing more is written to the connection, so they have
+// certainly not run and can go elsewhere. The connection stays open until the parts that were sent whole on it have ended.
+func (c *searcherConn) stopSending(now time.Time, end func(time.Time, *gatherer.Attempt)) {
+	attempts := c.unsentCall()
 	c.retired = true
 	c.pool.timers.Stop(&c.unsentTimer)
 	c.conn.StopWriting()
 	for _, a := range attempts {
 		c.answers.NotSent(a.PartID())
 		c.removeAttempt(a)
-		if bar == gatherer.ResultUnwanted || bar == gatherer.AttemptOver { // of one part, which says nothing about the searcher
-			node.core.TakenBack(now, a)
-		} else {
-			node.core.NotSent(now, a)
-		}
+		end(now, a)
 	}
 	if len(c.inFlight) == 0 {
 		c.close()
--- a/internal/netio/unsentcall_test.go
+++ b/internal/netio/unsentcall_test.go
@@ -384,3 +384,63 @@
 		t.Errorf("have %v", got.Status)
 	}
 }
+
+// Guards against unsent frames that take all memory, and against the loss of what was sent whole when they are bounded.
+func TestUnsentFramesToSearchersAreBounded(t *testing.T) {
+	const maxUnsent = 100 << 10
+	h := startStalledHarness(t, 1, func(h *harness) {
+		sendAll("stalled", "s")(h)
+		h.pool.maxUnsent = maxUnsent
+	})
+	h.sendQuery("search", "whole", time.Minute, 1)
+	whole := testpeer.Receive(t, h.stalled.Parts, "the part that is sent whole")
+	h.sendLargeQuery("search", "behind", time.Minute)
+	for range 4 {
+		if got := h.nextOutcome(); got.Status != eiderwinch.NoConnection {
+			t.Errorf("the call that takes too much: have %v", got.Status)
+		}
+	}
+	h.onLoop(func() {
+		c := h.stalledConn()
+		if c == nil {
+			t.Error("the connection is closed")
+			return
+		}
+		if held := c.conn.Held(); held > 0 || h.stats.StoppedForMemory != 1 {
+			t.Errorf("%d bytes are held, %d connections were stopped; want 0 and 1", held, h.stats.StoppedForMemory)
+		}
+	})
+	whole.Answer("served", 1, "v")
+	if got := h.nextOutcome(); got.Status != eiderwinch.OK {
+		t.Errorf("the part that was sent whole: have %v", got.Status)
+	}
+	h.checkNothingArrives()
+}
+
+// Guards against the bound on unsent frames being passed by frames that are not a call's.
+func TestUnsentCancelsToSearchersAreBounded(t *testing.T) {
+	const maxUnsent = 100 << 10
+	h := startHarness(t, func(h *harness) {
+		sendOnce(h)
+		h.pool.maxUnsent = maxUnsent
+	})
+	h.sendQuery("search", "t", time.Minute, 1)
+	p := h.nextPart()
+	h.onLoop(func() {
+		c := h.pool.searchers["s"].conns[0]
+		_ = setSendBuffer(c.conn.FD(), 1)
+		for !c.retired { // the searcher of this test does not read that fast
+			c.write([]byte("\x00\x01\x00\x01c" + strings.Repeat("x", 1<<16)))
+			if held := c.conn.Held(); held > 2*maxUnsent {
+				t.Fatalf("%d bytes are unsent", held)
+			}
+		}
+		if h.stats.StoppedForMemory != 1 {
+			t.Errorf("%d connections were stopped for memory, want 1", h.stats.StoppedForMemory)
+		}
+	})
+	p.Answer("served", 1, "v")
+	if got := h.nextOutcome(); got.Status != eiderwinch.OK {
+		t.Errorf("the part that was sent whole: have %v", got.Status)
+	}
+}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -82,7 +82,7 @@
 	ClosedWithUnsentParts    int // connections given up because a part was still in their buffer when their searcher was reported as draining or removed
 	ConnsToRestartedSearcher int // connections closed because their searcher has restarted since they were opened
 	ClosedToAbandon          int // connections closed to abandon an attempt, because they carried the maximum number of attempts or had unsent data
-	ClosedForMemory          int // connections closed because unsent frames to searchers took too much memory
+	StoppedForMemory         int // connections no longer written to because unsent frames to searchers took too much memory
 	SkippedClosed            int // times that a connection was not used because its searcher had closed it, although the close had not been read yet
 	Watches                  int // watches opened
 	WatchFails               int // watches that failed or ended
@@ -155,7 +155,7 @@
 			"not_sent", c.RejectedSends, "kept", c.KeptCalls, "dialed", c.Dialed, "dial_fails", c.DialFails,
 			"idle_closed", c.IdleClosed, "left", c.ClosedBySearcher, "left_out", c.ClosedBySearcherInFlight,
 			"beside", c.ParallelDials, "half_open", c.HalfOpen, "spoilt", c.MalformedConns, "held_back", c.ClosedWithUnsentParts,
-			"outlived", c.ConnsToRestartedSearcher, "end_unread", c.SkippedClosed, "given_up", c.ClosedToAbandon, "no_room", c.ClosedForMemory),
+			"outlived", c.ConnsToRestartedSearcher, "end_unread", c.SkippedClosed, "given_up", c.ClosedToAbandon, "no_room", c.StoppedForMemory),
 		group("unsent", sortedPairs(c.GivenUpCalls)...),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut, "unread", c.ExpiredUnread,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "withdrawn", c.Withdrawn, "reports", c.Reports, "reports_bad", c.MalformedReports),
