Count the repeat window from the first attempt that may have run

What callers saw: a keyed query fails (502) though it could be repeated in time: its first attempt was kept and given up unsent, its second one's answer was lost, and a third was barred from the first one's window on.

Cause: module and core counted the window from the first attempt of all, whether or not it was sent. While a frame could be kept, that was also on the safe side; since it is given up, the first attempt is known never to have run.

Change: both take the earliest attempt that is not proved never to have run; the core also takes others in flight, so a kept first attempt is barred by a second copy's window. Tests of what bars an attempt, and when, are new.

Why this works: no searcher can remember an attempt whose last byte never left, and none forgets a run before the window that begins with the decision to send it.

--- a/aggregator_test.go
+++ b/aggregator_test.go
@@ -213,6 +213,24 @@
 	}
 }
 
+// Guards against a query that fails early: an attempt that never ran does not begin the repeat window.
+func TestRepeatWindowBeginsWithTheFirstAttemptThatMayHaveRun(t *testing.T) {
+	const unsent = 1000 * ms // how long the first attempt waits until it is given up unsent
+	for wait, again := range map[time.Duration]bool{1900 * ms: true, 2100 * ms: false} {
+		d := startAggregator(t, testSettings())
+		d.aggregator.settings.SecondCopies = false
+		query := newQuery(1, 1, 0)
+		query.Left = 5000 * ms
+		d.turn(query)
+		first := d.aggregator.parts[10].attempts[0].searcher.ID
+		d.after(unsent)
+		second := actionsOf[Send](d.turn(withStatus(okOutcome(10, 0, first), NotSent)))[0].Replica
+		d.after(wait)
+		d.checkEqual(fmt.Sprint("sent again ", wait, " after the first attempt that may have run"),
+			len(actionsOf[Send](d.turn(withStatus(okOutcome(10, 1, second), Failed)))) == 1, again)
+	}
+}
+
 func TestDrainingAndRemovedSearchersGetNothing(t *testing.T) {
 	for _, state := range []State{Draining, Removed} {
 		d := startAggregator(t, testSettings())
--- a/internal/gatherer/attempts.go
+++ b/internal/gatherer/attempts.go
@@ -92,9 +92,6 @@
 		a.FirstStepShards, a.FirstStepWhole = p.query.firstStepShards, p.query.firstStepWhole
 	}
 	p.query.sent = true
-	if p.firstDecidedAt.IsZero() {
-		p.firstDecidedAt = c.now
-	}
 	if p.attempts > 0 {
 		c.stats.Retries++
 	}
@@ -177,7 +174,9 @@
 	c.inFlight.Stop(&a.deadlineTimer)
 	c.endedAttempts = append(c.endedAttempts, a)
 	a.part.inFlight = slices.DeleteFunc(a.part.inFlight, func(x *Attempt) bool { return x == a })
-	a.part.mayHaveRun = a.part.mayHaveRun || status != eiderwinch.Full && status != eiderwinch.NoConnection && status != eiderwinch.NotSent
+	if status != eiderwinch.Full && status != eiderwinch.NoConnection && status != eiderwinch.NotSent {
+		a.part.mayHaveRunFrom = earlier(a.part.mayHaveRunFrom, a.decidedAt)
+	}
 	c.countOutcome(status)
 	c.addEvent(now, eiderwinch.Outcome{
 		Part: a.part.id, Attempt: a.number, Replica: a.Searcher, Status: status, Took: now.Sub(a.decidedAt), Load: a.Load,
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -58,8 +58,7 @@
 	attempts       int        // number of attempts so far, including sends that were rejected
 	inFlight       []*Attempt // at most one, or maxInFlight where second copies are allowed
 	removed        bool       // the step or query has ended; results are ignored
-	firstDecidedAt time.Time  // time of the turn that started the first attempt
-	mayHaveRun     bool       // an attempt that has ended may have been executed
+	mayHaveRunFrom time.Time  // time of the turn that started the earliest attempt that has ended and may have run; zero if there is none
 
 	answered   bool
 	answeredBy *Attempt // the attempt that value is from; nil if there is none
--- a/internal/gatherer/sending.go
+++ b/internal/gatherer/sending.go
@@ -87,7 +87,27 @@
 // been executed, would arrive too late for its searcher to recognize it as a repeat. The aggregator
 // checked this when it decided, but the attempt may since have waited for too long.
 func (c *Core) repeatWindowOver(now time.Time, a *Attempt) bool {
-	class, p := c.settings.Module.Classes[a.part.query.class], a.part
-	otherMayHaveRun := p.mayHaveRun || len(p.inFlight) > 1
-	return class.Effect == eiderwinch.Keyed && otherMayHaveRun && !now.Add(c.settings.Tick).Before(p.firstDecidedAt.Add(class.RepeatWindow))
+	class := c.settings.Module.Classes[a.part.query.class]
+	from := a.part.otherMayHaveRunFrom(a)
+	return class.Effect == eiderwinch.Keyed && !from.IsZero() && !now.Add(c.settings.Tick).Before(from.Add(class.RepeatWindow))
+}
+
+// otherMayHaveRunFrom returns when the first attempt of a part was started that may have run or is in flight, other than the
+// given one; zero if there is none. An attempt that was not sent whole has not run, so no searcher remembers it.
+func (p *part) otherMayHaveRunFrom(a *Attempt) (from time.Time) {
+	from = p.mayHaveRunFrom
+	for _, other := range p.inFlight {
+		if other != a {
+			from = earlier(from, other.decidedAt)
+		}
+	}
+	return from
+}
+
+// earlier returns the earlier of two times, of which zero means none.
+func earlier(x, y time.Time) time.Time {
+	if x.IsZero() || !y.IsZero() && y.Before(x) {
+		return y
+	}
+	return x
 }
--- a/selection.go
+++ b/selection.go
@@ -23,16 +23,24 @@
 	if limit > 0 && len(p.attempts) >= limit {
 		return false
 	}
-	return q.class.Effect == Safe || !mayHaveRun(p) ||
-		q.class.Effect == Keyed && a.now+a.settings.Tick < p.attempts[0].sentAt+q.class.RepeatWindow
+	first := firstThatMayHaveRun(p)
+	return q.class.Effect == Safe || first == nil ||
+		q.class.Effect == Keyed && a.now+a.settings.Tick < first.sentAt+q.class.RepeatWindow
 }
 
-// mayHaveRun reports whether any attempt of a part may have run, that is, is not proved never to have
-// run.
-func mayHaveRun(p *part) bool {
-	return slices.ContainsFunc(p.attempts, func(attempt *attempt) bool { return !attempt.neverRan })
+// firstThatMayHaveRun returns the first attempt of a part that is not proved never to have run, or nil.
+func firstThatMayHaveRun(p *part) *attempt {
+	for _, attempt := range p.attempts {
+		if !attempt.neverRan {
+			return attempt
+		}
+	}
+	return nil
 }
 
+// mayHaveRun reports whether any attempt of a part may have run.
+func mayHaveRun(p *part) bool { return firstThatMayHaveRun(p) != nil }
+
 // needsAttempt reports whether a part should get an attempt: it has none in flight, or those in flight
 // are silent or at ejected searchers.
 func (a *Aggregator) needsAttempt(p *part) bool {
