Don't blame searchers for calls given up while this machine is short of buffers

A call that is kept for want of memory or buffers (ENOBUFS, ENOMEM) is given up once it tells too much, and counted against its searcher as one that could not be reached.

Cause: giveUpUnsentCall took every bar but those of one part as the searcher's slowness.

Change: a connection whose last system call failed for such a shortage (Conn.Stalled) blames no one; the parts go elsewhere.

No run with real shortages was made for this.

--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -392,6 +392,9 @@
 // Blocked reports whether the system does not accept what was given to Write.
 func (c *Conn) Blocked() bool { return len(c.unsent)+c.dropped > 0 }
 
+// Stalled reports whether the last system call on the connection failed because this machine was short of memory or buffers.
+func (c *Conn) Stalled() bool { return c.pauses > 0 }
+
 // Held returns the size of the buffer for the bytes given to Write that the system has not accepted yet.
 func (c *Conn) Held() int { return c.unsentSize }
 
--- a/internal/netio/eventloop/loop_test.go
+++ b/internal/netio/eventloop/loop_test.go
@@ -194,9 +194,15 @@
 		conn.paused = false // as when the pause is over
 		conn.flush()
 		left <- conn.Buffered()
+		if !conn.Stalled() {
+			t.Error("the shortage does not show")
+		}
 		h.open = true
 		conn.flush()
 		left <- conn.Buffered()
+		if conn.Stalled() {
+			t.Error("the shortage shows after a write")
+		}
 	})
 	if n := testpeer.Receive(t, left, "what is left"); n != len("kept") {
 		t.Errorf("%d bytes wait that might not be sent", n)
--- a/internal/netio/unsentcall.go
+++ b/internal/netio/unsentcall.go
@@ -90,13 +90,19 @@
 	node := c.pool.node
 	node.log.Debug("call given up before it was sent whole", "searcher", c.searcher.id, "unsent", c.conn.Buffered(), "reason", bar)
 	node.stats.GivenUpCalls[bar.String()]++
-	if bar == gatherer.ResultUnwanted || bar == gatherer.AttemptOver { // of one part, which says nothing about the searcher
-		c.stopSending(now, node.core.TakenBack)
-	} else {
+	if blamesSearcher(bar, c.conn.Stalled()) {
 		c.stopSending(now, node.core.NotSent)
+	} else {
+		c.stopSending(now, node.core.TakenBack)
 	}
 }
 
+// blamesSearcher reports whether a call that was given up counts against its searcher: not if the client or the aggregator has
+// ended one of its parts, nor if this machine was short of buffers.
+func blamesSearcher(bar gatherer.SendBar, stalled bool) bool {
+	return bar != gatherer.ResultUnwanted && bar != gatherer.AttemptOver && !stalled
+}
+
 // stopSending ends the attempts of the unsent call by the given function. Nothing more is written to the connection, so they have
 // certainly not run and can go elsewhere. The connection stays open until the parts that were sent whole on it have ended.
 func (c *searcherConn) stopSending(now time.Time, end func(time.Time, *gatherer.Attempt)) {
--- a/internal/netio/unsentcall_test.go
+++ b/internal/netio/unsentcall_test.go
@@ -11,6 +11,7 @@
 
 	"eiderwinch"
 	"eiderwinch/internal/format/catalog"
+	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/trial/testpeer"
 )
 
@@ -444,3 +445,14 @@
 		t.Errorf("the part that was sent whole: have %v", got.Status)
 	}
 }
+
+// Guards against sound searchers that are ejected because clients leave or this machine is short of buffers.
+func TestCallsThatAreGivenUpBlameOnlySlowSearchers(t *testing.T) {
+	for bar, blamed := range map[gatherer.SendBar]bool{
+		gatherer.ResultUnwanted: false, gatherer.AttemptOver: false, gatherer.ToldTooMuch: true, gatherer.RepeatWindowOver: true,
+	} {
+		if blamesSearcher(bar, false) != blamed || blamesSearcher(bar, true) {
+			t.Errorf("%v: blamed %v, %v in a shortage; want %v and false", bar, blamesSearcher(bar, false), blamesSearcher(bar, true), blamed)
+		}
+	}
+}
