Keep a comment of the module within its width

Cause: lengthened the comment of Class.RepeatWindow after the module's tests had run; TestDecisionFilesAreNarrow failed in the whole run with -race (the only failure, 5 min 43 s, arm64).

Change: the comment is shorter.

Measured: the test passes.

--- a/api.go
+++ b/api.go
@@ -20,7 +20,7 @@
 	Worth           float64       // what a whole answer in time earns
 	LateWorth       float64       // the share of Worth that an answer earns after Aim
 	Effect          Effect
-	RepeatWindow    time.Duration // Keyed: how long repeats are dropped, from the first attempt that may have run
+	RepeatWindow    time.Duration // Keyed: how long repeats are dropped, from the first that may have run
 	WholeShare      float64       // share of the parts' weight that makes an answer whole
 	MinShare        float64       // least share that a query may be answered from
 	PartialWorth    float64       // an answer under WholeShare earns PartialWorth x share / WholeShare
