Count bytes that left in the same flush just before a reset as sent

What callers would see: an unsafe part sent twice.

Cause: Conn.flush shortened its buffer after the last of its writes. If one accepted the end of a frame and the next one, for what stands behind it, failed, Closed was called with these bytes still buffered, and the frame's parts ended as never sent.

Evidence: TestBytesSentBeforeAResetAreNotBuffered forces the order: 1,000 bytes count as unsent where 600 of them had left.

Change: the buffer is shortened after each write, before the next one. The loop's write can be replaced by its tests.

Why this works: Buffered is exact whenever a handler can be called.

--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -342,11 +342,14 @@
 	if c.closed || c.paused || c.writingStopped || !c.handler.MayFlush() {
 		return
 	}
-	n, err := c.send(c.unsent)
-	if err != nil {
+	for more := true; more && len(c.unsent) > 0; {
+		var n int
+		n, more, _ = c.writeOnce(c.unsent)
+		c.unsent = c.unsent[n:] // before the next write: if that closes the connection, Buffered must not count these bytes
+	}
+	if c.closed {
 		return
 	}
-	c.unsent = c.unsent[n:]
 	if len(c.unsent) == 0 {
 		c.unsent, c.unsentSize = nil, 0 // an open connection must not hold a buffer of the size of its longest answer
 	}
@@ -359,26 +362,33 @@
 // send passes bytes to the system and returns how many it has accepted. If it returns an error, the connection
 // is closed.
 func (c *Conn) send(b []byte) (sent int, err error) {
-	for sent < len(b) {
-		n, err := retryInterrupted(func() (int, error) { return unix.Write(c.fd, b[sent:]) }, func() { c.loop.countFailure("write", unix.EINTR) })
-		switch {
-		case err == nil:
-			sent += n
-			c.pauses = 0
-		case err == unix.EAGAIN, err == unix.EINTR:
-			return sent, nil
-		case isMemoryShortage(err):
-			if c.pause("write", err); c.closed {
-				return sent, os.NewSyscallError("write", err)
-			}
-			return sent, nil
-		default:
-			err = os.NewSyscallError("write", err)
-			c.CloseNow(err)
-			return sent, err
+	for more := true; more && sent < len(b); {
+		var n int
+		n, more, err = c.writeOnce(b[sent:])
+		sent += n
+	}
+	return sent, err
+}
+
+// writeOnce passes bytes to the system in one call and returns how many it has accepted. more is false if it accepts no more at
+// present. If writeOnce returns an error, the connection is closed.
+func (c *Conn) writeOnce(b []byte) (n int, more bool, err error) {
+	n, err = retryInterrupted(func() (int, error) { return c.loop.write(c.fd, b) }, func() { c.loop.countFailure("write", unix.EINTR) })
+	switch {
+	case err == nil:
+		c.pauses = 0
+		return n, true, nil
+	case err == unix.EAGAIN, err == unix.EINTR:
+		return 0, false, nil
+	case isMemoryShortage(err):
+		if c.pause("write", err); !c.closed {
+			return 0, false, nil
 		}
+		return 0, false, os.NewSyscallError("write", err)
 	}
-	return sent, nil
+	err = os.NewSyscallError("write", err)
+	c.CloseNow(err)
+	return 0, false, err
 }
 
 // Buffered returns the number of bytes given to Write that the system has not accepted yet.
--- a/internal/netio/eventloop/loop.go
+++ b/internal/netio/eventloop/loop.go
@@ -77,9 +77,10 @@
 	unregistered   map[*Conn]struct{} // connections whose registration with the poller is to be retried
 	retryScheduled bool               // the timer of these retries runs
 	buffer         []byte
-	corked         *Conn  // the connection whose writes are gathered in output; nil if there is none
-	output         []byte // see Conn.Cork
-	unread         int    // connections whose reading is paused by their handlers
+	write          func(fd int, b []byte) (int, error) // unix.Write, or what a test puts in its place
+	corked         *Conn                               // the connection whose writes are gathered in output; nil if there is none
+	output         []byte                              // see Conn.Cork
+	unread         int                                 // connections whose reading is paused by their handlers
 	random         *rand.Rand
 	stopped        bool
 	counters       Counters
@@ -96,7 +97,7 @@
 func Open(address string, o Options) (*Loop, error) {
 	l := &Loop{
 		opts: o, wakeFD: -1, conns: make(map[int]*Conn), unregistered: make(map[*Conn]struct{}),
-		buffer: make([]byte, ReadBufferSize), random: rand.New(rand.NewPCG(o.Seed, 0)), counters: newCounters(),
+		buffer: make([]byte, ReadBufferSize), write: unix.Write, random: rand.New(rand.NewPCG(o.Seed, 0)), counters: newCounters(),
 	}
 	l.listener.fd = -1
 	if err := l.open(address); err != nil {
--- a/internal/netio/eventloop/loop_test.go
+++ b/internal/netio/eventloop/loop_test.go
@@ -118,27 +118,70 @@
 	}
 }
 
-// Bytes that are buffered in a connection after StopWriting are never sent.
-func TestNothingIsWrittenAfterStopWriting(t *testing.T) {
-	l, ended, _ := serve(t)
+// enroll adds a connection to a loop, and returns its other end.
+func enroll(t *testing.T, l *Loop, h Handler) (remote net.Conn) {
+	t.Helper()
 	peer, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer peer.Close()
+	t.Cleanup(func() { peer.Close() })
 	c, err := net.Dial("tcp", peer.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	remote, err := peer.Accept()
-	if err != nil {
+	if remote, err = peer.Accept(); err != nil {
 		t.Fatal(err)
 	}
-	defer remote.Close()
-	h := &echo{ended: ended, opened: make(chan *Conn, 1)}
+	t.Cleanup(func() { remote.Close() })
 	if err := l.Enroll(c, h); err != nil {
 		t.Fatal(err)
 	}
+	return remote
+}
+
+// Guards against a part that is sent twice: bytes that left just before a reset, in the same flush, must not count as unsent.
+func TestBytesSentBeforeAResetAreNotBuffered(t *testing.T) {
+	const kept, accepted = 1000, 600
+	l, _, _ := serve(t)
+	h := &atEnd{opened: make(chan *Conn, 1), buffered: make(chan int, 1)}
+	enroll(t, l, h)
+	h.conn = testpeer.Receive(t, h.opened, "the connection")
+	_ = l.Execute(func() {
+		results := []struct {
+			n   int
+			err error
+		}{{0, unix.EAGAIN}, {accepted, nil}, {0, unix.ECONNRESET}}
+		l.write = func(int, []byte) (int, error) {
+			next := results[0]
+			results = results[1:]
+			return next.n, next.err
+		}
+		_ = h.conn.Write(make([]byte, kept))
+		h.conn.flush()
+		l.write = unix.Write
+	})
+	if n := testpeer.Receive(t, h.buffered, "the end"); n != kept-accepted {
+		t.Errorf("%d bytes count as unsent, want %d", n, kept-accepted)
+	}
+	_ = l.Execute(l.Stop)
+}
+
+// atEnd is a Handler that reports how many bytes are buffered when the connection ends.
+type atEnd struct {
+	echo
+	opened   chan *Conn
+	buffered chan int
+}
+
+func (a *atEnd) Opened(c *Conn) { a.opened <- c }
+func (a *atEnd) Closed(error)   { a.buffered <- a.conn.Buffered() }
+
+// Bytes that are buffered in a connection after StopWriting are never sent.
+func TestNothingIsWrittenAfterStopWriting(t *testing.T) {
+	l, ended, _ := serve(t)
+	h := &echo{ended: ended, opened: make(chan *Conn, 1)}
+	remote := enroll(t, l, h)
 	conn := testpeer.Receive(t, h.opened, "the connection")
 	buffered := make(chan int, 1)
 	_ = l.Execute(func() {
@@ -168,24 +211,8 @@
 // Guards against bytes that leave without a question after a shortage of buffers: whatever made them wait, the handler is asked.
 func TestBytesThatHadToWaitAreSentIfTheHandlerAllows(t *testing.T) {
 	l, ended, _ := serve(t)
-	peer, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer peer.Close()
-	c, err := net.Dial("tcp", peer.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	remote, err := peer.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer remote.Close()
 	h := &gate{echo: echo{ended: ended, opened: make(chan *Conn, 1)}}
-	if err := l.Enroll(c, h); err != nil {
-		t.Fatal(err)
-	}
+	enroll(t, l, h)
 	conn := testpeer.Receive(t, h.opened, "the connection")
 	left := make(chan int, 2)
 	_ = l.Execute(func() {
