--- a/internal/netio/slow_searchers_test.go
+++ b/internal/netio/slow_searchers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -47,17 +48,12 @@
 // start starts one, and returns its address.
 func (s *slowSearchers) start(t *testing.T) string {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		failed := raw.Control(func(fd uintptr) {
-			if err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment); err == nil {
-				err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowReceiveBuffer)
-			}
-		})
-		if failed != nil {
-			return failed
-		}
-		return err
-	}}
+	config := net.ListenConfig{Control: onSocket(func(fd int) error {
+		return errors.Join(
+			syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment),
+			syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowReceiveBuffer),
+		)
+	})}
 	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/netio/unsentcall_test.go
+++ b/internal/netio/unsentcall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strings"
@@ -43,17 +44,10 @@
 
 // limitSendBuffer gives connections to an address a small send buffer, and segments of a size that fits it.
 func limitSendBuffer(h *harness, addr string) {
-	real, limited := h.dialContext, net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		failed := raw.Control(func(fd uintptr) {
-			if err = setSendBuffer(int(fd), smallSendBuffer); err == nil {
-				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment)
-			}
-		})
-		if failed != nil {
-			return failed
-		}
-		return err
-	}}
+	limited := net.Dialer{Control: onSocket(func(fd int) error {
+		return errors.Join(setSendBuffer(fd, smallSendBuffer), syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment))
+	})}
+	real := h.dialContext
 	h.dialContext = func(ctx context.Context, network, to string) (net.Conn, error) {
 		if to == addr {
 			return limited.DialContext(ctx, network, to)
@@ -62,6 +56,14 @@
 	}
 }
 
+// onSocket returns a function for the Control of a Dialer or ListenConfig that prepares a socket.
+func onSocket(prepare func(fd int) error) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) (err error) {
+		failed := raw.Control(func(fd uintptr) { err = prepare(int(fd)) })
+		return errors.Join(failed, err)
+	}
+}
+
 // sendLargeQuery sends a query of four parts, whose call takes 240 KiB.
 func (h *stalledHarness) sendLargeQuery(class, trace string, expires time.Duration) *testpeer.Client {
 	h.t.Helper()
