Log why the answer before unreadable data from a searcher was taken for good

The log line `malformed frame from searcher` gives the time since the last answer, but not why that answer had been used, so it can't tell the candidates apart: nothing else was taken to wait, what followed was taken for another answer, the hold time was over, or the connection had ended.

Change: answerstream.Basis, and `basis` in that line. Nothing is decided by it.

--- a/internal/answerstream/stream.go
+++ b/internal/answerstream/stream.go
@@ -50,6 +50,18 @@
 	provisional              // handed over, but may be withdrawn
 )
 
+// Basis is why an answer counts.
+type Basis string
+
+// The reasons.
+const (
+	Unconfirmed Basis = "unconfirmed"    // it does not count yet, or there is none
+	Alone       Basis = "alone"          // nothing else waited on the connection when it arrived
+	Confirmed   Basis = "confirmed"      // another answer stands behind it
+	HoldOver    Basis = "hold time over" // HoldTime has passed
+	ConnEnded   Basis = "connection ended"
+)
+
 // Stream is what is received on one connection to a searcher. It knows the parts that were sent on
 // the connection. The zero value is not usable; see New. A Stream is not safe for concurrent use.
 type Stream struct {
@@ -60,6 +72,7 @@
 	abandoned map[string]uint64 // cancelled parts that may still be answered; the value of sent behind each cancel
 	last      Answer            // the last answer to a part in flight
 	lastTrust trust
+	basis     Basis // why the last answer counts
 }
 
 // New returns a Stream for a new connection.
@@ -99,8 +112,10 @@
 // next call of Receive.
 func (s *Stream) Incomplete() []byte { return s.parser.Unparsed() }
 
-// LastAnswered returns the ID of the part that was answered last and when its answer arrived.
-func (s *Stream) LastAnswered() (id string, at time.Time) { return s.last.ID, s.last.ReceivedAt }
+// LastAnswered returns the ID of the part that was answered last, when its answer arrived and why it counts.
+func (s *Stream) LastAnswered() (id string, at time.Time, basis Basis) {
+	return s.last.ID, s.last.ReceivedAt, s.basis
+}
 
 // Received is what Receive has found in the data.
 type Received struct {
@@ -136,6 +151,9 @@
 	if s.lastTrust == held {
 		r.Usable = append(r.Usable, s.last)
 	}
+	if s.lastTrust != settled {
+		s.basis = Confirmed
+	}
 	s.lastTrust = settled
 }
 
@@ -197,9 +215,9 @@
 		return errSwallowed
 	}
 	s.read = max(s.read, position) // the searcher reads in order
-	s.last, s.lastTrust = a, settled
+	s.last, s.lastTrust, s.basis = a, settled, Alone
 	if a.End == frame.Served && s.othersWait() {
-		s.lastTrust = held
+		s.lastTrust, s.basis = held, Unconfirmed
 		return nil
 	}
 	r.Usable = append(r.Usable, a)
@@ -244,7 +262,7 @@
 	if until := s.HeldUntil(); until.IsZero() || now.Before(until) {
 		return Answer{}, false
 	}
-	s.lastTrust = provisional
+	s.lastTrust, s.basis = provisional, HoldOver
 	return s.last, true
 }
 
@@ -254,7 +272,7 @@
 	if s.HeldUntil().IsZero() {
 		return Answer{}, false
 	}
-	s.lastTrust = settled
+	s.lastTrust, s.basis = settled, ConnEnded
 	return s.last, true
 }
 
--- a/internal/netio/pool_test.go
+++ b/internal/netio/pool_test.go
@@ -217,7 +217,7 @@
 	p.Answer("served", 1, "late")
 	h.waitUntil("the answer is read", func() bool {
 		conn := h.pool.searchers["s"].conns[0]
-		lastAnswered, _ := conn.answers.LastAnswered()
+		lastAnswered, _, _ := conn.answers.LastAnswered()
 		return lastAnswered == "" && len(conn.unreadCancels) == 0
 	})
 	h.sendQuery("search", "v", time.Minute, 1)
--- a/internal/netio/searcheranswers.go
+++ b/internal/netio/searcheranswers.go
@@ -97,11 +97,11 @@
 		return
 	}
 	now := time.Now()
-	lastAnswered, answeredAt := c.answers.LastAnswered()
+	lastAnswered, answeredAt, basis := c.answers.LastAnswered()
 	withdrawn := c.withdrawProvisional(now)
 	c.pool.node.stats.MalformedConns++
 	c.pool.node.log.Warn(message, "searcher", c.searcher.id, "parts", len(c.inFlight), "detail", detail, "last_answered", lastAnswered,
-		"since_answer", now.Sub(answeredAt), "withdrawn", withdrawn, "unparsed", fmt.Sprintf("%.32q", c.answers.Incomplete()))
+		"since_answer", now.Sub(answeredAt), "basis", basis, "withdrawn", withdrawn, "unparsed", fmt.Sprintf("%.32q", c.answers.Incomplete()))
 	c.malformed = true
 	c.pool.timers.Stop(&c.frameTimer)
 	c.pool.timers.Stop(&c.holdTimer)
