Use an answer beside waiting parts once something confirms it, not after 10 ms

Cause: answerstream.HoldTime. An answer behind which nothing had come for 10 ms was taken for good, although parts waited on its connection, and its query was answered in the next turn. Nothing bounds the time between two pieces of what a searcher writes.

Change: the clock is gone from answerstream. An answer beside waiting parts is handed over at once as provisional, and is confirmed by the next answer on the connection, or refuted (events Outcome.Provisional and Confirmed). The module keeps a query that could be answered open while a part of it is provisional: until its aim, less an eighth of it, or, past its aim, until the rest of its time is only enough for an answer. Until then a refuted part is tried again as its class allows. So does the first step of a query with two: a second step names shards. A turn waits until data behind provisional answers is read, and the core uses none with an incomplete frame behind it. The wait counts neither as load nor in the typical time of a query, and the connection is not closed as idle meanwhile.

Why this works: no value is final while its rest may come, for as long as the query has time; then an honest one beside neighbours that stand still still comes within its aim.

--- a/admission.go
+++ b/admission.go
@@ -150,8 +150,9 @@
 	if query.arrivedAt <= a.stallEndedAt {
 		return
 	}
-	if early := 1 - float64(a.now-query.arrivedAt)/float64(query.class.Aim); early > 0 &&
-		query.answeredWeight >= query.wantedWeight-weightSlack {
+	isAnswered := query.answeredWeight >= query.wantedWeight-weightSlack
+	early := 1 - float64(query.lastAnswerAt-query.arrivedAt)/float64(query.class.Aim)
+	if early > 0 && isAnswered {
 		for g := range a.partsByGroup(query) {
 			g.admissionShare = min(g.admissionShare+admissionIncrease*early*early, 1)
 		}
--- a/aggregator.go
+++ b/aggregator.go
@@ -115,6 +115,9 @@
 	initialWorkAimDivisor = 8
 	// uncontendedQuantile is the share of one-part calls that are assumed to be served without much waiting.
 	uncontendedQuantile = 0.3
+	// confirmReserveAimDivisor sets how long before its aim a query stops waiting for provisional answers to
+	// be confirmed, as a fraction (1/8) of the aim: turns may run late.
+	confirmReserveAimDivisor = 8
 	// minTimeLeftRatio is the least time left, as a share of the typical latency, with which a part is sent.
 	minTimeLeftRatio = 0.5
 )
@@ -154,6 +157,8 @@
 			a.handleSecondStep(event)
 		case Outcome:
 			a.handleOutcome(event)
+		case Confirmed:
+			a.handleConfirmed(event)
 		case Gone:
 			if q := a.openQueries[event.Query]; q != nil {
 				a.closeQuery(q)
@@ -179,13 +184,13 @@
 	return a.actions
 }
 
-// requestWake requests a turn at the next aim or end of a query, and every few ticks while any query is
-// open.
+// requestWake requests a turn at the next aim or end of a query, when the wait for a confirmation ends, and
+// every few ticks while any query is open.
 func (a *Aggregator) requestWake() {
 	next := a.now + idleWakeTicks*a.settings.Tick
 	for _, q := range a.queries {
 		next = min(next, a.now+busyWakeTicks*a.settings.Tick)
-		for _, t := range []time.Duration{q.aimAt, q.endAt} {
+		for _, t := range []time.Duration{q.aimAt, q.endAt, q.confirmBy} {
 			if t > a.now {
 				next = min(next, t)
 			}
--- a/api.go
+++ b/api.go
@@ -71,7 +71,8 @@
 	ColdOverloadWindow time.Duration // the time over which that load is measured
 }
 
-// Event is something that has happened: Query, SecondStep, Outcome, Gone, ListChange, Share or Woken.
+// Event is something that has happened: Query, SecondStep, Outcome, Confirmed, Gone, ListChange, Share or
+// Woken.
 type Event interface{ event() }
 
 // Query is a new query with all its parts. IDs are unique among queries and parts.
@@ -126,8 +127,8 @@
 	NotSent             // the gatherer did not send it, for example because the part had ended
 )
 
-// Outcome ends one attempt. Each Send is followed by exactly one, except that a Reset may follow an OK
-// before the query's final answer: the answer has turned out to be spoilt and is withdrawn.
+// Outcome ends one attempt. Each Send is followed by exactly one, except that a Reset may follow a
+// provisional OK before the query's final answer: the answer is withdrawn.
 type Outcome struct {
 	Part    uint64
 	Attempt int // counted from 0 in the order of the part's Sends
@@ -135,6 +136,16 @@
 	Status  Status
 	Took    time.Duration // from the Send until the end
 	Load    *Load         // as the replica reported it with its answer; nil if it did not
+
+	// Provisional is whether an answer that is OK may still turn out to be spoilt. Either Confirmed or a
+	// Reset follows, if the part's query is open for that long.
+	Provisional bool
+}
+
+// Confirmed makes the answer of an attempt final whose Outcome was provisional.
+type Confirmed struct {
+	Part    uint64
+	Attempt int
 }
 
 // Load is what a replica reports of itself. It may be seconds old and is somewhat noisy.
@@ -197,6 +208,7 @@
 func (Query) event()      {}
 func (SecondStep) event() {}
 func (Outcome) event()    {}
+func (Confirmed) event()  {}
 func (Gone) event()       {}
 func (ListChange) event() {}
 func (Share) event()      {}
--- a/completion.go
+++ b/completion.go
@@ -41,12 +41,12 @@
 		switch {
 		case q.ended || q.step == stepAwaitingSecond && a.now < q.endAt:
 		case q.step != stepAwaitingSecond && q.answeredWeight >= q.wantedWeight-weightSlack &&
-			!a.isTooLateForSecondStep(q):
+			!a.isTooLateForSecondStep(q) && !a.awaitsConfirmation(q):
 			a.answer(q, q.answeredWeight >= q.neededWeight-weightSlack &&
 				(q.step == stepFirst || q.firstStepWhole))
 		case q.shed || a.now >= q.endAt || reachable < q.floorWeight-weightSlack,
 			q.answeredWeight >= q.floorWeight-weightSlack &&
-				(a.now >= q.aimAt || reachable <= q.answeredWeight+weightSlack):
+				(a.now >= q.aimAt || reachable <= q.answeredWeight+weightSlack) && !a.awaitsConfirmation(q):
 			a.giveUp(q)
 		case a.crashesSearchers(q):
 			a.crashesBySignature[a.querySignature(q)] = a.now
@@ -56,6 +56,37 @@
 	}
 }
 
+// awaitsConfirmation reports whether a query that could be answered has to wait because an answer of its
+// parts is provisional. It waits until that is confirmed or withdrawn, but not until the wait would cost the
+// query some of its worth.
+func (a *Aggregator) awaitsConfirmation(q *query) bool {
+	isProvisional := func(p *part) bool { return p.answeredBy != nil && p.answeredBy.provisional }
+	if !slices.ContainsFunc(q.parts, isProvisional) {
+		q.confirmBy = 0
+		return false
+	}
+	if q.confirmBy == 0 {
+		q.confirmBy = a.latestAnswer(q)
+	}
+	return a.now < q.confirmBy
+}
+
+// latestAnswer returns until when an answer of a query's current step can wait without losing worth: until
+// its aim, or after that until there is only enough time left for the rest of the query.
+func (a *Aggregator) latestAnswer(q *query) time.Duration {
+	last := q.endAt - 2*a.settings.Tick // an answer leaves up to a turn late and then has to travel
+	if q.step == stepFirst && q.class.SecondStepParts > 0 {
+		last -= a.minCallTime(q)
+	}
+	reserve := q.class.Aim / confirmReserveAimDivisor
+	for _, latest := range []time.Duration{min(q.aimAt, last) - reserve, min(q.aimAt, last), last - reserve} {
+		if a.now < latest {
+			return latest
+		}
+	}
+	return last
+}
+
 // isTooLateForSecondStep reports whether a first answer now would leave no time for the second step, so
 // that the query would be lost.
 func (a *Aggregator) isTooLateForSecondStep(q *query) bool {
@@ -72,7 +103,7 @@
 		a.closeQuery(q)
 		if q.answeredWeight >= q.wantedWeight-weightSlack {
 			q.class.typicalQueryTime =
-				smooth(q.class.typicalQueryTime, float64(a.now-q.startedAt), slowSmoothing)
+				smooth(q.class.typicalQueryTime, float64(q.lastAnswerAt-q.startedAt), slowSmoothing)
 			a.adjustAdmission(q)
 		}
 	}
@@ -150,10 +181,13 @@
 }
 
 // isTooLateForCall reports whether a query has too little time left for a call.
-func (a *Aggregator) isTooLateForCall(q *query) bool {
+func (a *Aggregator) isTooLateForCall(q *query) bool { return q.endAt-a.now < a.minCallTime(q) }
+
+// minCallTime returns the least time that a query must have left for a call.
+func (a *Aggregator) minCallTime(q *query) time.Duration {
 	minLeft := max(time.Duration(minTimeLeftRatio*q.class.typicalLatency), a.settings.CallCost)
 	if q.startedAt == 0 {
 		minLeft = max(minLeft, min(time.Duration(q.class.typicalQueryTime), q.class.Aim/overdueMaxAimDivisor))
 	}
-	return q.endAt-a.now < minLeft
+	return minLeft
 }
--- a/internal/answerstream/stream.go
+++ b/internal/answerstream/stream.go
@@ -5,16 +5,16 @@
 // its value lacks the bytes that stand behind it. The frame itself does not show that. So the
 // package maintains one invariant:
 //
-//	No value is used once data behind its frame has shown that the length of the frame may be wrong.
+//	No answer is confirmed if data behind its frame has shown that the length of the frame may be wrong.
 //
 // While other parts wait on the connection, the data behind an answer has to be another answer to
 // a part that was sent there, and whatever else follows shows that the answer can't be trusted.
 // While none waits, a searcher may send surplus data behind a good answer, and such data shows
 // nothing.
 //
-// An answer with other parts waiting is therefore held for up to HoldTime, unless the next answer
-// confirms it earlier. After that it is handed over, but it can still be withdrawn until its query
-// has been answered; see Stream.Withdrawn.
+// An answer with other parts waiting is therefore provisional until the next answer confirms it.
+// No time limit does: nothing bounds the time between two pieces of what a searcher sends. Whoever
+// uses a provisional answer has to wait for its confirmation for as long as its query allows.
 package answerstream
 
 import (
@@ -25,40 +25,27 @@
 	"eiderwinch/internal/format/frame"
 )
 
-// HoldTime is how long an answer is held while nothing behind it confirms or refutes it. The rest
-// of what a searcher has written in one piece arrives within this time.
-const HoldTime = 10 * time.Millisecond
-
 var (
 	errFrameRejected = errors.New("searcher rejected a frame")
 	errUnsolicited   = errors.New("unsolicited frame")
 	errSwallowed     = errors.New("value contains the start of another answer")
 )
 
-// Answer is an answer that may be used.
+// Answer is an answer to a part in flight.
 type Answer struct {
 	frame.Result
-	ReceivedAt time.Time
+	ReceivedAt  time.Time
+	Provisional bool // what follows on the connection may still show that the value is cut short
 }
 
-// trust is how far the last answer on a connection is trusted.
-type trust int
-
-const (
-	settled     trust = iota // final, or there is none
-	held                     // not handed over yet
-	provisional              // handed over, but may be withdrawn
-)
-
 // Basis is why an answer counts.
 type Basis string
 
 // The reasons.
 const (
-	Unconfirmed Basis = "unconfirmed"    // it does not count yet, or there is none
-	Alone       Basis = "alone"          // nothing else waited on the connection when it arrived
-	Confirmed   Basis = "confirmed"      // another answer stands behind it
-	HoldOver    Basis = "hold time over" // HoldTime has passed
+	Unconfirmed Basis = "unconfirmed" // it is provisional, or there is none
+	Alone       Basis = "alone"       // nothing else waited on the connection when it arrived, or waits any more
+	Confirmed   Basis = "confirmed"   // another answer stands behind it
 	ConnEnded   Basis = "connection ended"
 )
 
@@ -71,13 +58,12 @@
 	inFlight  map[string]uint64 // parts that wait for their answer, by ID; the value of sent behind each
 	abandoned map[string]uint64 // cancelled parts that may still be answered; the value of sent behind each cancel
 	last      Answer            // the last answer to a part in flight
-	lastTrust trust
-	basis     Basis // why the last answer counts
+	basis     Basis             // why the last answer counts
 }
 
 // New returns a Stream for a new connection.
 func New() *Stream {
-	return &Stream{inFlight: make(map[string]uint64), abandoned: make(map[string]uint64)}
+	return &Stream{inFlight: make(map[string]uint64), abandoned: make(map[string]uint64), basis: Unconfirmed}
 }
 
 // Sent records that a part was sent on the connection.
@@ -86,20 +72,22 @@
 	s.inFlight[id] = s.sent
 }
 
-// NotSent takes back Sent for a part whose frame will not be sent whole: it has no answer.
-func (s *Stream) NotSent(id string) { delete(s.inFlight, id) }
-
-// Abandon records that the answer to a part in flight is no longer wanted. It reports whether the
-// searcher has to be sent a cancel: not if the part's answer has arrived and is still held.
-func (s *Stream) Abandon(id string) (cancel bool) {
-	if s.lastTrust == held && s.last.ID == id {
-		s.lastTrust = settled
-		return false
+// NotSent takes back Sent for a part whose frame will not be sent whole: it has no answer. If nothing
+// else waits now, that confirms the provisional answer, whose ID is returned; otherwise confirmed is empty.
+func (s *Stream) NotSent(id string) (confirmed string) {
+	delete(s.inFlight, id)
+	if !s.last.Provisional || s.othersWait() {
+		return ""
 	}
+	s.settle(Alone)
+	return s.last.ID
+}
+
+// Abandon records that the answer to a part in flight is no longer wanted, and that its cancel was sent.
+func (s *Stream) Abandon(id string) {
 	delete(s.inFlight, id)
 	s.sent++
 	s.abandoned[id] = s.sent
-	return true
 }
 
 // MayAnswerAbandoned reports whether an answer to an abandoned part may still arrive.
@@ -119,44 +107,66 @@
 
 // Received is what Receive has found in the data.
 type Received struct {
-	Usable []Answer // the answers that may be used now, in the order of their arrival
-	Late   []string // IDs of abandoned parts whose answers have arrived
-	Frames int      // complete frames
-	// Answered is whether a part was answered, be it that its answer is held or that nobody waits for it any more.
+	Answers   []Answer // the answers to parts in flight, in the order of their arrival; only the last may be provisional
+	Confirmed string   // ID of the provisional answer of an earlier Receive that is confirmed now; empty if there is none
+	Late      []string // IDs of abandoned parts whose answers have arrived
+	Frames    int      // complete frames
+	// Answered is whether a part was answered, be it that nobody waits for it any more.
 	Answered bool
 }
 
 // Receive takes data that has arrived. An error means that nothing more can be read from the
-// connection. The answers returned with it may be used all the same, that which is held may not;
-// see also Withdrawn.
+// connection. The answers returned with it may be used all the same, and none of them is provisional;
+// see also Refuted.
 func (s *Stream) Receive(now time.Time, data []byte) (r Received, err error) {
 	s.parser.Feed(data)
+	if err = s.receiveFrames(now, &r); err != nil {
+		r.dropProvisional(s)
+	}
+	return r, err
+}
+
+// dropProvisional drops an answer that was received in the same data as what refutes it.
+func (r *Received) dropProvisional(s *Stream) {
+	if n := len(r.Answers); n > 0 && r.Answers[n-1].Provisional {
+		r.Answers = r.Answers[:n-1]
+		s.last.Provisional = false
+	}
+}
+
+// receiveFrames handles all complete frames.
+func (s *Stream) receiveFrames(now time.Time, r *Received) error {
 	for {
 		if s.namesKnownPart(s.parser.Unparsed()) {
-			s.confirm(&r)
+			s.confirm(r)
 		}
 		f, ok, err := s.parser.Next()
 		if err != nil || !ok {
-			return r, err
+			return err
 		}
 		r.Frames++
-		if err := s.receiveFrame(now, f, &r); err != nil {
-			return r, err
+		if err := s.receiveFrame(now, f, r); err != nil {
+			return err
 		}
 	}
 }
 
-// confirm makes the last answer final, and usable if it was held.
+// confirm makes the provisional answer final, if there is one.
 func (s *Stream) confirm(r *Received) {
-	if s.lastTrust == held {
-		r.Usable = append(r.Usable, s.last)
+	if !s.last.Provisional {
+		return
 	}
-	if s.lastTrust != settled {
-		s.basis = Confirmed
+	s.settle(Confirmed)
+	if n := len(r.Answers); n > 0 {
+		r.Answers[n-1].Provisional = false // it is the last answer
+		return
 	}
-	s.lastTrust = settled
+	r.Confirmed = s.last.ID
 }
 
+// settle makes the last answer final.
+func (s *Stream) settle(basis Basis) { s.last.Provisional, s.basis = false, basis }
+
 // namesKnownPart reports whether data begins like an answer to a part that was sent on the
 // connection. The rest of a value that was cut off does not.
 func (s *Stream) namesKnownPart(data []byte) bool {
@@ -193,7 +203,7 @@
 	}
 	if position := s.inFlight[answer.ID]; position > 0 {
 		s.confirm(r) // unless its ID was too long to be found before
-		return s.receiveAnswer(Answer{answer, now}, position, r)
+		return s.receiveAnswer(Answer{Result: answer, ReceivedAt: now}, position, r)
 	}
 	if s.abandoned[answer.ID] > 0 {
 		delete(s.abandoned, answer.ID)
@@ -215,12 +225,12 @@
 		return errSwallowed
 	}
 	s.read = max(s.read, position) // the searcher reads in order
-	s.last, s.lastTrust, s.basis = a, settled, Alone
-	if a.End == frame.Served && s.othersWait() {
-		s.lastTrust, s.basis = held, Unconfirmed
-		return nil
+	a.Provisional = a.End == frame.Served && s.othersWait()
+	s.last, s.basis = a, Alone
+	if a.Provisional {
+		s.basis = Unconfirmed
 	}
-	r.Usable = append(r.Usable, a)
+	r.Answers = append(r.Answers, a)
 	return nil
 }
 
@@ -247,42 +257,25 @@
 // Waiting returns the number of parts in flight whose answers have not arrived.
 func (s *Stream) Waiting() int { return len(s.inFlight) }
 
-// HeldUntil returns when Settle is to be called; zero if no answer is held, or if the data behind
-// it has to be completed first.
-func (s *Stream) HeldUntil() time.Time {
-	if s.lastTrust != held || len(s.Incomplete()) > 0 {
-		return time.Time{}
-	}
-	return s.last.ReceivedAt.Add(HoldTime)
-}
+// HasProvisional reports whether the last answer is provisional.
+func (s *Stream) HasProvisional() bool { return s.last.Provisional }
 
-// Settle returns the held answer if its time is over and nothing stands behind it. All data that
-// was received until now has to be passed to Receive before.
-func (s *Stream) Settle(now time.Time) (a Answer, ok bool) {
-	if until := s.HeldUntil(); until.IsZero() || now.Before(until) {
-		return Answer{}, false
-	}
-	s.lastTrust, s.basis = provisional, HoldOver
-	return s.last, true
-}
-
-// End returns the held answer if it may be used although its connection has ended: nothing stands
-// behind it.
-func (s *Stream) End() (a Answer, ok bool) {
-	if s.HeldUntil().IsZero() {
-		return Answer{}, false
+// Refuted returns the ID of the provisional answer, if there is one, which must not be used any more. It is
+// called once the connection can't be read any further: after an error of Receive, or if a frame has stayed
+// incomplete for too long.
+func (s *Stream) Refuted() (id string, ok bool) {
+	if !s.last.Provisional {
+		return "", false
 	}
-	s.lastTrust, s.basis = settled, ConnEnded
-	return s.last, true
+	s.last.Provisional = false
+	return s.last.ID, true
 }
 
-// Withdrawn returns the ID of an answer that was handed over and must not be used any more. It is
-// called once the connection can't be read any further: after an error of Receive, or if a frame
-// has stayed incomplete for too long.
-func (s *Stream) Withdrawn() (id string, ok bool) {
-	if s.lastTrust != provisional || !s.othersWait() {
-		return "", false
+// End reports whether the provisional answer is confirmed by the end of the connection: nothing stands behind it.
+func (s *Stream) End() (confirmed bool) {
+	if !s.last.Provisional || len(s.Incomplete()) > 0 {
+		return false
 	}
-	s.lastTrust = settled
-	return s.last.ID, true
+	s.settle(ConnEnded)
+	return true
 }
--- a/internal/discovery/leaving_test.go
+++ b/internal/discovery/leaving_test.go
@@ -92,6 +92,9 @@
 
 // DataUnread implements gatherer.Searchers.
 func (*simulation) DataUnread(*gatherer.Attempt) bool { return false }
+
+// DataBehind implements gatherer.Searchers.
+func (*simulation) DataBehind(*gatherer.Attempt) bool { return false }
 func (*simulation) Reply(gatherer.Reply)              {}
 func (*simulation) Disconnected() bool                { return false }
 func (*simulation) MayHold(int) bool                  { return true }
--- a/internal/gatherer/attempts.go
+++ b/internal/gatherer/attempts.go
@@ -30,6 +30,7 @@
 	decidedAt     time.Time
 	sendBy        time.Time // when its last byte must have been sent, see TellWait; zero if its searcher was told nothing yet
 	ended         bool
+	provisional   bool                       // it was answered, and the answer may still turn out to be spoilt
 	deadlineTimer timerqueue.Timer[*Attempt] // expires at Deadline
 }
 
@@ -40,6 +41,11 @@
 // query is still open.
 func (a *Attempt) MayRetry() bool { return !a.part.removed && !a.part.answered }
 
+// AwaitsConfirmation reports whether the attempt's answer is provisional, and its query is still open.
+func (a *Attempt) AwaitsConfirmation() bool {
+	return a.provisional && !a.part.removed && a.part.answeredBy == a
+}
+
 // PartID returns the ID of the attempt's part as sent to searchers: the query's trace, the
 // shard, and ".b" in a second step. All attempts of a part have the same ID.
 func (a *Attempt) PartID() string {
@@ -180,6 +186,7 @@
 	c.countOutcome(status)
 	c.addEvent(now, eiderwinch.Outcome{
 		Part: a.part.id, Attempt: a.number, Replica: a.Searcher, Status: status, Took: now.Sub(a.decidedAt), Load: a.Load,
+		Provisional: a.provisional,
 	})
 	return true
 }
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"eiderwinch"
-	"eiderwinch/internal/memory"
 	"eiderwinch/internal/querystats"
 )
 
@@ -19,22 +18,36 @@
 // Result records a searcher's answer to an attempt: OK with a score and a value, or
 // Failed or Full. Results of attempts that have ended are ignored.
 func (c *Core) Result(now time.Time, a *Attempt, status eiderwinch.Status, score int64, value string) {
-	if c.endAttempt(now, a, status) && status == eiderwinch.OK && !a.part.removed && !a.part.answered {
-		a.part.answered, a.part.answeredBy, a.part.score, a.part.value = true, a, score, value
-		a.part.query.hold(memory.BufferSize(len(value)))
+	if c.endAttempt(now, a, status) && status == eiderwinch.OK {
+		a.part.setAnswer(a, score, value)
 	}
 }
 
-// Withdraw takes back the value of an attempt whose Result was OK: its answer has turned out to be spoilt. The
-// attempt may have been executed. Once the query has its final answer, nothing can be taken back: Withdraw returns
+// ProvisionalResult records an answer that was OK, as Result does, but may still turn out to be spoilt. Unless its query
+// ends first, Confirm or Withdraw follows.
+func (c *Core) ProvisionalResult(now time.Time, a *Attempt, score int64, value string) {
+	a.provisional = true
+	c.Result(now, a, eiderwinch.OK, score, value)
+}
+
+// Confirm makes the answer of a ProvisionalResult final.
+func (c *Core) Confirm(now time.Time, a *Attempt) {
+	a.provisional = false
+	if !a.part.removed {
+		c.addEvent(now, eiderwinch.Confirmed{Part: a.part.id, Attempt: a.number})
+	}
+}
+
+// Withdraw takes back the answer of a ProvisionalResult: it has turned out to be spoilt, or nothing can confirm it any more.
+// The attempt may have been executed. Once the query has its final answer, nothing can be taken back: Withdraw returns
 // false.
 func (c *Core) Withdraw(now time.Time, a *Attempt) bool {
 	p := a.part
+	a.provisional = false
 	if p.removed || p.answeredBy != a {
 		return false
 	}
-	p.query.hold(-memory.BufferSize(len(p.value)))
-	p.answered, p.answeredBy, p.score, p.value = false, nil, 0, ""
+	p.clearAnswer()
 	c.stats.Withdrawn++
 	c.addEvent(now, eiderwinch.Outcome{
 		Part: p.id, Attempt: a.number, Replica: a.Searcher, Status: eiderwinch.Reset, Took: now.Sub(a.decidedAt),
@@ -89,15 +102,15 @@
 	c.complete(q, reply)
 }
 
-// answerable returns the answered parts of a query's current step, their weight, and whether that weight is
-// enough for an answer.
+// answerable returns the answered parts of a query's current step that may be used, their weight, and whether that weight
+// is enough for an answer.
 func (c *Core) answerable(q *query) (answered []*part, weight float64, ok bool) {
 	class := c.settings.Module.Classes[q.class]
 	minWeight := class.MinShare
 	if q.secondStep && class.MinShare >= class.WholeShare {
 		minWeight = 1
 	}
-	answered, weight = q.answeredParts()
+	answered, weight = c.usableParts(q)
 	return answered, weight, len(answered) > 0 && weight >= minWeight-weightTolerance
 }
 
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -36,7 +36,7 @@
 }
 
 // Searchers sends calls to searchers. For each attempt passed to Call it calls
-// one of Core.Result, Core.NotSent and Core.ConnectionBroken, unless Abandon is called
+// one of Core.Result, Core.ProvisionalResult, Core.NotSent and Core.ConnectionBroken, unless Abandon is called
 // first. It may do so before Call returns.
 type Searchers interface {
 	// Call sends attempts to their common searcher as one call.
@@ -46,6 +46,9 @@
 	// DataUnread reports whether something was received on the connection of an attempt in flight that was not read yet:
 	// it may be the attempt's answer.
 	DataUnread(a *Attempt) bool
+	// DataBehind reports whether something was received behind the answer of an attempt whose result is provisional, which
+	// is not known to confirm it: an incomplete frame, or bytes that were not read yet.
+	DataBehind(a *Attempt) bool
 	// CloseIdle closes the idle connections to a searcher.
 	CloseIdle(searcher string)
 }
--- a/internal/gatherer/live_settings_test.go
+++ b/internal/gatherer/live_settings_test.go
@@ -122,6 +122,9 @@
 
 // DataUnread implements gatherer.Searchers.
 func (*echo) DataUnread(*Attempt) bool { return false }
+
+// DataBehind implements gatherer.Searchers.
+func (*echo) DataBehind(*Attempt) bool { return false }
 func (*echo) Reply(Reply)              {}
 func (*echo) Disconnected() bool       { return false }
 func (*echo) MayHold(int) bool         { return true }
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -5,6 +5,7 @@
 
 	"eiderwinch"
 	"eiderwinch/internal/layout"
+	"eiderwinch/internal/memory"
 	"eiderwinch/internal/timerqueue"
 )
 
@@ -36,15 +37,16 @@
 // deadline, at which the aggregator should have ended it.
 func (q *query) backstop(tick time.Duration) time.Time { return q.deadline.Add(2 * tick) }
 
-// answeredParts returns the answered parts of the current step and their total weight.
-func (q *query) answeredParts() (answered []*part, weight float64) {
+// usableParts returns the answered parts of a query's current step and their total weight, without those whose answer
+// something stands behind that may refute it.
+func (c *Core) usableParts(q *query) (usable []*part, weight float64) {
 	for _, p := range q.parts {
-		if p.answered {
-			answered = append(answered, p)
+		if p.answered && !(p.answeredBy.provisional && c.searchers.DataBehind(p.answeredBy)) {
+			usable = append(usable, p)
 			weight += p.weight
 		}
 	}
-	return answered, weight
+	return usable, weight
 }
 
 // part is the record of one part of a query. It is kept until its step or query has
@@ -66,6 +68,25 @@
 	value      string
 }
 
+// setAnswer records an answer of an attempt, unless the part has one. A final answer replaces a provisional one.
+func (p *part) setAnswer(a *Attempt, score int64, value string) {
+	replaces := p.answered && p.answeredBy.provisional && !a.provisional
+	if p.removed || p.answered && !replaces {
+		return
+	}
+	p.clearAnswer()
+	p.answered, p.answeredBy, p.score, p.value = true, a, score, value
+	p.query.hold(memory.BufferSize(len(value)))
+}
+
+// clearAnswer takes back the part's answer, if it has one.
+func (p *part) clearAnswer() {
+	if p.answered {
+		p.query.hold(-memory.BufferSize(len(p.value)))
+	}
+	p.answered, p.answeredBy, p.score, p.value = false, nil, 0, ""
+}
+
 // modulePart returns the part in the form that the decision module takes.
 func (p *part) modulePart() eiderwinch.Part {
 	return eiderwinch.Part{ID: p.id, Shard: p.shard, Weight: p.weight, Holders: p.query.holders(p.shard)}
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -93,6 +93,8 @@
 	deferredSince    time.Time // since when due work has waited for unread updates; zero if it does not wait
 	deferredAtWakeup int       // value of wakeups when that wait began
 
+	answersUnreadAtWakeup int // value of wakeups when unread data was first seen behind a provisional answer; 0 if there is none
+
 	dialContext      dialFunc        // dials searchers and discovery
 	ctx              context.Context // of all dials
 	cancel           context.CancelFunc
@@ -414,7 +416,7 @@
 		}
 	}
 	n.pool.runTimers(now)
-	if !n.deferForUpdates(now) { // otherwise the loop reads first, and runDue is called again at once
+	if !n.deferForUpdates(now) && !n.deferForAnswers() { // otherwise the loop reads first, and runDue is called again at once
 		n.core.Run(now)
 	}
 	if n.loop.UnreadConns() > 0 && now.Sub(n.lastPresenceCheck) >= presenceInterval {
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -21,6 +21,7 @@
 	node                *Node
 	searchers           map[string]*searcher
 	connByAttempt       map[*gatherer.Attempt]*searcherConn // the connection of each attempt in flight
+	provisional         map[*gatherer.Attempt]*searcherConn // the connection of each attempt whose answer is provisional
 	connCount           int                                 // all connections, including those being dialed
 	dialing             int                                 // connections being dialed, also those past their time limit until the dial has returned
 	awaitingDescriptors []*searcher                         // searchers whose calls wait for descriptors, the longest waiting first
@@ -34,7 +35,10 @@
 type timer = timerqueue.Timer[func(now time.Time)]
 
 func newPool(n *Node) *pool {
-	return &pool{node: n, searchers: make(map[string]*searcher), connByAttempt: make(map[*gatherer.Attempt]*searcherConn)}
+	return &pool{
+		node: n, searchers: make(map[string]*searcher), connByAttempt: make(map[*gatherer.Attempt]*searcherConn),
+		provisional: make(map[*gatherer.Attempt]*searcherConn),
+	}
 }
 
 // searcher is the pool's state of one searcher.
@@ -182,10 +186,7 @@
 	}
 	id, blocked := a.PartID(), c.full() || c.conn.Buffered() > 0
 	c.checkHalfOpen(now, c.removeAttempt(a))
-	if !c.answers.Abandon(id) {
-		c.setHoldTimer()
-		return // the searcher has answered it
-	}
+	c.answers.Abandon(id)
 	if blocked && a.MayRetry() {
 		c.pool.node.stats.ClosedToAbandon++
 		c.close()
@@ -203,6 +204,22 @@
 	return c != nil && c.conn != nil && pendingBytes(c.conn.FD()) > 0
 }
 
+// DataBehind implements gatherer.Searchers.
+func (p *pool) DataBehind(a *gatherer.Attempt) bool {
+	c := p.provisional[a]
+	return c != nil && (len(c.answers.Incomplete()) > 0 || pendingBytes(c.conn.FD()) > 0)
+}
+
+// provisionalUnread reports whether something was received behind a provisional answer that was not read yet.
+func (p *pool) provisionalUnread() bool {
+	for _, c := range p.provisional {
+		if pendingBytes(c.conn.FD()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // recordLatency updates the typical latency by one answered attempt.
 func (p *pool) recordLatency(took time.Duration) {
 	if p.typicalLatency == 0 {
@@ -227,7 +244,7 @@
 func (p *pool) CloseIdle(searcher string) {
 	if s := p.searchers[searcher]; s != nil {
 		for _, c := range s.conns {
-			if c.conn != nil && len(c.inFlight) == 0 && c.halfOpen {
+			if c.idle() && c.halfOpen {
 				c.close()
 			}
 		}
@@ -269,7 +286,7 @@
 	longest := p.maxIdle()
 	for id, s := range p.searchers {
 		for _, c := range s.conns {
-			if c.conn != nil && len(c.inFlight) == 0 && (c.retired || now.Sub(c.idleSince) >= longest) {
+			if c.idle() && (c.retired || now.Sub(c.idleSince) >= longest) {
 				p.node.stats.IdleClosed++
 				c.close()
 			}
--- a/internal/netio/searcheranswers.go
+++ b/internal/netio/searcheranswers.go
@@ -25,7 +25,10 @@
 	if received.Answered {
 		c.clearUnreadCancels()
 	}
-	for _, answer := range received.Usable {
+	if received.Confirmed != "" {
+		c.confirmProvisional(now)
+	}
+	for _, answer := range received.Answers {
 		c.useAnswer(now, answer)
 	}
 	if err != nil {
@@ -34,12 +37,10 @@
 	}
 	if received.Frames > 0 {
 		c.pool.timers.Stop(&c.frameTimer)
-		c.provisional = nil
 	}
 	if len(c.answers.Incomplete()) > 0 && !c.frameTimer.IsSet() {
 		c.pool.timers.Set(&c.frameTimer, now.Add(c.pool.node.cfg.ConnectTimeout))
 	}
-	c.setHoldTimer()
 	c.attemptsEnded(now)
 }
 
@@ -51,29 +52,8 @@
 	}
 }
 
-// setHoldTimer sets the timer that settles the answer that is held, if there is one.
-func (c *searcherConn) setHoldTimer() {
-	c.pool.timers.Stop(&c.holdTimer)
-	if until := c.answers.HeldUntil(); !until.IsZero() {
-		c.pool.timers.Set(&c.holdTimer, until)
-	}
-}
-
-// settleHeld uses the answer that is held. Data that was received and not read yet may show that it is spoilt, so
-// it is read first.
-func (c *searcherConn) settleHeld(now time.Time) {
-	if pendingBytes(c.conn.FD()) > 0 {
-		c.pool.timers.Set(&c.holdTimer, now.Add(time.Millisecond)) // the loop's next round is over by then
-		return
-	}
-	if answer, ok := c.answers.Settle(now); ok {
-		c.provisional = c.useAnswer(now, answer)
-		c.attemptsEnded(now)
-	}
-}
-
-// useAnswer passes an answer on to the core, and returns its attempt.
-func (c *searcherConn) useAnswer(now time.Time, answer answerstream.Answer) *gatherer.Attempt {
+// useAnswer passes an answer on to the core.
+func (c *searcherConn) useAnswer(now time.Time, answer answerstream.Answer) {
 	index := slices.IndexFunc(c.inFlight, func(f sentAttempt) bool { return f.partID == answer.ID })
 	a := c.inFlight[index].attempt
 	c.read = max(c.read, c.inFlight[index].endByte)
@@ -85,13 +65,45 @@
 	case answer.Report.Malformed:
 		c.pool.node.stats.MalformedReports++
 	}
+	if answer.Provisional {
+		c.setProvisional(a)
+		c.pool.node.core.ProvisionalResult(now, a, answer.Score, answer.Value)
+		return
+	}
 	c.pool.node.core.Result(now, a, statusByEnd[answer.End], answer.Score, answer.Value)
+}
+
+// setProvisional records the attempt whose answer is provisional.
+func (c *searcherConn) setProvisional(a *gatherer.Attempt) {
+	c.provisional = a
+	c.pool.provisional[a] = c
+}
+
+// endProvisional returns the attempt whose answer is provisional no more.
+func (c *searcherConn) endProvisional() *gatherer.Attempt {
+	a := c.provisional
+	c.provisional = nil
+	delete(c.pool.provisional, a)
 	return a
 }
 
+// confirmProvisional passes on that the provisional answer is final.
+func (c *searcherConn) confirmProvisional(now time.Time) {
+	c.pool.node.core.Confirm(now, c.endProvisional())
+}
+
+// withdrawProvisional withdraws the provisional answer, if there is one, because nothing can confirm it any more. It reports
+// whether it could still do so.
+func (c *searcherConn) withdrawProvisional(now time.Time) bool {
+	if _, ok := c.answers.Refuted(); !ok {
+		return false
+	}
+	return c.pool.node.core.Withdraw(now, c.endProvisional())
+}
+
 // closeMalformed closes a connection that carried a frame that is invalid, unsolicited or incomplete for too long:
-// the attempts in flight on it would only wait for their time-out. They end as those of a broken connection, as does
-// that whose answer is held. An answer that was used already is withdrawn if it is in doubt; all others stay.
+// the attempts in flight on it would only wait for their time-out. They end as those of a broken connection. A provisional
+// answer is withdrawn; all others stay.
 func (c *searcherConn) closeMalformed(message string, detail any) {
 	if c.malformed {
 		return
@@ -104,37 +116,18 @@
 		"since_answer", now.Sub(answeredAt), "basis", basis, "withdrawn", withdrawn, "unparsed", fmt.Sprintf("%.32q", c.answers.Incomplete()))
 	c.malformed = true
 	c.pool.timers.Stop(&c.frameTimer)
-	c.pool.timers.Stop(&c.holdTimer)
 	c.close()
 }
 
-// withdrawProvisional withdraws the answer that was settled last if it is in doubt, and reports whether it could still
-// do so. It is called when data behind that answer can't be read.
-func (c *searcherConn) withdrawProvisional(now time.Time) bool {
-	id, inDoubt := c.answers.Withdrawn()
-	if !inDoubt || c.provisional == nil || c.provisional.PartID() != id {
-		return false
-	}
-	return c.pool.node.core.Withdraw(now, c.provisional)
-}
-
 var statusByEnd = map[frame.PartOutcome]eiderwinch.Status{
 	frame.Served: eiderwinch.OK, frame.Failed: eiderwinch.Failed, frame.Skipped: eiderwinch.Full,
 }
 
-// settleAtEnd settles the last answer when the connection has ended: it counts unless something stands behind it.
+// settleAtEnd settles the provisional answer when the connection has ended: it counts unless something stands behind it.
 func (c *searcherConn) settleAtEnd(now time.Time) {
-	if c.malformed {
-		return
-	}
-	if len(c.answers.Incomplete()) > 0 {
-		c.withdrawProvisional(now)
+	if !c.malformed && pendingBytes(c.conn.FD()) == 0 && c.answers.End() {
+		c.confirmProvisional(now)
 		return
 	}
-	if pendingBytes(c.conn.FD()) > 0 {
-		return
-	}
-	if answer, ok := c.answers.End(); ok {
-		c.useAnswer(now, answer)
-	}
+	c.withdrawProvisional(now)
 }
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -21,7 +21,7 @@
 	retired       bool            // not to be used for new calls
 	malformed     bool            // it carried invalid data and is being closed
 	answers       *answerstream.Stream
-	inFlight      []sentAttempt // including that whose answer is held by answers
+	inFlight      []sentAttempt
 	openedAt      time.Time
 	unreadCancels map[string]bool   // abandoned parts whose cancel frame waits unread at the searcher
 	written       uint64            // bytes written to the connection, including its buffer
@@ -29,8 +29,7 @@
 	idleSince     time.Time         // when the last attempt in flight ended
 	lastReceived  time.Time         // when data was last received
 	frameTimer    timer             // set while a frame is incomplete: the time limit for its rest
-	holdTimer     timer             // set while an answer is held: when it is settled
-	provisional   *gatherer.Attempt // the attempt whose answer was settled last, which may still be withdrawn
+	provisional   *gatherer.Attempt // the attempt whose answer is provisional; nil if none is
 	halfOpen      bool              // it may be cut off, see checkHalfOpen
 	unsentTimer   timer             // set while there is an unsent call: when it is checked again
 }
@@ -44,6 +43,11 @@
 	endByte   uint64 // offset behind its frame: it was sent once this many bytes have left the buffer
 }
 
+// idle reports whether the connection is open and nothing on it is wanted any more.
+func (c *searcherConn) idle() bool {
+	return c.conn != nil && len(c.inFlight) == 0 && (c.provisional == nil || !c.provisional.AwaitsConfirmation())
+}
+
 // openedAtWallClock returns when the connection was opened, by the wall clock as it reads now.
 func (c *searcherConn) openedAtWallClock(now time.Time) time.Time {
 	return now.Round(0).Add(-now.Sub(c.openedAt))
@@ -56,7 +60,7 @@
 	return c.carried() >= c.pool.node.cfg.Multiplex
 }
 
-// carried returns how many parts the connection carries. A part whose answer is held does not count.
+// carried returns how many parts the connection carries.
 func (c *searcherConn) carried() int { return c.answers.Waiting() + len(c.unreadCancels) }
 
 // clearUnreadCancels is called when an answer has been received. If the connection has room again, the searcher has read
@@ -127,7 +131,6 @@
 	c.retired = true
 	c.pool.timers.Stop(&c.dialTimer)
 	c.pool.timers.Stop(&c.frameTimer)
-	c.pool.timers.Stop(&c.holdTimer)
 	c.pool.timers.Stop(&c.unsentTimer)
 	c.pool.connCount--
 	c.searcher.conns = slices.DeleteFunc(c.searcher.conns, func(x *searcherConn) bool { return x == c })
--- a/internal/netio/searcherdial.go
+++ b/internal/netio/searcherdial.go
@@ -38,7 +38,6 @@
 		}
 		c.dialTimer.Value = func(time.Time) { c.retired = true } // the dial itself has the same time limit
 		c.frameTimer.Value = func(time.Time) { c.closeMalformed("incomplete frame from searcher", len(c.answers.Incomplete())) }
-		c.holdTimer.Value = c.settleHeld
 		c.unsentTimer.Value = func(now time.Time) { c.checkUnsentCall(now) }
 		p.timers.Set(&c.dialTimer, now.Add(p.node.cfg.ConnectTimeout))
 		if slices.ContainsFunc(s.conns, func(c *searcherConn) bool { return c.conn != nil && !c.retired }) {
@@ -80,7 +79,7 @@
 	var longestIdle *searcherConn
 	for _, s := range p.searchers {
 		for _, c := range s.conns {
-			if c.conn != nil && !c.retired && len(c.inFlight) == 0 && (longestIdle == nil || c.idleSince.Before(longestIdle.idleSince)) {
+			if c.idle() && !c.retired && (longestIdle == nil || c.idleSince.Before(longestIdle.idleSince)) {
 				longestIdle = c
 			}
 		}
--- a/internal/netio/unsentcall.go
+++ b/internal/netio/unsentcall.go
@@ -111,11 +111,13 @@
 	c.pool.timers.Stop(&c.unsentTimer)
 	c.conn.StopWriting()
 	for _, a := range attempts {
-		c.answers.NotSent(a.PartID())
+		if c.answers.NotSent(a.PartID()) != "" {
+			c.confirmProvisional(now)
+		}
 		c.removeAttempt(a)
 		end(now, a)
 	}
-	if len(c.inFlight) == 0 {
+	if c.idle() {
 		c.close()
 	}
 }
--- a/internal/netio/updates.go
+++ b/internal/netio/updates.go
@@ -44,6 +44,19 @@
 	return false
 }
 
+// deferForAnswers reports whether due work has to wait because data was received behind a provisional answer and not read: it may
+// refute that answer, and a turn of a gatherer that was held up might use it. It waits for up to minDeferWakeups rounds of the loop.
+func (n *Node) deferForAnswers() bool {
+	if !n.pool.provisionalUnread() {
+		n.answersUnreadAtWakeup = 0
+		return false
+	}
+	if n.answersUnreadAtWakeup == 0 {
+		n.answersUnreadAtWakeup = n.wakeups
+	}
+	return n.wakeups-n.answersUnreadAtWakeup < minDeferWakeups
+}
+
 // applyUpdate passes an update that a watch has received on to the core and the pool.
 func (n *Node) applyUpdate(now time.Time, kind eiderwinch.ListKind, w *watch, u catalog.Update) {
 	n.stats.DuplicateMembers += u.Duplicates
--- a/internal/trial/emulator/node.go
+++ b/internal/trial/emulator/node.go
@@ -277,6 +277,9 @@
 // DataUnread implements gatherer.Searchers: in virtual time all data is read as it arrives.
 func (*node) DataUnread(*gatherer.Attempt) bool { return false }
 
+// DataBehind implements gatherer.Searchers: answers are never provisional.
+func (*node) DataBehind(*gatherer.Attempt) bool { return false }
+
 // CloseIdle implements gatherer.Searchers.
 func (n *node) CloseIdle(searcher string) {
 	conn := n.conns[searcher]
--- a/outcomes.go
+++ b/outcomes.go
@@ -18,6 +18,7 @@
 	a.removeFromSearcher(attempt)
 	a.recordOutcome(attempt, outcome)
 	attempt.neverRan = outcome.Status == Full || outcome.Status == NoConnection || outcome.Status == NotSent
+	attempt.provisional = outcome.Provisional
 	if outcome.Status == OK && part.answeredBy == nil && !part.ended {
 		if part.inFlight > 0 && attempt.number > 0 {
 			// The copy was useful, so its credit is returned.
@@ -25,6 +26,7 @@
 		}
 		part.answeredBy = attempt
 		part.query.answeredWeight += part.Weight
+		part.query.lastAnswerAt = a.now
 		a.cancelAttempts(part)
 	}
 	if part.ended && part.inFlight == 0 {
@@ -32,14 +34,22 @@
 	}
 }
 
-// withdrawAnswer takes back an answer that was reported as OK and has turned out to be spoilt: the part needs
-// another attempt.
+// handleConfirmed makes a provisional answer final.
+func (a *Aggregator) handleConfirmed(event Confirmed) {
+	part := a.parts[event.Part]
+	if part == nil || event.Attempt < 0 || event.Attempt >= len(part.attempts) {
+		return
+	}
+	part.attempts[event.Attempt].provisional = false
+}
+
+// withdrawAnswer takes back a provisional answer: the part needs another attempt.
 func (a *Aggregator) withdrawAnswer(attempt *attempt, outcome Outcome) {
 	part := attempt.part
 	if outcome.Status != Reset || part.answeredBy != attempt || part.ended {
 		return
 	}
-	part.answeredBy = nil
+	part.answeredBy, attempt.provisional, part.query.confirmBy = nil, false, 0
 	part.query.answeredWeight = 0 // the sum is taken anew, so that no rounding error is left of it
 	for _, p := range part.query.parts {
 		if p.answeredBy != nil {
--- a/state.go
+++ b/state.go
@@ -274,7 +274,8 @@
 	searcherIdle time.Duration // time from the searcher's last answer until it was sent
 	connReset    bool          // its connection broke
 
-	cancelled bool // a Cancel was issued; its part may still be needed
+	cancelled   bool // a Cancel was issued; its part may still be needed
+	provisional bool // it was answered, and the answer may still turn out to be spoilt
 }
 
 // noResponseSince reports whether the searcher has answered nothing since the attempt was sent.
@@ -327,6 +328,8 @@
 	floorWeight    float64       // least weight that the query may be answered from
 	parts          []*part       // of the current step
 	answeredWeight float64       // weight of the answered parts
+	lastAnswerAt   time.Duration // when the last of them was answered
+	confirmBy      time.Duration // end of the wait for confirmations, see awaitsConfirmation; 0 without one
 
 	step           step
 	firstStepWhole bool // the answer of the first step was whole
