Don't take queries beside a spoilt answer for ones that crash searchers

Cause: a spoilt answer makes the gatherer close the connection. All parts out on it ended as Reset, and a query reset at two searchers counts as one that crashes them (crashesSearchers) and is failed. It is the gatherer that had closed, for another part's answer.

Change: Outcome.ClosedByGatherer, for connections closed for a spoilt answer or to abandon another part: a Reset still, which may have run, but no sign of a crash or of dead connections. Not for a searcher that answers `e` and closes.

Why this works: evidence of a crash is now only what searchers did. Attempts, windows and budgets bound the tries as before.

Test: TestConnectionClosedByGathererIsNoCrash fails without the change of outcomes.go; TestWhoHasClosedAConnection is new.

--- a/api.go
+++ b/api.go
@@ -140,6 +140,9 @@
 	// Provisional is whether an answer that is OK may still turn out to be spoilt. Either Confirmed or a
 	// Reset follows, if the part's query is open for that long.
 	Provisional bool
+	// ClosedByGatherer is whether a Reset is of a connection that the gatherer itself has closed because of
+	// another part: it does not show that the replica has crashed.
+	ClosedByGatherer bool
 }
 
 // Confirmed makes the answer of an attempt final whose Outcome was provisional.
--- a/internal/answerstream/stream.go
+++ b/internal/answerstream/stream.go
@@ -25,10 +25,12 @@
 	"eiderwinch/internal/format/frame"
 )
 
+// ErrFrameRejected reports that the searcher could not use a frame that was sent to it, and closes the connection.
+var ErrFrameRejected = errors.New("searcher rejected a frame")
+
 var (
-	errFrameRejected = errors.New("searcher rejected a frame")
-	errUnsolicited   = errors.New("unsolicited frame")
-	errSwallowed     = errors.New("value contains the start of another answer")
+	errUnsolicited = errors.New("unsolicited frame")
+	errSwallowed   = errors.New("value contains the start of another answer")
 )
 
 // Answer is an answer to a part in flight.
@@ -193,7 +195,7 @@
 	switch f.Type {
 	case frame.Answer:
 	case frame.Error:
-		return fmt.Errorf("%w: %.80q", errFrameRejected, f.Payload)
+		return fmt.Errorf("%w: %.80q", ErrFrameRejected, f.Payload)
 	default:
 		return s.unsolicited(f.Type)
 	}
--- a/internal/gatherer/attempts.go
+++ b/internal/gatherer/attempts.go
@@ -31,6 +31,7 @@
 	sendBy        time.Time // when its last byte must have been sent, see TellWait; zero if its searcher was told nothing yet
 	ended         bool
 	provisional   bool                       // it was answered, and the answer may still turn out to be spoilt
+	closedHere    bool                       // its connection was closed here because of another attempt
 	deadlineTimer timerqueue.Timer[*Attempt] // expires at Deadline
 }
 
@@ -186,7 +187,7 @@
 	c.countOutcome(status)
 	c.addEvent(now, eiderwinch.Outcome{
 		Part: a.part.id, Attempt: a.number, Replica: a.Searcher, Status: status, Took: now.Sub(a.decidedAt), Load: a.Load,
-		Provisional: a.provisional,
+		Provisional: a.provisional, ClosedByGatherer: a.closedHere,
 	})
 	return true
 }
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -72,6 +72,12 @@
 // ConnectionBroken ends an attempt whose connection broke after the attempt may have arrived.
 func (c *Core) ConnectionBroken(now time.Time, a *Attempt) { c.endAttempt(now, a, eiderwinch.Reset) }
 
+// ConnectionClosed ends an attempt whose connection was closed here because of another attempt, after it may have arrived.
+func (c *Core) ConnectionClosed(now time.Time, a *Attempt) {
+	a.closedHere = true
+	c.endAttempt(now, a, eiderwinch.Reset)
+}
+
 // answer sends a client its answer or, if the class has a second step, starts that
 // step after the first. The answer contains only values that were received, and it is
 // marked whole only if the core's own records agree.
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -189,6 +189,7 @@
 	c.answers.Abandon(id)
 	if blocked && a.MayRetry() {
 		c.pool.node.stats.ClosedToAbandon++
+		c.closedHere = true
 		c.close()
 		return
 	}
--- a/internal/netio/searcheranswers.go
+++ b/internal/netio/searcheranswers.go
@@ -1,6 +1,7 @@
 package netio
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -32,6 +33,7 @@
 		c.useAnswer(now, answer)
 	}
 	if err != nil {
+		c.closedHere = !errors.Is(err, answerstream.ErrFrameRejected)
 		c.closeMalformed("malformed frame from searcher", err)
 		return
 	}
@@ -119,6 +121,12 @@
 	c.close()
 }
 
+// closeIncomplete closes a connection on which a frame has stayed incomplete for too long.
+func (c *searcherConn) closeIncomplete() {
+	c.closedHere = true
+	c.closeMalformed("incomplete frame from searcher", len(c.answers.Incomplete()))
+}
+
 var statusByEnd = map[frame.PartOutcome]eiderwinch.Status{
 	frame.Served: eiderwinch.OK, frame.Failed: eiderwinch.Failed, frame.Skipped: eiderwinch.Full,
 }
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -20,6 +20,7 @@
 	dialTimer     timer           // set while it is being dialed: the time limit of that
 	retired       bool            // not to be used for new calls
 	malformed     bool            // it carried invalid data and is being closed
+	closedHere    bool            // it is being closed for what one part on it has met, so the others show nothing of the searcher
 	answers       *answerstream.Stream
 	inFlight      []sentAttempt
 	openedAt      time.Time
@@ -234,10 +235,14 @@
 	}
 	c.inFlight = nil
 	c.remove()
+	end := c.pool.node.core.ConnectionBroken
+	if c.closedHere {
+		end = c.pool.node.core.ConnectionClosed
+	}
 	for _, f := range unanswered {
 		delete(c.pool.connByAttempt, f.attempt)
 		if f.endByte <= flushed {
-			c.pool.node.core.ConnectionBroken(now, f.attempt)
+			end(now, f.attempt)
 		} else {
 			c.pool.node.core.NotSent(now, f.attempt)
 		}
--- a/internal/netio/searcherdial.go
+++ b/internal/netio/searcherdial.go
@@ -37,7 +37,7 @@
 			pool: p, searcher: s, addr: s.addr, answers: answerstream.New(), unreadCancels: make(map[string]bool),
 		}
 		c.dialTimer.Value = func(time.Time) { c.retired = true } // the dial itself has the same time limit
-		c.frameTimer.Value = func(time.Time) { c.closeMalformed("incomplete frame from searcher", len(c.answers.Incomplete())) }
+		c.frameTimer.Value = func(time.Time) { c.closeIncomplete() }
 		c.unsentTimer.Value = func(now time.Time) { c.checkUnsentCall(now) }
 		p.timers.Set(&c.dialTimer, now.Add(p.node.cfg.ConnectTimeout))
 		if slices.ContainsFunc(s.conns, func(c *searcherConn) bool { return c.conn != nil && !c.retired }) {
--- a/internal/netio/spoilt_test.go
+++ b/internal/netio/spoilt_test.go
@@ -167,3 +167,27 @@
 		t.Errorf("have %s %s", resp.Status, got)
 	}
 }
+
+// What ended the connection of a part tells whether its searcher may have crashed.
+func TestWhoHasClosedAConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(first, second testpeer.Part)
+		want bool // the gatherer
+	}{
+		"the searcher":                  {func(first, _ testpeer.Part) { first.Conn.Close() }, false},
+		"the gatherer, for a bad frame": {func(first, _ testpeer.Part) { first.Write("z") }, true},
+		"the gatherer, for half of one": {func(first, _ testpeer.Part) { first.WriteRaw("\x00\x00\x00\x20a") }, true},
+		"the searcher, with an error":   {func(first, _ testpeer.Part) { first.Write("ewords"); first.Conn.Close() }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h, _, first, second := startTwoQueries(t, "search", time.Minute)
+			c.end(first, second)
+			for range 2 {
+				if outcome := h.nextOutcome(); outcome.Status != eiderwinch.Reset || outcome.ClosedByGatherer != c.want {
+					t.Errorf("have %+v", outcome)
+				}
+			}
+		})
+	}
+}
--- a/outcomes.go
+++ b/outcomes.go
@@ -104,7 +104,7 @@
 			a.recordSuccess(searcher, attempt)
 		}
 	case Failed, Reset, NoConnection:
-		if outcome.Status == Reset {
+		if outcome.Status == Reset && !outcome.ClosedByGatherer {
 			attempt.connReset = true
 			a.recordLostCall(attempt, outcome)
 		}
--- a/state.go
+++ b/state.go
@@ -272,7 +272,7 @@
 	aloneInCall  bool          // it is the only one in its call
 	onNewConn    bool          // the searcher's idle connections were closed before it was sent
 	searcherIdle time.Duration // time from the searcher's last answer until it was sent
-	connReset    bool          // its connection broke
+	connReset    bool          // its connection broke, and not because the gatherer closed it
 
 	cancelled   bool // a Cancel was issued; its part may still be needed
 	provisional bool // it was answered, and the answer may still turn out to be spoilt
--- a/withdrawn_answer_test.go
+++ b/withdrawn_answer_test.go
@@ -108,3 +108,22 @@
 		d.checkEqual(name+": whole answers", actionsOf[Answer](actions), []Answer{{1, true}})
 	}
 }
+
+// A query must not be failed as one that crashes searchers because the gatherer has closed the connections of its parts, for
+// another part's spoilt answer.
+func TestConnectionClosedByGathererIsNoCrash(t *testing.T) {
+	for name, closedByGatherer := range map[string]bool{"by the gatherer": true, "by the searchers": false} {
+		s := testSettings()
+		s.SecondCopies = false
+		d := startAggregator(t, s)
+		sent := actionsOf[Send](d.turn(newQuery(1, 1, 0)))
+		for attempt := range 2 {
+			reset := withStatus(okOutcome(10, attempt, sent[0].Replica), Reset)
+			reset.ClosedByGatherer = closedByGatherer
+			if sent = actionsOf[Send](d.after(20*ms, reset)); len(sent) == 0 {
+				break
+			}
+		}
+		d.checkEqual(name+": sent a third time", len(sent) == 1, closedByGatherer)
+	}
+}
