Keep a second copy out until its part has an answer that is confirmed

What callers would see, where settings allow second copies: a late answer or a failure. The first answer of a part cancelled the copy even if it was provisional; when it was refuted, the part needed a third attempt, for which there may be no attempt, window or time left.

Cause: handleOutcome took any OK for the end of the part.

Evidence: TestSecondCopyStaysUntilTheAnswerIsConfirmed: a Cancel right behind the provisional answer, in each row.

Change: a provisional answer cancels nothing; Confirmed does, and a final answer of the copy replaces the provisional one, in the module as in the core.

Why this works: whichever of the two is final first ends the part, and an honest copy beside a spoilt answer costs no further attempt. Two provisional answers wait for the first one's confirmation: the core keeps one value for a part.

--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -558,3 +558,18 @@
 		h.checkEqual(name+": reply", h.replies[0].Kind, c.want)
 	}
 }
+
+// A final answer of a second copy replaces a provisional one, which then can't be withdrawn any more.
+func TestFinalAnswerReplacesProvisionalOne(t *testing.T) {
+	h := newHarness(t)
+	h.settings.Module.SecondCopies = true
+	id := h.submit("search", "x", 3)
+	h.advance(5*ms, send(id+1, "a"), send(id+1, "b"))
+	first, second := h.calls[0][0], h.calls[1][0]
+	h.ProvisionalResult(h.at, first, 1, "spoilt")
+	h.Result(h.at, second, eiderwinch.OK, 1, "whole")
+	h.checkEqual("awaits confirmation", first.AwaitsConfirmation(), false)
+	h.checkEqual("withdrawn", h.Withdraw(h.at, first), false)
+	h.advance(5*ms, eiderwinch.Answer{Query: id, Whole: true})
+	h.checkEqual("reply", h.replies, []Reply{{Kind: Answered, Whole: true, Values: []ShardValue{{3, "whole"}}}})
+}
--- a/outcomes.go
+++ b/outcomes.go
@@ -19,18 +19,31 @@
 	a.recordOutcome(attempt, outcome)
 	attempt.neverRan = outcome.Status == Full || outcome.Status == NoConnection || outcome.Status == NotSent
 	attempt.provisional = outcome.Provisional
-	if outcome.Status == OK && part.answeredBy == nil && !part.ended {
+	if outcome.Status == OK && !part.ended {
+		a.useAnswer(attempt)
+	}
+	if part.ended && part.inFlight == 0 {
+		delete(a.parts, part.ID)
+	}
+}
+
+// useAnswer records that an attempt has answered its part, unless another has. A final answer replaces a
+// provisional one. Until there is a final one, the part's other attempt in flight may still be needed.
+func (a *Aggregator) useAnswer(attempt *attempt) {
+	part := attempt.part
+	if part.answeredBy == nil {
 		if part.inFlight > 0 && attempt.number > 0 {
 			// The copy was useful, so its credit is returned.
 			a.secondCopyCredit = min(a.secondCopyCredit+1, maxSecondCopyCredit)
 		}
-		part.answeredBy = attempt
 		part.query.answeredWeight += part.Weight
 		part.query.lastAnswerAt = a.now
-		a.cancelAttempts(part)
+	} else if attempt.provisional || !part.answeredBy.provisional {
+		return
 	}
-	if part.ended && part.inFlight == 0 {
-		delete(a.parts, part.ID)
+	part.answeredBy = attempt
+	if !attempt.provisional {
+		a.cancelAttempts(part)
 	}
 }
 
@@ -40,7 +53,11 @@
 	if part == nil || event.Attempt < 0 || event.Attempt >= len(part.attempts) {
 		return
 	}
-	part.attempts[event.Attempt].provisional = false
+	attempt := part.attempts[event.Attempt]
+	attempt.provisional = false
+	if part.answeredBy == attempt {
+		a.cancelAttempts(part)
+	}
 }
 
 // withdrawAnswer takes back a provisional answer: the part needs another attempt.
--- a/withdrawn_answer_test.go
+++ b/withdrawn_answer_test.go
@@ -127,3 +127,30 @@
 		d.checkEqual(name+": sent a third time", len(sent) == 1, closedByGatherer)
 	}
 }
+
+// A second copy must not be cancelled for a provisional answer: its answer replaces one that may be cut short.
+func TestSecondCopyStaysUntilTheAnswerIsConfirmed(t *testing.T) {
+	for name, c := range map[string]struct {
+		events   func(copyAt string) []Event
+		answered bool
+	}{
+		"neither is confirmed":        {func(at string) []Event { return []Event{provisional(okOutcome(10, 1, at))} }, false},
+		"the first is confirmed":      {func(string) []Event { return []Event{Confirmed{Part: 10}} }, true},
+		"the copy's answer is final":  {func(at string) []Event { return []Event{okOutcome(10, 1, at)} }, true},
+		"the copy's is confirmed":     {func(at string) []Event { return []Event{provisional(okOutcome(10, 1, at)), Confirmed{10, 1}} }, false},
+		"the copy fails":              {func(at string) []Event { return []Event{withStatus(okOutcome(10, 1, at), Failed)} }, false},
+		"the first is withdrawn then": {func(at string) []Event { return []Event{withStatus(okOutcome(10, 0, ""), Reset), okOutcome(10, 1, at)} }, true},
+	} {
+		d := startAggregator(t, testSettings())
+		d.aggregator.secondCopyCredit = maxSecondCopyCredit
+		sent := actionsOf[Send](d.turn(newQuery(1, 0, 0)))
+		first := sent[0]
+		for sent = nil; len(sent) == 0; {
+			sent = actionsOf[Send](d.after(5 * ms))
+		}
+		actions := d.after(5*ms, provisional(okOutcome(10, 0, first.Replica)))
+		d.checkEqual(name+": cancelled at first", len(actionsOf[Cancel](actions)), 0)
+		actions = d.after(5*ms, c.events(sent[0].Replica)...)
+		d.checkEqual(name+": answered", len(actionsOf[Answer](actions)) == 1, c.answered)
+	}
+}
