Find an invalid length of a searcher's frame by its first bytes

What callers saw: an answer after 0.3 to 0.5 s where the rest of a shortened value was one to three bytes, in place of 0.03 to 0.23 s. If the aim came in between, the query failed, since the core uses no value with something undecided behind it.

Cause: the parser looked at a length once all of its four bytes had come. The rest of a short answer is text, whose first byte already makes a length beyond 68 KiB, but it lay there as an incomplete frame until the time limit for these, 250 ms.

Change: Parser.Next takes the bytes that have not come for 0.

Why this works: a length that is too large with all missing bytes 0 is too large whatever they are; no valid frame begins so.

--- a/internal/format/frame/frame.go
+++ b/internal/format/frame/frame.go
@@ -66,18 +66,23 @@
 
 // Next returns the next frame; ok is false while it is incomplete. After an error
 // the connection cannot be read any further. An invalid length or letter is an error as
-// soon as it is read, because the rest of the frame may never arrive.
+// soon as its first bytes show it, because the rest of the frame may never arrive.
 func (p *Parser) Next() (f Frame, ok bool, err error) {
 	b := p.buf[p.consumed:]
 	if len(b) == 0 && cap(p.buf) > retainedCapacity {
 		p.buf, p.consumed = nil, 0
 	}
-	if len(b) < lengthSize {
+	if len(b) == 0 {
 		return Frame{}, false, nil
 	}
-	n := binary.BigEndian.Uint32(b)
-	if n < 1 || n > MaxLength {
-		return Frame{}, false, fmt.Errorf("frame length %d, want at least 1 and at most 68 KiB", n)
+	var length [lengthSize]byte // the bytes that have not arrived are 0 at least
+	known := copy(length[:], b)
+	n := binary.BigEndian.Uint32(length[:])
+	if n < 1 && known == lengthSize || n > MaxLength {
+		return Frame{}, false, fmt.Errorf("frame length %d, of which %d bytes have arrived, want at least 1 and at most 68 KiB", n, known)
+	}
+	if known < lengthSize {
+		return Frame{}, false, nil
 	}
 	if len(b) > lengthSize && !strings.ContainsRune(searcherLetters, rune(b[lengthSize])) {
 		return Frame{}, false, fmt.Errorf("unknown frame letter %q, want a, e, l or p", b[lengthSize])
--- a/internal/format/frame/frame_test.go
+++ b/internal/format/frame/frame_test.go
@@ -50,6 +50,7 @@
 	}
 	for _, text := range []string{
 		"\x00\x00\x00\x00", "\xff\x00\x00\x01", "\x00\x01\x10\x01", // invalid lengths, before any letter
+		"3", "\x01", "\x00\x02", "\x00\x01\x11", // the same, which the first bytes show
 		"\x00\x00\x00\x09z", "\x00\x00\x00\x09q", // invalid letters, before the frame is complete
 	} {
 		var p Parser
@@ -58,6 +59,13 @@
 			t.Errorf("%q is not a valid frame, but was accepted", text)
 		}
 	}
+	for _, text := range []string{"\x00", "\x00\x01", "\x00\x01\x10", "\x00\x00\x00"} {
+		var p Parser
+		p.Feed([]byte(text))
+		if _, ok, err := p.Next(); ok || err != nil {
+			t.Errorf("%q may begin a valid frame: %v, %v", text, ok, err)
+		}
+	}
 }
 
 func TestParseAnswer(t *testing.T) {
