Count the answers that wait for a confirmation, for how long, and those refuted too late

Cause: the counters had `outcomes.withdrawn` alone. Nothing told an operator that answers wait, for how long, that one was used without a confirmation, or that one was refuted after it had been served.

Change: outcomes.provisional and refuted_late, answered.held, held_for and unconfirmed, longest.held; the log line `answer refuted after it was used`. A connection that ends after its answer was used refutes nothing.

--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -19,7 +19,7 @@
 // Failed or Full. Results of attempts that have ended are ignored.
 func (c *Core) Result(now time.Time, a *Attempt, status eiderwinch.Status, score int64, value string) {
 	if c.endAttempt(now, a, status) && status == eiderwinch.OK {
-		a.part.setAnswer(a, score, value)
+		a.part.setAnswer(now, a, score, value)
 	}
 }
 
@@ -27,12 +27,16 @@
 // ends first, Confirm or Withdraw follows.
 func (c *Core) ProvisionalResult(now time.Time, a *Attempt, score int64, value string) {
 	a.provisional = true
+	c.stats.Provisional++
 	c.Result(now, a, eiderwinch.OK, score, value)
 }
 
 // Confirm makes the answer of a ProvisionalResult final.
 func (c *Core) Confirm(now time.Time, a *Attempt) {
 	a.provisional = false
+	if a.part.answeredBy == a {
+		a.part.finalAt = now
+	}
 	if !a.part.removed {
 		c.addEvent(now, eiderwinch.Confirmed{Part: a.part.id, Attempt: a.number})
 	}
@@ -44,6 +48,10 @@
 func (c *Core) Withdraw(now time.Time, a *Attempt) bool {
 	p := a.part
 	a.provisional = false
+	if p.answeredBy == a && p.used {
+		c.stats.RefutedLate++
+		c.log.Warn("answer refuted after it was used", "trace", a.Trace, "shard", a.Shard, "searcher", a.Searcher, "since_answer", now.Sub(p.answeredAt))
+	}
 	if p.removed || p.answeredBy != a {
 		return false
 	}
@@ -97,6 +105,7 @@
 		c.complete(q, Reply{Kind: Failed})
 		return
 	}
+	c.useAnswers(answered)
 	if class.SecondStepParts > 0 && !q.secondStep {
 		c.startSecondStep(q, answered, min(class.SecondStepParts, len(answered)), whole)
 		return
@@ -108,6 +117,37 @@
 	c.complete(q, reply)
 }
 
+// useAnswers records that the answers of parts are used for a query's answer or second step, and counts whether these had to
+// wait for a confirmation.
+func (c *Core) useAnswers(answered []*part) {
+	var lastAnswered, lastFinal time.Time
+	unconfirmed := false
+	for _, p := range answered {
+		p.used = true
+		finalAt := p.finalAt
+		if finalAt.IsZero() {
+			unconfirmed, finalAt = true, c.now
+		}
+		lastAnswered, lastFinal = later(lastAnswered, p.answeredAt), later(lastFinal, finalAt)
+	}
+	if unconfirmed {
+		c.stats.Unconfirmed++
+	}
+	if held := lastFinal.Sub(lastAnswered); held > 0 {
+		c.stats.Held++
+		c.stats.HeldFor += held
+		c.stats.LongestHeld = max(c.stats.LongestHeld, held)
+	}
+}
+
+// later returns the later of two times.
+func later(x, y time.Time) time.Time {
+	if x.Before(y) {
+		return y
+	}
+	return x
+}
+
 // answerable returns the answered parts of a query's current step that may be used, their weight, and whether that weight
 // is enough for an answer.
 func (c *Core) answerable(q *query) (answered []*part, weight float64, ok bool) {
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -538,10 +538,11 @@
 	for name, c := range map[string]struct {
 		confirmed, dataBehind bool
 		want                  ReplyKind
+		held, unconfirmed     int
 	}{
-		"nothing behind":         {false, false, Answered},
-		"something behind":       {false, true, Failed},
-		"something behind later": {true, true, Answered}, // it is not behind this answer any more
+		"nothing behind":         {false, false, Answered, 1, 1},
+		"something behind":       {false, true, Failed, 0, 0},
+		"something behind later": {true, true, Answered, 1, 0}, // it is not behind this answer any more
 	} {
 		h := newHarness(t)
 		id := h.submit("search", "x", 3)
@@ -550,12 +551,18 @@
 		h.ProvisionalResult(h.at, a, 1, "v")
 		h.checkEqual(name+": awaits confirmation", a.AwaitsConfirmation(), true)
 		if c.confirmed {
+			h.at = h.at.Add(2 * ms)
 			h.Confirm(h.at, a)
 			h.checkEqual(name+": still awaits it", a.AwaitsConfirmation(), false)
 		}
 		h.dataBehind = c.dataBehind
 		h.advance(5*ms, eiderwinch.Answer{Query: id, Whole: true})
 		h.checkEqual(name+": reply", h.replies[0].Kind, c.want)
+		h.checkEqual(name+": held", []int{h.stats.Held, h.stats.Unconfirmed}, []int{c.held, c.unconfirmed})
+		if !c.confirmed {
+			h.Withdraw(h.at, a)
+		}
+		h.checkEqual(name+": refuted late", h.stats.RefutedLate, c.unconfirmed)
 	}
 }
 
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -64,17 +64,26 @@
 
 	answered   bool
 	answeredBy *Attempt // the attempt that value is from; nil if there is none
+	answeredAt time.Time
+	finalAt    time.Time // when the answer became final; zero while it is provisional
+	used       bool      // the answer stands in the query's final one, or its second step names it
 	score      int64
 	value      string
 }
 
 // setAnswer records an answer of an attempt, unless the part has one. A final answer replaces a provisional one.
-func (p *part) setAnswer(a *Attempt, score int64, value string) {
+func (p *part) setAnswer(now time.Time, a *Attempt, score int64, value string) {
 	replaces := p.answered && p.answeredBy.provisional && !a.provisional
 	if p.removed || p.answered && !replaces {
 		return
 	}
+	if !replaces {
+		p.answeredAt = now
+	}
 	p.clearAnswer()
+	if !a.provisional {
+		p.finalAt = now
+	}
 	p.answered, p.answeredBy, p.score, p.value = true, a, score, value
 	p.query.hold(memory.BufferSize(len(value)))
 }
@@ -84,7 +93,7 @@
 	if p.answered {
 		p.query.hold(-memory.BufferSize(len(p.value)))
 	}
-	p.answered, p.answeredBy, p.score, p.value = false, nil, 0, ""
+	p.answered, p.answeredBy, p.finalAt, p.score, p.value = false, nil, time.Time{}, 0, ""
 }
 
 // modulePart returns the part in the form that the decision module takes.
--- a/internal/netio/searcheranswers.go
+++ b/internal/netio/searcheranswers.go
@@ -127,6 +127,16 @@
 	c.closeMalformed("incomplete frame from searcher", len(c.answers.Incomplete()))
 }
 
+// withdrawAtEnd withdraws the provisional answer when the connection has ended. If it was used before, the end shows nothing of it.
+func (c *searcherConn) withdrawAtEnd(now time.Time) {
+	if c.provisional == nil || c.provisional.AwaitsConfirmation() {
+		c.withdrawProvisional(now)
+		return
+	}
+	c.answers.Refuted()
+	c.endProvisional()
+}
+
 var statusByEnd = map[frame.PartOutcome]eiderwinch.Status{
 	frame.Served: eiderwinch.OK, frame.Failed: eiderwinch.Failed, frame.Skipped: eiderwinch.Full,
 }
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -26,6 +26,8 @@
 	RefusedAtLimit      int // refusals because the maximum number of queries and parts was open
 	Failed              int // failures, including those in DeadlineExceeded
 	Late                int // answers given after the aim of their class
+	Held                int // answers, and first steps, that waited for a provisional answer to be confirmed, with HeldFor and LongestHeld
+	Unconfirmed         int // answers, and first steps, from a provisional answer that nothing had confirmed when their time was up
 	EndedUnsent         int // refusals and failures of queries of which no part was ever sent, except those in RefusedAtLimit
 	DeadlineExceeded    int // queries that the core had to end at their deadline
 	CutShort            int // queries that the core ended before their deadline because the process was ending
@@ -50,7 +52,9 @@
 	Unconnected      int
 	Reset            int
 	Cancelled        int
-	Withdrawn        int // of OK: answers that turned out to be spoilt before their query had its final answer
+	Provisional      int // of OK: answers while other parts waited on their connection and nothing behind them confirmed them yet
+	Withdrawn        int // of Provisional: answers that were refuted before their query had its final answer
+	RefutedLate      int // of Provisional: answers that were refuted after they had been used
 	Reports          int // of OK, Errors and Skipped: answers with a load report that is used
 	MalformedReports int // of OK, Errors and Skipped: answers with a load report that can't be used
 
@@ -110,8 +114,11 @@
 	DialRetries int            // dials retried after failing for a reason on this machine
 
 	LongestEvents map[string]time.Duration // longest time that the event loop took for one event, by kind of connection
-	LongestRound  time.Duration            // longest time that the event loop took for all connections in turn while requests waited
-	LongestDelay  time.Duration            // longest time that due work waited for the event loop
+	HeldFor       time.Duration            // how long all of Held have waited together
+	LongestHeld   time.Duration            // longest time that one of them has waited
+
+	LongestRound time.Duration // longest time that the event loop took for all connections in turn while requests waited
+	LongestDelay time.Duration // longest time that due work waited for the event loop
 
 	Reloads     int // configurations reloaded
 	ReloadFails int // configurations that could not be used
@@ -148,9 +155,9 @@
 		group("closed", sortedPairs(c.ClosedClients)...),
 		group("rejected", sortedPairs(c.Rejected)...),
 		group("held", sortedPairs(c.HeldBytes)...),
-		group("longest", append(sortedPairs(c.LongestEvents), "round", c.LongestRound, "delay", c.LongestDelay)...),
+		group("longest", append(sortedPairs(c.LongestEvents), "round", c.LongestRound, "delay", c.LongestDelay, "held", c.LongestHeld)...),
 		group("answered", "whole", c.Whole, "partial", c.Partial, "refused", c.Refused, "full", c.RefusedAtLimit,
-			"late", c.Late, "unsent", c.EndedUnsent, "failed", c.Failed, "overdue", c.DeadlineExceeded, "cut_short", c.CutShort, "gone", c.ClientsDisconnected, "left_unread", c.DisconnectedUnread),
+			"late", c.Late, "held", c.Held, "held_for", c.HeldFor, "unconfirmed", c.Unconfirmed, "unsent", c.EndedUnsent, "failed", c.Failed, "overdue", c.DeadlineExceeded, "cut_short", c.CutShort, "gone", c.ClientsDisconnected, "left_unread", c.DisconnectedUnread),
 		group("sent", "turns", c.Turns, "calls", c.Calls, "parts", c.Sent, "further", c.Retries, "copies", c.SecondCopies, "cold", c.SentToCold, "second_steps", c.SecondSteps,
 			"not_sent", c.RejectedSends, "kept", c.KeptCalls, "dialed", c.Dialed, "dial_fails", c.DialFails,
 			"idle_closed", c.IdleClosed, "left", c.ClosedBySearcher, "left_out", c.ClosedBySearcherInFlight,
@@ -158,7 +165,8 @@
 			"outlived", c.ConnsToRestartedSearcher, "end_unread", c.SkippedClosed, "given_up", c.ClosedToAbandon, "no_room", c.StoppedForMemory),
 		group("unsent", sortedPairs(c.GivenUpCalls)...),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut, "unread", c.ExpiredUnread,
-			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "withdrawn", c.Withdrawn, "reports", c.Reports, "reports_bad", c.MalformedReports),
+			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "provisional", c.Provisional, "withdrawn", c.Withdrawn, "refuted_late", c.RefutedLate,
+			"reports", c.Reports, "reports_bad", c.MalformedReports),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists,
 			"lists_bad", c.MalformedLists, "twice", c.DuplicateMembers, "news_first", c.DelayedForUpdates, "doubted", c.RejectedMembers, "reinstated", c.ReinstatedMembers, "forgotten", c.ForgottenMembers),
 		group("layout", "epochs", c.Epochs, "epochs_old", c.EpochsIgnored, "epochs_ahead", c.UnknownEpochs,
