Count the wait for a confirmation from the last answer, not from when it was first looked at

What callers would see: a partial answer after its aim, in classes that may be answered in part.

Cause: the end of the wait was chosen when a query could first be answered. A query that reaches its aim with enough parts for a partial answer could be so at its aim only, and was then taken for a late one, which may wait to the end of its time.

Evidence: TestPartialAnswerKeepsItsAim: not answered by the aim of 1 s.

Change: the end of the wait follows from when the query's last part was answered.

Why this works: a part answered before the aim holds its query to the aim at most, whatever its other parts do.

Tests: the one named fails before and passes now. TestEarlyEndWithProvisionalValue is new: what a query cut short by EndBy is answered with.

Measured (arm64): the module's and the core's tests pass.

--- a/completion.go
+++ b/completion.go
@@ -65,14 +65,12 @@
 		q.confirmBy = 0
 		return false
 	}
-	if q.confirmBy == 0 {
-		q.confirmBy = a.latestAnswer(q)
-	}
+	q.confirmBy = a.latestAnswer(q)
 	return a.now < q.confirmBy
 }
 
 // latestAnswer returns until when an answer of a query's current step can wait without losing worth: until
-// its aim, or after that until there is only enough time left for the rest of the query.
+// its aim, or if its last part was answered later, until there is only enough time left for its rest.
 func (a *Aggregator) latestAnswer(q *query) time.Duration {
 	last := q.endAt - 2*a.settings.Tick // an answer leaves up to a turn late and then has to travel
 	if q.step == stepFirst && q.class.SecondStepParts > 0 {
@@ -80,7 +78,7 @@
 	}
 	reserve := q.class.Aim / confirmReserveAimDivisor
 	for _, latest := range []time.Duration{min(q.aimAt, last) - reserve, min(q.aimAt, last), last - reserve} {
-		if a.now < latest {
+		if q.lastAnswerAt < latest {
 			return latest
 		}
 	}
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -580,3 +580,27 @@
 	h.advance(5*ms, eiderwinch.Answer{Query: id, Whole: true})
 	h.checkEqual("reply", h.replies, []Reply{{Kind: Answered, Whole: true, Values: []ShardValue{{3, "whole"}}}})
 }
+
+// A query whose time is cut short is answered from a provisional value, but not from one that something stands behind.
+func TestEarlyEndWithProvisionalValue(t *testing.T) {
+	for name, c := range map[string]struct {
+		class      string
+		dataBehind bool
+		want       ReplyKind
+	}{
+		"nothing behind":                 {"reserve", false, Answered},
+		"something behind":               {"search", true, Refused},
+		"something behind, may have run": {"reserve", true, Failed},
+	} {
+		h := newHarness(t)
+		id := h.submit(c.class, "x", 3)
+		h.advance(5*ms, send(id+1, "a"))
+		h.ProvisionalResult(h.at, h.calls[0][0], 1, "v")
+		h.dataBehind = c.dataBehind
+		h.EndBy(h.at.Add(50 * ms))
+		h.advance(60 * ms)
+		if len(h.replies) != 1 || h.replies[0].Kind != c.want {
+			t.Errorf("%s: have %+v, want kind %d", name, h.replies, c.want)
+		}
+	}
+}
--- a/outcomes.go
+++ b/outcomes.go
@@ -66,7 +66,7 @@
 	if outcome.Status != Reset || part.answeredBy != attempt || part.ended {
 		return
 	}
-	part.answeredBy, attempt.provisional, part.query.confirmBy = nil, false, 0
+	part.answeredBy, attempt.provisional = nil, false
 	part.query.answeredWeight = 0 // the sum is taken anew, so that no rounding error is left of it
 	for _, p := range part.query.parts {
 		if p.answeredBy != nil {
--- a/withdrawn_answer_test.go
+++ b/withdrawn_answer_test.go
@@ -57,6 +57,23 @@
 	}
 }
 
+// A partial answer must not miss its aim because one of its parts is provisional.
+func TestPartialAnswerKeepsItsAim(t *testing.T) {
+	s := testSettings()
+	s.Classes[3].LateWorth = 0.5
+	d := startAggregator(t, s)
+	arrived := d.now
+	sent := actionsOf[Send](d.turn(newQuery(1, 3, 0, 1)))
+	d.after(20*ms, provisional(okOutcome(10, 0, sent[0].Replica))) // the other part is never answered
+	for d.now < arrived+1000*ms {
+		if answers := actionsOf[Answer](d.after(5 * ms)); len(answers) > 0 {
+			d.checkEqual("answers", answers, []Answer{{1, false}})
+			return
+		}
+	}
+	t.Error("the query was not answered by its aim")
+}
+
 // A second step names the shards that were answered, so the first step's answer must not rest on a provisional one either.
 func TestSecondStepWaitsForConfirmation(t *testing.T) {
 	s := testSettings()
