--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -25,7 +25,7 @@
 // the start.
 type harness struct {
 	*Node
-	t          *testing.T
+	t          testing.TB
 	searcher   *testpeer.Searcher
 	discovery  *testpeer.Discovery
 	events     chan eiderwinch.Event                      // all events that the aggregator receives
@@ -50,7 +50,7 @@
 }
 
 // startHarness starts a harness; set may change it before it runs.
-func startHarness(t *testing.T, set func(*harness)) *harness {
+func startHarness(t testing.TB, set func(*harness)) *harness {
 	t.Helper()
 	h := &harness{t: t, searcher: testpeer.NewSearcher(t), discovery: testpeer.NewDiscovery(t), events: make(chan eiderwinch.Event, 1000)}
 	module := eiderwinch.Settings{
