Don't fail a query because the answer that confirms its part was not read yet

The core uses no provisional value with something behind it, and counted bytes that were not read yet as such. A turn waits until these are read, but more may come during it. A draining gatherer ends all queries by one moment, so that answers come right then.

Change: DataBehind means an incomplete frame that was read. Unread bytes defer a turn, as before, and decide nothing.

Why this works: bytes that come during a turn are no other than those that come right after it.

--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -47,8 +47,8 @@
 	// DataUnread reports whether something was received on the connection of an attempt in flight that was not read yet:
 	// it may be the attempt's answer.
 	DataUnread(a *Attempt) bool
-	// DataBehind reports whether something was received behind the answer of an attempt whose result is provisional, which
-	// is not known to confirm it: an incomplete frame, or bytes that were not read yet.
+	// DataBehind reports whether an incomplete frame was read behind the answer of an attempt whose result is provisional: it
+	// may refute that answer.
 	DataBehind(a *Attempt) bool
 	// CloseIdle closes the idle connections to a searcher.
 	CloseIdle(searcher string)
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -208,7 +208,7 @@
 // DataBehind implements gatherer.Searchers.
 func (p *pool) DataBehind(a *gatherer.Attempt) bool {
 	c := p.provisional[a]
-	return c != nil && (len(c.answers.Incomplete()) > 0 || pendingBytes(c.conn.FD()) > 0)
+	return c != nil && len(c.answers.Incomplete()) > 0
 }
 
 // provisionalUnread reports whether something was received behind a provisional answer that was not read yet.
--- a/internal/netio/spoilt_test.go
+++ b/internal/netio/spoilt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -192,6 +193,26 @@
 	}
 }
 
+// A query must not fail because the answer that confirms one of its parts has arrived and was not read yet.
+func TestUnreadConfirmationFailsNoQuery(t *testing.T) {
+	h, client, first, second := startTwoQueries(t, "reserve", time.Minute)
+	first.Answer("served", 1, wholeValue)
+	if outcome := h.nextOutcome(); !outcome.Provisional {
+		t.Fatalf("have %+v", outcome)
+	}
+	h.exec(func() {
+		second.Answer("served", 1, wholeValue)
+		for pendingBytes(h.pool.searchers["s"].conns[0].conn.FD()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		h.core.EndEarly(time.Now(), 1)
+	})
+	want := strings.Replace(wholeBody, `"full":true`, `"full":false`, 1) // as each query that is ended early
+	if resp, body := client.ReadResponse(); resp.StatusCode != 200 || body != want {
+		t.Errorf("have %s %s", resp.Status, body)
+	}
+}
+
 // What ended the connection of a part tells whether its searcher may have crashed.
 func TestWhoHasClosedAConnection(t *testing.T) {
 	for name, c := range map[string]struct {
