Say more plainly when a searcher's connection counts as closed here

Cause: the comment of searcherConn.closedHere had to be read twice.

Change: that comment alone; no code.

--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -20,7 +20,7 @@
 	dialTimer     timer           // set while it is being dialed: the time limit of that
 	retired       bool            // not to be used for new calls
 	malformed     bool            // it carried invalid data and is being closed
-	closedHere    bool            // it is being closed for what one part on it has met, so the others show nothing of the searcher
+	closedHere    bool            // this gatherer closes it because of one part, so the end shows nothing about the searcher of the others
 	answers       *answerstream.Stream
 	inFlight      []sentAttempt
 	openedAt      time.Time
