Let the retry of the late answer's test wait for the first attempt's part

Cause: the test, not the product. Its script asked for the retry in the turn after the query, without regard to whether the first attempt had left. If the dial takes longer than that turn, the first attempt is cancelled before it was sent, which is right, so that one part comes where the test waits for two.

Change: the retry waits until the test has received the first attempt's part, and the dial takes 50 ms in every run, so that the order of the failure is forced. What is checked is the same. The script's way of waiting stood in a test of the pool already; both use one function now.

--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -109,6 +109,16 @@
 	}
 }
 
+// onceSignalled returns the actions when the test has signalled, and until then one that asks to be woken again.
+func onceSignalled(signal <-chan bool, actions ...eiderwinch.Action) []eiderwinch.Action {
+	select {
+	case <-signal:
+		return actions
+	default:
+		return []eiderwinch.Action{eiderwinch.Wake{}}
+	}
+}
+
 // neverConnect scripts dials that never succeed.
 func neverConnect(h *harness) {
 	h.dialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -341,7 +351,12 @@
 // Rule 2: frames carry no attempt number, so the answer to an earlier attempt must not be taken for that to a new
 // one.
 func TestALateAnswerDoesNotCountForANewAttempt(t *testing.T) {
+	retryNow := make(chan bool, 1)
 	h := startHarness(t, func(h *harness) {
+		h.beforeDial(h.searcher.Addr, func(context.Context) error {
+			time.Sleep(50 * time.Millisecond) // many turns, so that a retry which doesn't wait for the first attempt comes before it
+			return nil
+		})
 		var part, query uint64
 		h.decide = func(e eiderwinch.Event) []eiderwinch.Action {
 			switch e := e.(type) {
@@ -349,7 +364,7 @@
 				query, part = e.ID, e.Parts[0].ID
 				return []eiderwinch.Action{eiderwinch.Send{Part: part, Replica: "s"}, eiderwinch.Wake{}}
 			case eiderwinch.Woken:
-				return []eiderwinch.Action{eiderwinch.Cancel{Part: part}, eiderwinch.Send{Part: part, Replica: "s"}}
+				return onceSignalled(retryNow, eiderwinch.Cancel{Part: part}, eiderwinch.Send{Part: part, Replica: "s"})
 			case eiderwinch.Outcome:
 				if e.Attempt == 1 {
 					return []eiderwinch.Action{eiderwinch.Answer{Query: query, Whole: true}}
@@ -359,7 +374,9 @@
 		}
 	})
 	c := h.sendQuery("search", "t", time.Minute, 1)
-	old, retry := h.nextPart(), h.nextPart()
+	old := h.nextPart()
+	retryNow <- true
+	retry := h.nextPart()
 	if id := testpeer.Receive(t, h.searcher.Cancels, "a cancel"); id != "t.0" || old.Conn == retry.Conn {
 		t.Errorf("cancelled %q; the new attempt uses the connection of the old one: %v", id, old.Conn == retry.Conn)
 	}
--- a/internal/netio/pool_test.go
+++ b/internal/netio/pool_test.go
@@ -154,12 +154,7 @@
 						}
 						return []eiderwinch.Action{eiderwinch.Send{Part: e.Parts[0].ID, Replica: "s"}, eiderwinch.Wake{}}
 					case eiderwinch.Woken:
-						select {
-						case <-cancelNow:
-							return []eiderwinch.Action{eiderwinch.Cancel{Part: first}}
-						default:
-							return []eiderwinch.Action{eiderwinch.Wake{}}
-						}
+						return onceSignalled(cancelNow, eiderwinch.Cancel{Part: first})
 					case eiderwinch.Outcome:
 						if e.Status == eiderwinch.Cancelled {
 							return []eiderwinch.Action{eiderwinch.Send{Part: e.Part, Replica: "o"}}
