--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -51,6 +51,24 @@
 	}
 }
 
+// Guards against an end that hides lost lines: the goroutine finds the end before it has taken a line.
+func TestLossIsLoggedAtTheEnd(t *testing.T) {
+	output := &slowOutput{open: make(chan struct{})}
+	close(output.open)
+	w := newWriter(output)
+	for range queueCapacity + 1 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	close(w.stop)
+	for len(w.lines) > 0 { // with none left, the goroutine takes the stop for sure
+		<-w.lines
+	}
+	w.run()
+	if !strings.Contains(output.String(), "log lines dropped\" dropped=1\n") {
+		t.Errorf("the log is %q, want the loss of one line", output.String())
+	}
+}
+
 func TestFailedWritesAreCounted(t *testing.T) {
 	output := &slowOutput{open: make(chan struct{}), err: errors.New("broken pipe")}
 	close(output.open)
