Open the searcher's connection before a query that has 100 ms is tested

Cause: the test. A call waits for a connection for a third of the shortest aim, here 33 ms.

Change: the rows with 100 ms first have a query of another class served, so that the connection stands; its class has an aim of 2 s there, since a searcher that couldn't be reached is called again after half the aim. What the rows check and their 100 ms are unchanged. Each row uses its own t.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -31,28 +31,31 @@
 	withEffect := func(effect string) string {
 		return `"name":"two","aim":60000000000,"deadline":60000000000,"repeat_window":60000000000,"effect":"` + effect + `"`
 	}
-	serve := func(s *testpeer.Searcher, parts int) {
+	const withinTenthOfSecond = `"name":"two","aim":100000000,"deadline":100000000,"effect":"safe"`
+	// A searcher that can't be reached within a third of the shortest aim is called again after half the aim of the query.
+	const first, firstWithShortAim = `"name":"one","aim":60000000000`, `"name":"one","aim":2000000000`
+	serve := func(t *testing.T, s *testpeer.Searcher, parts int) {
 		for range parts {
 			testpeer.Receive(t, s.Parts, "a part").Answer("served", 1, "v")
 		}
 	}
-	served := func(parts int) func(*testpeer.Searcher) {
-		return func(s *testpeer.Searcher) { serve(s, parts) }
+	served := func(parts int) func(*testing.T, *testpeer.Searcher) {
+		return func(t *testing.T, s *testpeer.Searcher) { serve(t, s, parts) }
 	}
-	fails := func(end string, then int) func(*testpeer.Searcher) {
-		return func(s *testpeer.Searcher) {
+	fails := func(end string, then int) func(*testing.T, *testpeer.Searcher) {
+		return func(t *testing.T, s *testpeer.Searcher) {
 			testpeer.Receive(t, s.Parts, "a part").Answer(end, 0, "")
-			serve(s, then)
+			serve(t, s, then)
 		}
 	}
-	silent := func(s *testpeer.Searcher) { testpeer.Receive(t, s.Parts, "a part") }
-	nothing := func(*testpeer.Searcher) {}
+	silent := func(t *testing.T, s *testpeer.Searcher) { testpeer.Receive(t, s.Parts, "a part") }
+	nothing := func(*testing.T, *testpeer.Searcher) {}
 	for name, c := range map[string]struct {
 		settings string
 		class    string
 		expires  time.Duration
 		parts    int
-		do       func(*testpeer.Searcher)
+		do       func(*testing.T, *testpeer.Searcher)
 		status   int
 		want     string // in the body
 	}{
@@ -79,9 +82,9 @@
 		"room for nothing, no advice":    {replace(`"cancel":true`, `"cancel":true,"max_open":1`, `"retry_after":true`, `"retry_after":false`), "two", time.Minute, 1, nothing, 503, ""},
 		"one attempt, no retry advice":   {replace(`"attempts_cap":4`, `"attempts_cap":1`, `"retry_after":true`, `"retry_after":false`), "two", time.Minute, 1, fails("broke", 0), 503, ""},
 		"room for one part":              {replace(`"cancel":true`, `"cancel":true,"max_open":2`), "two", time.Minute, 1, served(1), 200, `"full":true`},
-		"a deadline of 100 ms, served":   {replace(`60000000000`, `100000000`), "two", 100 * time.Millisecond, 1, served(1), 200, `"full":true`},
-		"a deadline of 100 ms, silent":   {replace(`60000000000`, `100000000`), "two", 100 * time.Millisecond, 1, silent, 503, ""},
-		"100 ms, keyed, silent":          {replace(effect, withEffect("keyed"), `60000000000`, `100000000`), "two", 100 * time.Millisecond, 1, silent, 502, ""},
+		"a deadline of 100 ms, served":   {replace(effect, withinTenthOfSecond, first, firstWithShortAim), "two", 100 * time.Millisecond, 1, served(1), 200, `"full":true`},
+		"a deadline of 100 ms, silent":   {replace(effect, withinTenthOfSecond, first, firstWithShortAim), "two", 100 * time.Millisecond, 1, silent, 503, ""},
+		"100 ms, keyed, silent":          {replace(effect, withEffect("keyed"), first, firstWithShortAim), "two", 100 * time.Millisecond, 1, silent, 502, ""},
 		"an aim shorter than a tick":     {replace(`"aim":60000000000`, `"aim":1000000`), "two", time.Minute, 1, nothing, 503, ""},
 		"half suffices, half is served":  {replace(`"per_call":4`, `"per_call":4,"floor_by_class":[1,0.5],"class_partial":[1,0.9]`, `"attempts_cap":4`, `"attempts_cap":1`), "two", time.Minute, 2, fails("broke", 1), 200, `"full":false`},
 		"all required, half is served":   {replace(`"attempts_cap":4`, `"attempts_cap":1`), "two", time.Minute, 2, fails("broke", 1), 503, ""},
@@ -99,8 +102,12 @@
 				t.Fatal(err)
 			}
 			n := New(cfg, Options{}, stats.New(), slog.New(slog.DiscardHandler))
-			client := testpeer.NewClient(t, run(t, n)).Send(testpeer.Query(c.class, "t", c.expires, c.parts))
-			c.do(s)
+			addr := run(t, n)
+			if c.expires < time.Second {
+				openSearcherConn(t, addr, s)
+			}
+			client := testpeer.NewClient(t, addr).Send(testpeer.Query(c.class, "t", c.expires, c.parts))
+			c.do(t, s)
 			resp, body := client.ReadResponse()
 			if resp.StatusCode != c.status || !strings.Contains(body, c.want) {
 				t.Errorf("have %s %s, want %d with %s", resp.Status, body, c.status, c.want)
@@ -115,6 +122,17 @@
 	}
 }
 
+// openSearcherConn has a query of the class "one" served, which has a minute. A connection to the searcher is open then: on a
+// busy machine the dial takes longer than the queries that this is called for may wait for it.
+func openSearcherConn(t *testing.T, addr string, s *testpeer.Searcher) {
+	t.Helper()
+	client := testpeer.NewClient(t, addr).Send(testpeer.Query("one", "first", time.Minute, 1))
+	testpeer.Receive(t, s.Parts, "the first part").Answer("served", 1, "v")
+	if resp, body := client.ReadResponse(); resp.StatusCode != 200 {
+		t.Fatalf("have %s %s, want the first query served", resp.Status, body)
+	}
+}
+
 // run starts a gatherer and returns its address. When the test ends, the gatherer must drain without an error.
 func run(t *testing.T, n *netio.Node) string {
 	ended := make(chan error, 1)
