Count a close of a hostile client's connection from when it arrived

A client without a processor sends nothing, the gatherer closes the silent connection in time, and the client comes to see that later.

Evidence, a trace of both sides beside seven busy processes: in all connections above 3 s the gatherer's close came 0.9 to 2.0 s after the connect, while the client came to its first write after 1.1 to 3.6 s and read "unexpected EOF" then.

Change: an end counts from the last segment that arrived (TCP_INFO), never before it did. At the end of the attack, an error or a close that has arrived counts though it wasn't read; another answer, or the start of one, doesn't.

--- a/internal/trial/hostile/hostile.go
+++ b/internal/trial/hostile/hostile.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -127,6 +128,7 @@
 	number    int      // of the message that was built last
 	connected time.Time
 	owed      bool // an error or a close is owed within endsBy
+	stopping  sync.Once
 	once      sync.Once
 	ended     chan struct{} // closed once an error or a close has been received
 	endedAt   time.Time     // when that was; set before ended is closed
@@ -238,12 +240,19 @@
 	return true
 }
 
-// stop ends what the client is doing when the attack ends.
+// stop ends what the client is doing when the attack ends. What has arrived by then counts, though the client had no
+// processor to read it.
 func (s *session) stop() {
-	if !s.attacker.KeepOpen {
+	if s.attacker.KeepOpen {
+		return
+	}
+	s.stopping.Do(func() {
+		if at, received := unreadEnd(s.Conn); received {
+			s.markEnded(at)
+		}
 		s.once.Do(func() {}) // what the reader sees from here on is this close
 		_ = s.Close()
-	}
+	})
 }
 
 // finish closes the connection and counts whether an error or a close came that was owed. A client that keeps its
@@ -253,6 +262,7 @@
 		select {
 		case <-s.ended:
 		case <-ctx.Done():
+			s.stop()
 		case <-time.After(time.Until(s.connected.Add(2 * endsBy))):
 		}
 		s.countEnd(ctx)
@@ -294,6 +304,9 @@
 	in := bufio.NewReader(s)
 	for {
 		response, err := http.ReadResponse(in, nil)
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			s.markEnded(arrivedAt(s.Conn, sinceSegment))
+		}
 		if err != nil {
 			return
 		}
@@ -301,7 +314,7 @@
 		_ = response.Body.Close()
 		s.countAnswer(response.StatusCode)
 		if response.StatusCode >= http.StatusBadRequest {
-			s.markEnded(time.Now().Add(-sinceData(s.Conn)))
+			s.markEnded(arrivedAt(s.Conn, sinceData))
 		}
 		if err != nil {
 			return
--- a/internal/trial/hostile/tcp.go
+++ b/internal/trial/hostile/tcp.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"strings"
 	"syscall"
 	"time"
 
@@ -37,21 +38,54 @@
 	return reset
 }
 
-// sinceData returns how long ago the system received the last data on a TCP connection, or 0 if it can't tell. A process
-// that is short of processors reads an answer long after it has arrived.
-func sinceData(c net.Conn) (since time.Duration) {
+// Times since the system received something on a connection. A process that is short of processors reads an answer, or the
+// end of the connection, long after it has arrived.
+func sinceData(info *unix.TCPInfo) time.Duration {
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+func sinceSegment(info *unix.TCPInfo) time.Duration {
+	return time.Duration(info.Last_ack_recv) * time.Millisecond
+}
+
+// arrivedAt returns when the system received what was last read from a TCP connection, or the current time if it can't tell.
+// since is the time to use: data of an answer, or any segment for an end, which carries no data.
+func arrivedAt(c net.Conn, since func(*unix.TCPInfo) time.Duration) time.Time {
+	at := time.Now()
+	control(c, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			at = at.Add(-since(info))
+		}
+	})
+	return at
+}
+
+// unreadEnd reports whether an error or the end of the connection was received that is not read yet, and when it arrived.
+func unreadEnd(c net.Conn) (at time.Time, received bool) {
+	start := make([]byte, len("HTTP/1.1 400"))
+	n, err := -1, error(nil)
+	control(c, func(fd int) {
+		n, _, err = unix.Recvfrom(fd, start, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	switch text := string(start[:max(n, 0)]); {
+	case err != nil || n < 0:
+		return at, false
+	case n == 0:
+		return arrivedAt(c, sinceSegment), true
+	case strings.HasPrefix(text, "HTTP/1.1 4") || strings.HasPrefix(text, "HTTP/1.1 5"):
+		return arrivedAt(c, sinceData), true
+	}
+	return at, false
+}
+
+// control calls use with the descriptor of a TCP connection.
+func control(c net.Conn, use func(fd int)) {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
-		return 0
+		return
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return 0
+		return
 	}
-	_ = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			since = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-	})
-	return since
+	_ = raw.Control(func(fd uintptr) { use(int(fd)) })
 }
