Give the address of discovery one owner, which no change of the configuration touches

The gatherer went on asking an address that was gone, and sent parts to searchers that drained, for as long as it ran.

Cause: the address was one of the values of a generation. So the platform's word went through everything that operators' changes go through, and each of these could lose it. By the log of a run of each row on: - another change on probation: 'another change is under way' - a half-written operators' file, one that is gone, one that does not fit: its fault, though the platform's file was in order - a required signature: 'the configuration is not signed' - the new address refuses connections for 1.5 s: 'cannot connect to discovery' - a history that can't be written: the reload waits behind the write - undo, probation not confirmed: 'discovery address is changing' back to the one that is gone - a move named before the event loop runs was dropped by Node.Reload Excluded: a race of two reloads (moves 8 s apart fail too), the follower (three moves without an operators' file are followed).

Change: discovery.AddressOwner holds the address; it is named at the start and moved by platformReloader alone, which reads the platform's file first and whatever becomes of the rest, with an operators' file and without one. LiveSettings has no address any more, so neither a swap nor a revert can touch it. The dry run dials the address that is asked. 'config status' shows it with its source; 'config stage' names an address in a staged file as ignored.

--- a/cmd/eiderwinch/config.go
+++ b/cmd/eiderwinch/config.go
@@ -105,6 +105,9 @@
 	if len(s.Restart) > 0 {
 		fmt.Fprintf(e.stdout, "these take effect only at the next start: %v\n", s.Restart)
 	}
+	if len(s.Ignored) > 0 {
+		fmt.Fprintf(e.stdout, "these take no effect, the platform decides them: %v\n", s.Ignored)
+	}
 	return nil
 }
 
@@ -182,6 +185,7 @@
 		where = "on disk"
 	}
 	fmt.Fprintf(e.stdout, "generation %d in force, %d confirmed, hash %.16s; history %s; queries open under %v\n", s.InForce, s.Confirmed, s.Hash, where, s.OpenGenerations)
+	fmt.Fprintf(e.stdout, "discovery at %s, named by the platform's %s at %s\n", s.Discovery.Address, s.Discovery.Source, s.Discovery.Since.Format(time.RFC3339))
 	for _, t := range s.Transactions {
 		if !t.Over {
 			fmt.Fprintf(e.stdout, "transaction %d is %s, generation %d; left %s\n", t.Tx, t.State, t.Generation, t.ProbationLeft)
--- /dev/null
+++ b/cmd/eiderwinch/reload.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"eiderwinch/internal/durable"
+	"eiderwinch/internal/format/config"
+	"eiderwinch/internal/netio"
+)
+
+// A reload is retried for reloadTimeout while reading fails with transient errors. A file that can be read but is invalid
+// may be half written, so it is read again for contentTimeout.
+const (
+	reloadTimeout        = time.Minute
+	contentTimeout       = time.Second
+	contentRetryInterval = 50 * time.Millisecond
+)
+
+// platformReloader reads the platform's configuration file again and follows discovery to the address in it. It is the
+// only one that moves discovery, with an operators' file and without one.
+type platformReloader struct {
+	getenv  func(string) string
+	started *config.Config // the configuration at the start
+	node    *netio.Node
+	log     *slog.Logger
+
+	reading sync.Mutex // held while the file is read and followed, so that the address read last is the one followed
+}
+
+// reload reads the file until it is valid, reading fails with a transient error, or contentTimeout has passed. An invalid
+// file changes nothing.
+func (r *platformReloader) reload() error {
+	for end := time.Now().Add(contentTimeout); ; time.Sleep(contentRetryInterval) {
+		err := r.readOnce()
+		if err == nil || durable.IsTransient(err) || time.Now().After(end) {
+			return err
+		}
+	}
+}
+
+// readOnce reads the file once and follows discovery to its address.
+func (r *platformReloader) readOnce() error {
+	r.reading.Lock()
+	defer r.reading.Unlock()
+	next, err := config.Reload(r.getenv)
+	if err != nil {
+		return err
+	}
+	if keys := r.started.PendingRestart(next); len(keys) > 0 {
+		r.log.Warn("these keys take effect at the next start", "keys", keys)
+	}
+	r.log.Info("configuration reloaded", "discovery", next.Discovery)
+	r.node.FollowDiscovery(next.Discovery)
+	return nil
+}
+
+// retryReload repeats a reload while it fails with transient errors, and logs and counts it if it fails in the end.
+func retryReload(node *netio.Node, log *slog.Logger, reload func() error) {
+	if err := durable.RetryTransient(reloadTimeout, reload); err != nil {
+		log.Error("configuration not reloaded, the old one stays", "err", err)
+		node.ReloadFailed()
+	}
+}
--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -14,7 +14,6 @@
 	"eiderwinch/internal/admin"
 	"eiderwinch/internal/asynclog"
 	"eiderwinch/internal/daemon"
-	"eiderwinch/internal/durable"
 	"eiderwinch/internal/fleet/transport"
 	"eiderwinch/internal/format/config"
 	"eiderwinch/internal/memory"
@@ -56,8 +55,9 @@
 	}
 	counters := stats.New()
 	node := daemon.New(cfg, options, counters, log)
+	platform := &platformReloader{getenv: e.getenv, started: cfg, node: node, log: log}
 	return runNode(e, node, counters, log, func() {
-		reload(e, cfg, node, log)
+		retryReload(node, log, platform.reload)
 		c.reloadLayout(node, log)
 	})
 }
@@ -83,7 +83,7 @@
 }
 
 // serveWithOperatorsFile runs a gatherer with an operators' file. Its configuration changes only by transactions, on
-// SIGHUP too.
+// SIGHUP too. The address of discovery is the platform's and takes no part in them.
 func (c serveCommand) serveWithOperatorsFile(e environment, cfg *config.Config, limits memory.Limits, level *slog.LevelVar, log *slog.Logger) (err error) {
 	ops, err := readOperatorsFile(c.File)
 	if err != nil {
@@ -117,7 +117,8 @@
 	options.NoShareUntil = share.Until
 	node := daemon.New(b.candidate.Config, options, counters, log)
 	ctx, stop := context.WithCancel(context.Background())
-	configManager := b.startManager(ctx, f, node, level, log)
+	platform := &platformReloader{getenv: e.getenv, started: cfg, node: node, log: log}
+	configManager := b.startManager(ctx, f, node, platform, level, log)
 	defer func() {
 		stop()
 		err = errors.Join(err, configManager.Wait())
@@ -149,12 +150,7 @@
 		}()
 	}
 	return runNode(e, node, counters, log, func() {
-		go func() {
-			if err := durable.RetryTransient(reloadTimeout, func() error { return configManager.Reload(ctx) }); err != nil {
-				log.Error("configuration not reloaded, the old one stays", "err", err)
-				node.ReloadFailed()
-			}
-		}()
+		go retryReload(node, log, func() error { return configManager.Reload(ctx) })
 	})
 }
 
@@ -170,41 +166,3 @@
 	}
 	node.Adopt(l)
 }
-
-// A reload is retried for reloadTimeout while reading fails with transient errors. A file that can be read but is invalid
-// may be half written, so it is read again for contentTimeout.
-const (
-	reloadTimeout        = time.Minute
-	contentTimeout       = time.Second
-	contentRetryInterval = 50 * time.Millisecond
-)
-
-// reloadOnce reads the configuration until it is valid, reading fails with a transient error, or contentTimeout
-// has passed.
-func reloadOnce(e environment) (*config.Config, error) {
-	for end := time.Now().Add(contentTimeout); ; time.Sleep(contentRetryInterval) {
-		next, err := config.Reload(e.getenv)
-		if err == nil || durable.IsTransient(err) || time.Now().After(end) {
-			return next, err
-		}
-	}
-}
-
-// reload reads the configuration again. An invalid one changes nothing.
-func reload(e environment, cfg *config.Config, node *netio.Node, log *slog.Logger) {
-	var next *config.Config
-	err := durable.RetryTransient(reloadTimeout, func() (err error) {
-		next, err = reloadOnce(e)
-		return err
-	})
-	if err != nil {
-		log.Error("configuration not reloaded, the old one stays", "err", err)
-		node.ReloadFailed()
-		return
-	}
-	if keys := cfg.PendingRestart(next); len(keys) > 0 {
-		log.Warn("these keys take effect at the next start", "keys", keys)
-	}
-	log.Info("configuration reloaded", "discovery", next.Discovery)
-	node.Reload(next.Discovery)
-}
--- a/cmd/eiderwinch/startup.go
+++ b/cmd/eiderwinch/startup.go
@@ -230,9 +230,9 @@
 }
 
 // startManager starts the manager of a gatherer's configuration.
-func (b *bootState) startManager(ctx context.Context, f configFiles, node *netio.Node, level *slog.LevelVar, log *slog.Logger) *manager.Manager {
+func (b *bootState) startManager(ctx context.Context, f configFiles, node *netio.Node, platform *platformReloader, level *slog.LevelVar, log *slog.Logger) *manager.Manager {
 	o := manager.Options{
-		Node: node, Initial: b.candidate, Machine: b.machine, Names: f.names(), ReadFiles: f.readSigned, LiveSettings: daemon.LiveSettings, Logger: log,
+		Node: node, Initial: b.candidate, Machine: b.machine, Names: f.names(), FollowPlatform: platform.reload, ReadFiles: f.readSigned, LiveSettings: daemon.LiveSettings, Logger: log,
 		Applied: func(c *bundle.Candidate) { level.Set(logLevel(c)) },
 	}
 	if b.history != nil {
--- a/internal/configuration/manager/dryrun.go
+++ b/internal/configuration/manager/dryrun.go
@@ -56,7 +56,7 @@
 		}
 	}
 	type target struct{ name, addr string }
-	targets := []target{{"discovery", c.Config.Discovery}}
+	targets := []target{{"discovery", m.opts.Node.DiscoveryAddress().Value}}
 	for id := range holdersToDial {
 		targets = append(targets, target{"searcher " + id, ready[id].Addr})
 	}
--- a/internal/configuration/manager/manager.go
+++ b/internal/configuration/manager/manager.go
@@ -18,6 +18,7 @@
 	"eiderwinch/internal/configuration/bundle"
 	"eiderwinch/internal/configuration/change"
 	"eiderwinch/internal/configuration/guard"
+	"eiderwinch/internal/discovery"
 	"eiderwinch/internal/durable"
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/netio"
@@ -34,6 +35,8 @@
 	Searchers(ctx context.Context) ([]netio.Searcher, bool)
 	// Generations returns the generation in force and those under which open queries were accepted.
 	Generations(ctx context.Context) ([]uint64, bool)
+	// DiscoveryAddress returns the address at which discovery is asked.
+	DiscoveryAddress() discovery.Address
 }
 
 // History stores the transactions durably; history.History implements it.
@@ -54,6 +57,9 @@
 	History   History      // nil: transactions are held in memory only
 	Names     bundle.Names // of the files that ReadFiles reads
 	ReadFiles func() (b bundle.Bundle, signature string, err error)
+	// FollowPlatform reads the platform's file and puts in force what the platform alone decides. A reload calls it
+	// before anything else, and whatever becomes of the rest; nil: nothing is the platform's.
+	FollowPlatform func() error
 	// Verify returns an error if the signature of a hash is not valid; nil: no
 	// signature is required.
 	Verify func(hash change.Hash, signature string) error
--- a/internal/configuration/manager/manager_test.go
+++ b/internal/configuration/manager/manager_test.go
@@ -20,6 +20,7 @@
 	"eiderwinch/internal/configuration/change"
 	"eiderwinch/internal/configuration/history"
 	"eiderwinch/internal/daemon"
+	"eiderwinch/internal/discovery"
 	"eiderwinch/internal/netio"
 	"eiderwinch/internal/querystats"
 	"eiderwinch/internal/trial/testpeer"
@@ -32,8 +33,11 @@
 	windows   []querystats.Window
 	applyErr  error
 	searchers []netio.Searcher
+	discovery *discovery.AddressOwner
 }
 
+func (n *fakeNode) DiscoveryAddress() discovery.Address { return n.discovery.Address() }
+
 func (n *fakeNode) State(_ context.Context, after int64) (netio.State, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -91,7 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &fakeNode{}
+	n := &fakeNode{discovery: discovery.NewAddressOwner(initial.Config.Discovery, time.Now())}
 	ctx, stop := context.WithCancel(context.Background())
 	m := Start(ctx, Options{
 		Node: n, Initial: initial, Machine: change.New(initial.Hash, change.Limits{}), History: h, LiveSettings: daemon.LiveSettings, Logger: slog.New(slog.DiscardHandler),
--- a/internal/configuration/manager/requests.go
+++ b/internal/configuration/manager/requests.go
@@ -15,6 +15,7 @@
 	Tx      change.Tx `json:"transaction"`
 	Hash    string    `json:"hash"`
 	Restart []string  `json:"restart,omitempty"` // settings that take effect at the next start only
+	Ignored []string  `json:"ignored,omitempty"` // settings that never take effect, because the platform alone decides them
 }
 
 // Stage checks a configuration, does a dry run and stages it. Files that are empty
@@ -48,6 +49,9 @@
 		return StageResult{}, err
 	}
 	result := StageResult{Hash: fmt.Sprintf("%x", c.Hash), Restart: bundle.RestartKeys(m.opts.Initial, c)}
+	if c.Config.Discovery != m.opts.Node.DiscoveryAddress().Value {
+		result.Ignored = []string{"discovery"}
+	}
 	err = m.runInLoop(ctx, func() {
 		r := m.step(change.Stage{Hash: c.Hash, Against: against, Note: note}, c)
 		if result.Tx, err = r.Tx, r.Err; err == nil {
@@ -100,8 +104,24 @@
 	return err
 }
 
-// Reload reads the configuration files again and applies them; SIGHUP triggers it.
+// Reload follows the platform's file, and then applies the configuration files as a transaction; SIGHUP triggers it.
 func (m *Manager) Reload(ctx context.Context) error {
+	platformErr := m.followPlatform()
+	if err := m.applyFiles(ctx); err != nil {
+		return err // names the faults of the platform's file as well
+	}
+	return platformErr
+}
+
+func (m *Manager) followPlatform() error {
+	if m.opts.FollowPlatform == nil {
+		return nil
+	}
+	return m.opts.FollowPlatform()
+}
+
+// applyFiles reads the configuration files and applies them.
+func (m *Manager) applyFiles(ctx context.Context) error {
 	b, signature, err := m.opts.ReadFiles()
 	if err != nil {
 		return err
@@ -137,6 +157,13 @@
 	ProbationLeft string            `json:"left,omitempty"` // remaining time of its probation
 }
 
+// DiscoveryStatus describes the address at which discovery is asked.
+type DiscoveryStatus struct {
+	Address string    `json:"address"`
+	Source  string    `json:"source"` // what has named it: start or reload
+	Since   time.Time `json:"since"`
+}
+
 // Status is the state of a gatherer's configuration.
 type Status struct {
 	Confirmed       change.Generation `json:"confirmed"`
@@ -144,6 +171,7 @@
 	Hash            string            `json:"hash"`
 	OpenGenerations []uint64          `json:"open"`    // the generation in force, and those under which open queries were accepted
 	Durable         bool              `json:"durable"` // whether the history is on disk
+	Discovery       DiscoveryStatus   `json:"discovery"`
 	Regressions     []string          `json:"falls,omitempty"`
 	Transactions    []Transaction     `json:"transactions"`
 	Counts          change.Counts     `json:"counts"`
@@ -152,6 +180,8 @@
 // Status returns the state of the configuration and its transactions.
 func (m *Manager) Status(ctx context.Context) (s Status, err error) {
 	s.OpenGenerations, _ = m.opts.Node.Generations(ctx)
+	address := m.opts.Node.DiscoveryAddress()
+	s.Discovery = DiscoveryStatus{Address: address.Value, Source: address.Source.String(), Since: address.Since}
 	err = m.runInLoop(ctx, func() {
 		s.Confirmed, _ = m.machine.Confirmed()
 		s.InForce, s.Hash = m.generation, fmt.Sprintf("%x", m.inForce.Hash)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,6 +71,6 @@
 	return netio.LiveSettings{
 		Core: core, Multiplex: cmp.Or(overrides.Pools.Multiplex, limits.Multiplex),
 		ConnectTimeout: cmp.Or(overrides.Pools.ConnectTimeout, limits.ConnectTimeout), ConnIdle: cmp.Or(overrides.Pools.Idle, limits.ConnIdle),
-		Discovery: c.Config.Discovery, Layout: c.Layout,
+		Layout: c.Layout,
 	}
 }
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -769,9 +769,9 @@
 	old := testpeer.Receive(t, h.discovery.Watches, "a watch")
 	client := h.sendQuery("search", "t", time.Minute, 1)
 	part := h.nextPart()
-	h.Reload(skippedDiscovery.Addr)
-	h.Reload(newDiscovery.Addr) // before the first one has sent anything
-	h.Reload(newDiscovery.Addr)
+	h.FollowDiscovery(skippedDiscovery.Addr)
+	h.FollowDiscovery(newDiscovery.Addr) // before the first one has sent anything
+	h.FollowDiscovery(newDiscovery.Addr)
 	old.Send(testpeer.MemberList(42, false, testpeer.Member("x", "127.0.0.1:1", "Ready", 0)))
 	if got := h.nextListChange(); got.Kind != eiderwinch.Changes || got.Replicas[0].ID != "x" {
 		t.Errorf("the old watch received %+v", got)
@@ -797,6 +797,14 @@
 	}
 }
 
+// Guards against a move of discovery that is dropped because the event loop does not run yet.
+func TestMoveOfDiscoveryBeforeTheStartIsFollowed(t *testing.T) {
+	moved := testpeer.NewDiscovery(t)
+	h := startHarness(t, func(h *harness) { h.FollowDiscovery(moved.Addr) })
+	moved.SetList(testpeer.MemberList(7, true, testpeer.Member("s", h.searcher.Addr, "Ready", 0)))
+	testpeer.Receive(t, moved.Watches, "a watch at the new address")
+}
+
 func TestConnectionsToSearchers(t *testing.T) {
 	h := startHarness(t, func(h *harness) { sendOnce(h); h.cfg.Multiplex, h.cfg.ConnIdle = 1, time.Millisecond })
 	c := h.sendQuery("search", "t", time.Minute, 1)
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -29,7 +29,7 @@
 // Config holds the settings of a Node.
 type Config struct {
 	Listen         string
-	Discovery      string
+	Discovery      string // the address that discovery is asked at until FollowDiscovery names another
 	InitialMembers catalog.Update
 	MemoryLimit    int64 // memory limit of the process in bytes; 0 gives member lists the lowest size limit
 	ClientMemory   int   // bytes that clients may make the node hold; 0 selects a share of MemoryLimit
@@ -87,6 +87,8 @@
 
 	watchesOpened int // number of watches so far
 
+	discoveryAddress *discovery.AddressOwner
+
 	memberFilter discovery.MemberFilter // searchers that were reported as leaving
 
 	wakeups          int       // calls of runDue
@@ -149,6 +151,7 @@
 	n.pool.maxUnsent = n.account.Capacity() / unsentShare
 	n.watch = newWatch(n, cfg.Discovery, cfg.InitialMembers.Revision)
 	now := time.Now()
+	n.discoveryAddress = discovery.NewAddressOwner(cfg.Discovery, now)
 	n.core = gatherer.New(cfg.Gatherer, d, n.pool, counters, log, now)
 	if !cfg.NoShareUntil.IsZero() {
 		n.core.SetShare(now, 0, cfg.NoShareUntil)
@@ -278,7 +281,6 @@
 	Multiplex      int
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration
-	Discovery      string
 	Layout         *layout.Layout // adopted if it is newer than the one in force; nil keeps the one in force
 }
 
@@ -295,7 +297,6 @@
 		if l.Layout != nil && l.Layout.Epoch() > n.core.Epoch() {
 			n.core.Adopt(l.Layout)
 		}
-		n.followDiscovery(l.Discovery)
 		return struct{}{}
 	})
 	switch {
@@ -307,15 +308,19 @@
 	return ErrNotServing
 }
 
-// Reload follows discovery at the address that a new configuration names. Open connections are not affected. It
-// may be called from any goroutine.
-func (n *Node) Reload(discovery string) {
+// FollowDiscovery follows discovery at the address that the platform's configuration names now. Open connections are
+// not affected. It may be called from any goroutine; before the start the address is kept for it.
+func (n *Node) FollowDiscovery(addr string) {
+	n.discoveryAddress.Move(addr, time.Now())
 	n.exec(func() {
 		n.stats.Reloads++
-		n.followDiscovery(discovery)
+		n.followDiscovery()
 	})
 }
 
+// DiscoveryAddress returns the address at which discovery is asked. It may be called from any goroutine.
+func (n *Node) DiscoveryAddress() discovery.Address { return n.discoveryAddress.Address() }
+
 // ReloadFailed counts a configuration that could not be used.
 func (n *Node) ReloadFailed() {
 	n.exec(func() {
@@ -394,6 +399,7 @@
 	n.timer = time.AfterFunc(time.Hour, func() { n.exec(n.runDue) })
 	close(n.started)
 	n.watch.run(now)
+	n.followDiscovery() // it may have moved since New
 	module := n.cfg.Gatherer.Module
 	n.log.Info("serving", "addr", n.Addr(), "searchers", len(n.cfg.InitialMembers.Members), "gatherers", module.Gatherers,
 		"sockets", n.cfg.MaxDescriptors, "multiplex", n.cfg.Multiplex, "connect_timeout", n.cfg.ConnectTimeout,
--- a/internal/netio/watch_test.go
+++ b/internal/netio/watch_test.go
@@ -249,7 +249,7 @@
 		}
 	}()
 	testpeer.Receive(t, h.discovery.Watches, "a watch")
-	h.Reload(l.Addr().String())
+	h.FollowDiscovery(l.Addr().String())
 	if got := h.nextListChange(); got.Kind != eiderwinch.Whole || len(got.Replicas) != 1 {
 		t.Errorf("have %+v", got)
 	}
@@ -363,7 +363,7 @@
 	started := time.Now().UnixMilli()
 	old.Send(testpeer.MemberList(42, false, testpeer.Member("s", restartedSearcher.Addr, "Ready", started)))
 	reported := h.nextListChange().Replicas[0].Started
-	h.Reload(newDiscovery.Addr)
+	h.FollowDiscovery(newDiscovery.Addr)
 	newDiscovery.SetList(testpeer.MemberList(7, true, testpeer.Member("s", h.searcher.Addr, "Ready", started-1000)))
 	if got := h.nextListChange(); got.Kind != eiderwinch.Whole || got.Replicas[0].Started != reported {
 		t.Errorf("have %+v, want the start at %v", got, reported)
@@ -400,7 +400,7 @@
 func TestAReloadWhileBothAddressesAreSilent(t *testing.T) {
 	h, newDiscovery := startHarness(t, nil), testpeer.NewDiscovery(t)
 	old := testpeer.Receive(t, h.discovery.Watches, "a watch")
-	h.Reload(newDiscovery.Addr)
+	h.FollowDiscovery(newDiscovery.Addr)
 	h.waitUntil("the old watch is silent", func() bool { return time.Until(h.watch.follower.Due()) < time.Second })
 	old.Send(testpeer.MemberList(42, false, testpeer.Member("s", h.searcher.Addr, "Terminating", 0)))
 	if got := h.nextListChange(); got.Replicas[0].State != eiderwinch.Draining {
@@ -421,7 +421,7 @@
 	s, other := testpeer.Member("s", h.searcher.Addr, "Ready", 0), testpeer.Member("o", "127.0.0.1:1", "Ready", 0)
 	testpeer.Receive(t, h.discovery.Watches, "a watch").Send(testpeer.MemberList(42, false, testpeer.Member("s", h.searcher.Addr, "Terminating", 0)))
 	h.waitUntil("the drain is known", func() bool { return !h.core.Ready("s") })
-	h.Reload(newDiscovery.Addr)
+	h.FollowDiscovery(newDiscovery.Addr)
 	newDiscovery.SetList(testpeer.MemberList(41, true, s, other))
 	w := testpeer.Receive(t, newDiscovery.Watches, "the new watch")
 	h.waitUntil("the older list was rejected", func() bool { return h.stats.RejectedMembers == 1 })
@@ -445,9 +445,9 @@
 	h.waitUntil("the drain is known", func() bool { return !h.core.Ready("s") })
 	h.discovery.SetList(testpeer.MemberList(50, true, s("Ready"), other)) // another process at the first address, which lags behind
 	newDiscovery.SetList(testpeer.MemberList(7, true, other))
-	h.Reload(newDiscovery.Addr)
+	h.FollowDiscovery(newDiscovery.Addr)
 	testpeer.Receive(t, newDiscovery.Watches, "the new watch")
-	h.Reload(h.discovery.Addr)
+	h.FollowDiscovery(h.discovery.Addr)
 	testpeer.Receive(t, h.discovery.Watches, "the third watch")
 	h.onLoop(func() {
 		if h.core.Ready("s") || h.stats.RejectedMembers != 1 {
