Don't make a transaction of a reload in which only the platform's file has changed

What callers saw: with an operators' file each move of discovery was on probation for 30 s, and changes of the operators were refused meanwhile ('another change is under way'). Where signatures are required every move was logged as 'not signed'. A move after an undo applied the undone text again: the platform's signal found it in the operators' file. A move after a change that was staged without writing it to the files put the files in force in its place.

Cause: SIGHUP does not say who has sent it, and a reload compared the hash of all texts with the confirmed one. The platform's file has another hash at each move and each start (discovery, seed, known).

Change: the subject of the files is what a transaction can change: settings without the seed, the operators' file, the layout. change.Reloads decides by it what becomes of a reload; if the platform's file alone differs from the files that were read last, nothing is applied. A request with unchanged platform's file is the operators' and applies an undone text, as before. A start warns of files that differ only if their subjects do.

Hashes, signatures and histories are as before.

--- a/cmd/eiderwinch/discoverymove_test.go
+++ b/cmd/eiderwinch/discoverymove_test.go
@@ -105,10 +105,6 @@
 	m.program = p
 	_, addr, _ := strings.Cut(p.waitForLog(t, "msg=serving"), "addr=")
 	m.addr, _, _ = strings.Cut(addr, " ")
-	go func() { // the log is not read any more
-		for range p.lines {
-		}
-	}()
 }
 
 // move starts discovery at another address, names it in the platform's configuration, sends SIGHUP and ends discovery at
@@ -184,13 +180,13 @@
 	m.await(t, "probation")
 }
 
-// requestReload requests a reload on the admin socket. It may be refused because a change is on probation.
+// requestReload requests a reload on the admin socket.
 func (m *movedProgram) requestReload(t *testing.T) {
 	t.Helper()
 	client := admin.NewClient("unix:"+filepath.Join(filepath.Dir(m.ops), "g"), testpeer.Timeout, nil)
 	defer client.Close()
 	if err := client.Do(context.Background(), http.MethodPost, "/v1/config/reload", nil, nil); err != nil {
-		t.Log("reload:", err)
+		t.Errorf("reload: %v", err)
 	}
 }
 
@@ -345,3 +341,25 @@
 		})
 	}
 }
+
+// Guards against a move of discovery that passes for a change of the operators: it would refuse theirs for as long as it is
+// on probation, want their signature, and apply a text again that was undone.
+func TestMoveOfDiscoveryIsNoTransaction(t *testing.T) {
+	m := newMovedProgram(t, buildProgram(t))
+	m.launch(t, true)
+	m.writeOperators(t, `<class name="search" open="50"/>`)
+	_ = m.Process.Signal(syscall.SIGHUP)
+	m.await(t, "probation")
+	m.command(t, "config", "undo", "1")
+	m.await(t, "undone")
+	m.move(t)
+	m.expectFollowed(t)
+	m.waitForLog(t, "only the platform's file has changed")
+	if s := m.await(t, "undone"); len(s.Transactions) != 1 {
+		t.Errorf("after a move: %+v", s.Transactions)
+	}
+	m.requestReload(t) // the operators'
+	if s := m.await(t, "undone"); len(s.Transactions) != 2 || s.Transactions[1].State == "discarded" {
+		t.Errorf("after a request of the operators: %+v", s.Transactions)
+	}
+}
--- a/cmd/eiderwinch/startup.go
+++ b/cmd/eiderwinch/startup.go
@@ -127,6 +127,7 @@
 // bootState is the configuration with which a gatherer with an operators' file starts.
 type bootState struct {
 	candidate  *bundle.Candidate
+	files      change.Files // the files as they were read
 	machine    *change.Machine
 	history    *history.History // nil if changes are kept in memory only
 	generation change.Generation
@@ -143,7 +144,7 @@
 	if err != nil {
 		return nil, &exitError{exitConfig, err}
 	}
-	state := &bootState{candidate: c, generation: 1}
+	state := &bootState{candidate: c, files: c.Files(), generation: 1}
 	defer func() {
 		// The environment takes precedence, as it does without an operators' file.
 		state.candidate.Config.Name, state.candidate.Config.Listen, state.candidate.Config.Discovery = cfg.Name, cfg.Listen, cfg.Discovery
@@ -213,14 +214,18 @@
 	if b.generation, hash = m.Confirmed(); hash == b.candidate.Hash {
 		return nil
 	}
-	log.Warn("the files differ from the last confirmed configuration, which stays in force: reload to apply them",
-		"generation", uint64(b.generation), "hash", fmt.Sprintf("%x", hash[:8]), "files", fmt.Sprintf("%x", b.candidate.Hash[:8]))
 	text, err := h.Text(hash)
 	if err != nil {
 		return err
 	}
-	b.candidate, err = bundle.Check(text, f.names())
-	return err
+	if b.candidate, err = bundle.Check(text, f.names()); err != nil {
+		return err
+	}
+	if b.candidate.Files().Subject != b.files.Subject {
+		log.Warn("the files differ from the last confirmed configuration, which stays in force: reload to apply them",
+			"generation", uint64(b.generation), "hash", fmt.Sprintf("%x", hash[:8]))
+	}
+	return nil
 }
 
 // initialLive returns the live settings that the gatherer starts with.
@@ -232,7 +237,7 @@
 // startManager starts the manager of a gatherer's configuration.
 func (b *bootState) startManager(ctx context.Context, f configFiles, node *netio.Node, platform *platformReloader, level *slog.LevelVar, log *slog.Logger) *manager.Manager {
 	o := manager.Options{
-		Node: node, Initial: b.candidate, Machine: b.machine, Names: f.names(), FollowPlatform: platform.reload, ReadFiles: f.readSigned, LiveSettings: daemon.LiveSettings, Logger: log,
+		Node: node, Initial: b.candidate, AtStart: b.files, Machine: b.machine, Names: f.names(), FollowPlatform: platform.reload, ReadFiles: f.readSigned, LiveSettings: daemon.LiveSettings, Logger: log,
 		Applied: func(c *bundle.Candidate) { level.Set(logLevel(c)) },
 	}
 	if b.history != nil {
--- a/internal/configuration/bundle/bundle.go
+++ b/internal/configuration/bundle/bundle.go
@@ -30,9 +30,11 @@
 const MaxBytes = 32 << 20
 
 // Hash returns the BLAKE3 hash of the texts, each preceded by its length.
-func (b Bundle) Hash() change.Hash {
+func (b Bundle) Hash() change.Hash { return hashTexts(b.Platform, b.Operators, b.Layout) }
+
+func hashTexts(texts ...[]byte) change.Hash {
 	h := blake3.New()
-	for _, text := range [...][]byte{b.Platform, b.Operators, b.Layout} {
+	for _, text := range texts {
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(text)))) // never fails
 		_, _ = h.Write(text)
 	}
@@ -49,6 +51,15 @@
 	Fleet  layout.Fleet   // the searchers and the number of replicas, from the layout's file
 }
 
+// Files identifies the files for decisions about a reload. Of the platform's file the subject contains the settings
+// alone: name, listener, discovery, limits of the process, seed and known searchers are the platform's to decide.
+func (c *Candidate) Files() change.Files {
+	return change.Files{
+		Platform: hashTexts(c.Bundle.Platform),
+		Subject:  hashTexts(c.Config.Settings.Canonical(), c.Bundle.Operators, c.Bundle.Layout),
+	}
+}
+
 // Names holds the names of the files, which are used in messages only.
 type Names struct{ Platform, Operators, Layout string }
 
--- a/internal/configuration/change/change.go
+++ b/internal/configuration/change/change.go
@@ -281,12 +281,33 @@
 // in which they were staged.
 func (m *Machine) Txs() (out []Status) {
 	for _, id := range m.order {
-		t := m.txs[id]
-		out = append(out, Status{t.id, t.state, t.hash, t.against, t.generation, t.autoConfirm, t.deadline, t.reason, t.changedAt})
+		out = append(out, m.txs[id].status())
 	}
 	return out
 }
 
+// Active returns the transaction that prevents others from being applied, if there is one.
+func (m *Machine) Active() (Status, bool) {
+	t := m.txs[m.active]
+	if t == nil {
+		return Status{}, false
+	}
+	return t.status(), true
+}
+
+// Busy returns the error with which applying another transaction is refused now, or nil.
+func (m *Machine) Busy() error {
+	t := m.txs[m.active]
+	if t == nil {
+		return nil
+	}
+	return fmt.Errorf("%w: transaction %d is %v", ErrBusy, t.id, t.state)
+}
+
+func (t *transaction) status() Status {
+	return Status{t.id, t.state, t.hash, t.against, t.generation, t.autoConfirm, t.deadline, t.reason, t.changedAt}
+}
+
 // step holds the state of one call of Step.
 type step struct {
 	*Machine
@@ -403,7 +424,7 @@
 	switch {
 	case t == nil:
 	case s.active != 0:
-		s.result.Err = fmt.Errorf("%w: transaction %d is %v", ErrBusy, s.active, s.txs[s.active].state)
+		s.result.Err = s.Busy()
 	case t.against != s.confirmed:
 		s.result.Err = fmt.Errorf("%w: found %d, want %d, the last confirmed one", ErrStale, t.against, s.confirmed)
 	case e.Probation < s.limits.MinProbation || e.Probation > s.limits.MaxProbation:
--- /dev/null
+++ b/internal/configuration/change/reload.go
@@ -0,0 +1,58 @@
+package change
+
+// Files identifies configuration files that were read together.
+type Files struct {
+	Platform Hash // of the platform's file
+	Subject  Hash // of what a transaction can change: all but the values that the platform alone decides
+}
+
+// ReloadDecision is what becomes of files that a reload has read.
+type ReloadDecision uint8
+
+// The decisions about a reload.
+const (
+	ReloadApply        ReloadDecision = iota // to be staged and applied
+	ReloadUnchanged                          // confirmed already
+	ReloadOnProbation                        // being applied or on probation already
+	ReloadPlatformOnly                       // only the platform's file differs from the files that were read before
+)
+
+// Situation is the state of the transactions, as far as decisions about reloads depend on it.
+type Situation struct {
+	Confirmed Hash // subject of the confirmed generation
+	Busy      bool // a transaction is active
+	Active    Hash // its subject
+}
+
+// Reloads decides what becomes of the files of each reload. A reload is requested by a signal that does not say who has
+// sent it: the operators, who want their files applied, or the platform, which has written its own file. If only the
+// platform's file has changed since the files were read last, the signal is the platform's. It then applies nothing: it
+// neither puts a text in force again that was undone meanwhile, nor undoes what the operators have applied without
+// writing it to their files. Reloads does no I/O and is not safe for concurrent use.
+type Reloads struct {
+	last Files // read last
+}
+
+// NewReloads returns a Reloads for a process that has read the given files at its start.
+func NewReloads(atStart Files) *Reloads { return &Reloads{last: atStart} }
+
+// Read decides about files that were read now.
+func (r *Reloads) Read(files Files, s Situation) ReloadDecision {
+	platformOnly := files.Subject == r.last.Subject && files.Platform != r.last.Platform
+	r.last = files
+	if d := decideReload(files.Subject, s); d != ReloadApply || !platformOnly {
+		return d
+	}
+	return ReloadPlatformOnly
+}
+
+// decideReload decides about files that the operators want to be applied.
+func decideReload(subject Hash, s Situation) ReloadDecision {
+	switch {
+	case subject == s.Confirmed:
+		return ReloadUnchanged
+	case s.Busy && subject == s.Active:
+		return ReloadOnProbation
+	}
+	return ReloadApply
+}
--- a/internal/configuration/manager/manager.go
+++ b/internal/configuration/manager/manager.go
@@ -53,6 +53,7 @@
 type Options struct {
 	Node      Node
 	Initial   *bundle.Candidate // in force at the start; the last one that Machine has confirmed
+	AtStart   change.Files      // the files that were read at the start, which may differ from Initial
 	Machine   *change.Machine
 	History   History      // nil: transactions are held in memory only
 	Names     bundle.Names // of the files that ReadFiles reads
@@ -85,6 +86,7 @@
 type Manager struct {
 	opts           Options
 	machine        *change.Machine
+	reloads        *change.Reloads
 	guard          *guard.Guard
 	candidates     map[change.Hash]*bundle.Candidate
 	candidateOrder []change.Hash // keys of candidates, oldest first
@@ -106,7 +108,7 @@
 // history fails permanently.
 func Start(ctx context.Context, o Options) *Manager {
 	m := &Manager{
-		opts: o, machine: o.Machine, candidates: make(map[change.Hash]*bundle.Candidate),
+		opts: o, machine: o.Machine, reloads: change.NewReloads(o.AtStart), candidates: make(map[change.Hash]*bundle.Candidate),
 		requests: make(chan func(), queueCapacity), swaps: make(chan change.Effect, queueCapacity), done: make(chan struct{}),
 	}
 	m.inForce = o.Initial
--- a/internal/configuration/manager/requests.go
+++ b/internal/configuration/manager/requests.go
@@ -23,25 +23,10 @@
 // that the configuration was made against; 0 means the last confirmed one. The signature,
 // if one is required, must be that of the bundle as passed in.
 func (m *Manager) Stage(ctx context.Context, b bundle.Bundle, against change.Generation, note, signature string) (StageResult, error) {
-	if m.opts.Verify != nil {
-		if err := m.opts.Verify(b.Hash(), signature); err != nil {
-			return StageResult{}, err
-		}
-	}
-	var inForce *bundle.Candidate
-	if err := m.runInLoop(ctx, func() { inForce = m.inForce }); err != nil {
+	if err := m.verify(b, signature); err != nil {
 		return StageResult{}, err
 	}
-	if len(b.Platform) == 0 {
-		b.Platform = inForce.Platform
-	}
-	if len(b.Operators) == 0 {
-		b.Operators = inForce.Operators
-	}
-	if len(b.Layout) == 0 {
-		b.Layout = inForce.Bundle.Layout
-	}
-	c, err := bundle.Check(b, m.opts.Names)
+	c, err := m.check(ctx, b)
 	if err != nil {
 		return StageResult{}, err
 	}
@@ -52,36 +37,70 @@
 	if c.Config.Discovery != m.opts.Node.DiscoveryAddress().Value {
 		result.Ignored = []string{"discovery"}
 	}
-	err = m.runInLoop(ctx, func() {
-		r := m.step(change.Stage{Hash: c.Hash, Against: against, Note: note}, c)
-		if result.Tx, err = r.Tx, r.Err; err == nil {
-			m.addCandidate(c)
-		}
-	})
-	if err != nil {
+	loopErr := m.runInLoop(ctx, func() { result.Tx, err = m.stage(c, against, note) })
+	if err := errors.Join(loopErr, err); err != nil {
 		return StageResult{}, err
 	}
 	return result, nil
 }
 
+// verify checks the signature of a bundle, if one is required.
+func (m *Manager) verify(b bundle.Bundle, signature string) error {
+	if m.opts.Verify == nil {
+		return nil
+	}
+	return m.opts.Verify(b.Hash(), signature)
+}
+
+// check parses and checks a bundle whose empty files are taken from the configuration in force.
+func (m *Manager) check(ctx context.Context, b bundle.Bundle) (*bundle.Candidate, error) {
+	var inForce *bundle.Candidate
+	if err := m.runInLoop(ctx, func() { inForce = m.inForce }); err != nil {
+		return nil, err
+	}
+	if len(b.Platform) == 0 {
+		b.Platform = inForce.Platform
+	}
+	if len(b.Operators) == 0 {
+		b.Operators = inForce.Operators
+	}
+	if len(b.Layout) == 0 {
+		b.Layout = inForce.Bundle.Layout
+	}
+	return bundle.Check(b, m.opts.Names)
+}
+
+// stage stages a candidate. It is called on the goroutine that owns the transactions.
+func (m *Manager) stage(c *bundle.Candidate, against change.Generation, note string) (change.Tx, error) {
+	r := m.step(change.Stage{Hash: c.Hash, Against: against, Note: note}, c)
+	if r.Err != nil {
+		return 0, r.Err
+	}
+	m.addCandidate(c)
+	return r.Tx, nil
+}
+
 // Apply puts a staged configuration in force and on probation for the given time. auto
 // says whether it is confirmed at the end of its probation. If probation is 0 or auto is
 // nil, the configuration's own setting applies.
 func (m *Manager) Apply(ctx context.Context, tx change.Tx, probation time.Duration, auto *bool) error {
-	return m.submit(ctx, func() change.Event {
-		e := change.Apply{Tx: tx, Probation: probation}
-		for _, t := range m.machine.Txs() {
-			if c := m.candidates[t.Hash]; t.Tx == tx && c != nil {
-				if e.AutoConfirm = c.File.Guard.Auto; e.Probation == 0 {
-					e.Probation = c.File.Guard.Probation
-				}
+	return m.submit(ctx, func() change.Event { return m.applyEvent(tx, probation, auto) })
+}
+
+// applyEvent returns the event that Apply submits. It is called on the goroutine that owns the transactions.
+func (m *Manager) applyEvent(tx change.Tx, probation time.Duration, auto *bool) change.Apply {
+	e := change.Apply{Tx: tx, Probation: probation}
+	for _, t := range m.machine.Txs() {
+		if c := m.candidates[t.Hash]; t.Tx == tx && c != nil {
+			if e.AutoConfirm = c.File.Guard.Auto; e.Probation == 0 {
+				e.Probation = c.File.Guard.Probation
 			}
 		}
-		if auto != nil {
-			e.AutoConfirm = *auto
-		}
-		return e
-	})
+	}
+	if auto != nil {
+		e.AutoConfirm = *auto
+	}
+	return e
 }
 
 // Confirm ends the probation of a transaction and keeps its configuration in force.
@@ -104,46 +123,6 @@
 	return err
 }
 
-// Reload follows the platform's file, and then applies the configuration files as a transaction; SIGHUP triggers it.
-func (m *Manager) Reload(ctx context.Context) error {
-	platformErr := m.followPlatform()
-	if err := m.applyFiles(ctx); err != nil {
-		return err // names the faults of the platform's file as well
-	}
-	return platformErr
-}
-
-func (m *Manager) followPlatform() error {
-	if m.opts.FollowPlatform == nil {
-		return nil
-	}
-	return m.opts.FollowPlatform()
-}
-
-// applyFiles reads the configuration files and applies them.
-func (m *Manager) applyFiles(ctx context.Context) error {
-	b, signature, err := m.opts.ReadFiles()
-	if err != nil {
-		return err
-	}
-	s, err := m.Stage(ctx, b, 0, "reload", signature)
-	if errors.Is(err, change.ErrUnchanged) {
-		m.opts.Logger.Info("configuration not changed")
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	if len(s.Restart) > 0 {
-		m.opts.Logger.Warn("some changed settings take effect only at the next start", "keys", s.Restart)
-	}
-	if err := m.Apply(ctx, s.Tx, 0, nil); err != nil {
-		// Otherwise the transaction would stay staged for ever, because nobody knows its number.
-		return errors.Join(err, m.Undo(ctx, s.Tx, err.Error()))
-	}
-	return nil
-}
-
 // Transaction describes a transaction in Status.
 type Transaction struct {
 	Tx            change.Tx         `json:"transaction"`
--- a/internal/format/config/config.go
+++ b/internal/format/config/config.go
@@ -4,11 +4,11 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
-	"reflect"
 	"strconv"
 
 	"eiderwinch/internal/durable"
@@ -73,7 +73,7 @@
 		{"listen", c.Listen != next.Listen},
 		{"limits.memory_mb", c.MemoryLimit != next.MemoryLimit},
 		{"limits.sockets", c.SocketLimit != next.SocketLimit},
-		{"settings", !reflect.DeepEqual(c.Settings.withoutSeed(), next.Settings.withoutSeed())},
+		{"settings", !bytes.Equal(c.Settings.Canonical(), next.Settings.Canonical())},
 	} {
 		if setting.differs {
 			keys = append(keys, setting.key)
--- a/internal/format/config/settings.go
+++ b/internal/format/config/settings.go
@@ -33,6 +33,15 @@
 	return s
 }
 
+// Canonical returns a text that two settings have in common just if they differ at most in the seed.
+func (s Settings) Canonical() []byte {
+	text, err := json.Marshal(s.withoutSeed())
+	if err != nil {
+		panic(err) // can't happen: only numbers, strings and lists, and JSON has no infinite numbers
+	}
+	return text
+}
+
 // Defaults of settings that may be absent.
 const (
 	defaultTick           = 5 * time.Millisecond
