Start from the platform's known searchers, not from those of the first confirmed file

What callers saw: a gatherer with a history that was killed after a move of discovery started with the searchers, and the revision, of the file that was confirmed first. Discovery tells what has changed since that revision, so queries went on to searchers that had left.

Change: Config.TakePlatformValues takes all of them at once, so that none can be forgotten: all but the settings, and the seed in them.

Files and histories stay as they are.

--- a/cmd/eiderwinch/discoverymove_test.go
+++ b/cmd/eiderwinch/discoverymove_test.go
@@ -363,3 +363,16 @@
 		t.Errorf("after a request of the operators: %+v", s.Transactions)
 	}
 }
+
+// Guards against a start with the searchers of the first file that was ever confirmed: discovery tells only what has
+// changed since the revision that the gatherer names.
+func TestStartAfterAKillUsesTheKnownSearchersOfThePlatformsFile(t *testing.T) {
+	m := newMovedProgram(t, buildProgram(t))
+	m.launch(t, true)
+	m.move(t)
+	m.expectAsked(t)
+	m.kill(t)
+	m.asked.Store(0)
+	m.launch(t, true)
+	m.expectAsked(t)
+}
--- a/cmd/eiderwinch/startup.go
+++ b/cmd/eiderwinch/startup.go
@@ -146,10 +146,8 @@
 	}
 	state := &bootState{candidate: c, files: c.Files(), generation: 1}
 	defer func() {
-		// The environment takes precedence, as it does without an operators' file.
-		state.candidate.Config.Name, state.candidate.Config.Listen, state.candidate.Config.Discovery = cfg.Name, cfg.Listen, cfg.Discovery
-		state.candidate.Config.SocketLimit, state.candidate.Config.MemoryLimit = cfg.SocketLimit, cfg.MemoryLimit
-		state.candidate.Config.Settings.Module.Seed = cfg.Settings.Module.Seed
+		// The platform takes precedence, as it does without an operators' file.
+		state.candidate.Config.TakePlatformValues(cfg)
 	}()
 	path := c.File.History
 	if path == "" {
--- a/internal/format/config/config.go
+++ b/internal/format/config/config.go
@@ -82,6 +82,15 @@
 	return keys
 }
 
+// TakePlatformValues replaces the values of c that the platform alone decides by those of a configuration that the
+// platform has passed to this process: all but the settings, and the seed in them.
+func (c *Config) TakePlatformValues(from *Config) {
+	settings := c.Settings
+	settings.Module.Seed = from.Settings.Module.Seed
+	*c = *from
+	c.Settings = settings
+}
+
 func load(getenv func(string) string, reload bool) (*Config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
