Apply files that a reload read beside another change once that has ended

What callers saw: the files of a reload that came while a change was on probation were refused ('another change is under way'), discarded and never taken up again. Whoever sent SIGHUP, the platform above all, does not read the log and sends it once.

Cause: Manager.Reload handed ErrBusy to the log and undid its own transaction.

Change: change.Reloads says 'wait' in place of refusing. One set of files waits: those that a valid reload read last, as they were read. Files that are on probation already don't wait, so an undone text does not come back. 'apply' of a staged transaction is still refused, not queued. One reload runs at a time, so that none overtakes a newer one. 'config status' tells what waits, why, since when; the log says 'not reloaded yet', and reload_fails counts failures alone.

A kill loses what waits: the start says that the files differ, as it did.

--- a/cmd/eiderwinch/config.go
+++ b/cmd/eiderwinch/config.go
@@ -186,6 +186,9 @@
 	}
 	fmt.Fprintf(e.stdout, "generation %d in force, %d confirmed, hash %.16s; history %s; queries open under %v\n", s.InForce, s.Confirmed, s.Hash, where, s.OpenGenerations)
 	fmt.Fprintf(e.stdout, "discovery at %s, named by the platform's %s at %s\n", s.Discovery.Address, s.Discovery.Source, s.Discovery.Since.Format(time.RFC3339))
+	if s.Waiting != nil {
+		fmt.Fprintf(e.stdout, "files read at %s wait, hash %.16s: %s\n", s.Waiting.ReadAt.Format(time.RFC3339), s.Waiting.Hash, s.Waiting.Reason)
+	}
 	for _, t := range s.Transactions {
 		if !t.Over {
 			fmt.Fprintf(e.stdout, "transaction %d is %s, generation %d; left %s\n", t.Tx, t.State, t.Generation, t.ProbationLeft)
--- a/cmd/eiderwinch/reload.go
+++ b/cmd/eiderwinch/reload.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
 
+	"eiderwinch/internal/configuration/manager"
 	"eiderwinch/internal/durable"
 	"eiderwinch/internal/format/config"
 	"eiderwinch/internal/netio"
@@ -56,10 +58,19 @@
 	return nil
 }
 
-// retryReload repeats a reload while it fails with transient errors, and logs and counts it if it fails in the end.
+// retryReload repeats a reload while it fails with transient errors.
 func retryReload(node *netio.Node, log *slog.Logger, reload func() error) {
 	if err := durable.RetryTransient(reloadTimeout, reload); err != nil {
-		log.Error("configuration not reloaded, the old one stays", "err", err)
-		node.ReloadFailed()
+		reportReload(node, log, err)
 	}
 }
+
+// reportReload logs why a reload has failed or has to wait, and counts it if it has failed.
+func reportReload(node *netio.Node, log *slog.Logger, err error) {
+	if errors.Is(err, manager.ErrWaits) {
+		log.Warn("configuration not reloaded yet", "err", err)
+		return
+	}
+	log.Error("configuration not reloaded, the old one stays", "err", err)
+	node.ReloadFailed()
+}
--- a/cmd/eiderwinch/startup.go
+++ b/cmd/eiderwinch/startup.go
@@ -236,7 +236,8 @@
 func (b *bootState) startManager(ctx context.Context, f configFiles, node *netio.Node, platform *platformReloader, level *slog.LevelVar, log *slog.Logger) *manager.Manager {
 	o := manager.Options{
 		Node: node, Initial: b.candidate, AtStart: b.files, Machine: b.machine, Names: f.names(), FollowPlatform: platform.reload, ReadFiles: f.readSigned, LiveSettings: daemon.LiveSettings, Logger: log,
-		Applied: func(c *bundle.Candidate) { level.Set(logLevel(c)) },
+		ReloadFailed: func(err error) { reportReload(node, log, err) },
+		Applied:      func(c *bundle.Candidate) { level.Set(logLevel(c)) },
 	}
 	if b.history != nil {
 		o.History = b.history
--- a/internal/configuration/change/reload.go
+++ b/internal/configuration/change/reload.go
@@ -15,6 +15,7 @@
 	ReloadUnchanged                          // confirmed already
 	ReloadOnProbation                        // being applied or on probation already
 	ReloadPlatformOnly                       // only the platform's file differs from the files that were read before
+	ReloadWait                               // to wait until the active transaction has ended
 )
 
 // Situation is the state of the transactions, as far as decisions about reloads depend on it.
@@ -28,9 +29,16 @@
 // sent it: the operators, who want their files applied, or the platform, which has written its own file. If only the
 // platform's file has changed since the files were read last, the signal is the platform's. It then applies nothing: it
 // neither puts a text in force again that was undone meanwhile, nor undoes what the operators have applied without
-// writing it to their files. Reloads does no I/O and is not safe for concurrent use.
+// writing it to their files.
+//
+// Files that arrive while another change is under way wait until it has ended. Only the files that were read last wait,
+// in the state in which they were read: a file that is edited meanwhile has not been submitted. Files that are on
+// probation already don't wait, so a text that is undone is not applied once more.
+//
+// Reloads does no I/O and is not safe for concurrent use.
 type Reloads struct {
-	last Files // read last
+	last  Files // read last
+	waits bool  // last is to be applied when the active transaction has ended
 }
 
 // NewReloads returns a Reloads for a process that has read the given files at its start.
@@ -40,19 +48,31 @@
 func (r *Reloads) Read(files Files, s Situation) ReloadDecision {
 	platformOnly := files.Subject == r.last.Subject && files.Platform != r.last.Platform
 	r.last = files
-	if d := decideReload(files.Subject, s); d != ReloadApply || !platformOnly {
+	wanted := r.waits || !platformOnly
+	switch d := r.Decide(s); {
+	case wanted || d == ReloadUnchanged || d == ReloadOnProbation:
 		return d
 	}
+	r.waits = false
 	return ReloadPlatformOnly
 }
 
-// decideReload decides about files that the operators want to be applied.
-func decideReload(subject Hash, s Situation) ReloadDecision {
+// Decide decides about the files that were read last, which the operators want to be applied.
+func (r *Reloads) Decide(s Situation) (d ReloadDecision) {
 	switch {
-	case subject == s.Confirmed:
-		return ReloadUnchanged
-	case s.Busy && subject == s.Active:
-		return ReloadOnProbation
+	case r.last.Subject == s.Confirmed:
+		d = ReloadUnchanged
+	case s.Busy && r.last.Subject == s.Active:
+		d = ReloadOnProbation
+	case s.Busy:
+		d = ReloadWait
 	}
-	return ReloadApply
+	r.waits = d == ReloadWait
+	return d
 }
+
+// Waits reports whether the files that were read last wait.
+func (r *Reloads) Waits() bool { return r.waits }
+
+// Forget makes the files that wait wait no longer.
+func (r *Reloads) Forget() { r.waits = false }
--- a/internal/configuration/change/reload_test.go
+++ b/internal/configuration/change/reload_test.go
@@ -22,6 +22,9 @@
 		"the operators' signal after its undo":    {[]Files{{hash(1), hash('b')}, {hash(1), hash('b')}}, Situation{Confirmed: hash('a')}, ReloadApply},
 		"a move after a change that was staged":   {[]Files{{hash(2), hash('a')}}, Situation{Confirmed: hash('c')}, ReloadPlatformOnly},
 		"the operators' signal after such change": {[]Files{atStart}, Situation{Confirmed: hash('c')}, ReloadApply},
+		"a change during another":                 {[]Files{{hash(1), hash('b')}}, Situation{hash('a'), true, hash('c')}, ReloadWait},
+		"a move while that waits":                 {[]Files{{hash(1), hash('b')}, {hash(2), hash('b')}}, Situation{hash('a'), true, hash('c')}, ReloadWait},
+		"the confirmed files while that waits":    {[]Files{{hash(1), hash('b')}, atStart}, Situation{hash('a'), true, hash('c')}, ReloadUnchanged},
 		"a move during the probation of another":  {[]Files{{hash(2), hash('a')}}, Situation{hash('a'), true, hash('c')}, ReloadUnchanged},
 	} {
 		r := NewReloads(atStart)
@@ -32,5 +35,8 @@
 		if have != c.want {
 			t.Errorf("%s: decided %d, want %d", name, have, c.want)
 		}
+		if r.Waits() != (c.want == ReloadWait) {
+			t.Errorf("%s: waits %t", name, r.Waits())
+		}
 	}
 }
--- a/internal/configuration/manager/manager.go
+++ b/internal/configuration/manager/manager.go
@@ -6,6 +6,7 @@
 //
 // A Manager has two goroutines: one owns the transactions, the other executes swaps in
 // order, so that a blocked event loop of the gatherer does not delay an undo that is due.
+// A third one runs for a short time when files that had to wait are applied.
 package manager
 
 import (
@@ -13,6 +14,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync"
 	"time"
 
 	"eiderwinch/internal/configuration/bundle"
@@ -61,6 +63,7 @@
 	// FollowPlatform reads the platform's file and puts in force what the platform alone decides. A reload calls it
 	// before anything else, and whatever becomes of the rest; nil: nothing is the platform's.
 	FollowPlatform func() error
+	ReloadFailed   func(error) // called if files that waited could not be applied; may be nil
 	// Verify returns an error if the signature of a hash is not valid; nil: no
 	// signature is required.
 	Verify func(hash change.Hash, signature string) error
@@ -87,6 +90,7 @@
 	opts           Options
 	machine        *change.Machine
 	reloads        *change.Reloads
+	waiting        *readFiles // that are applied when the active transaction has ended; nil if there are none
 	guard          *guard.Guard
 	candidates     map[change.Hash]*bundle.Candidate
 	candidateOrder []change.Hash // keys of candidates, oldest first
@@ -97,6 +101,8 @@
 	lastSecond     int64    // the last second passed to the guard
 	regressions    []string // found by the guard, latest first
 
+	reloading sync.Mutex // held by the reload that runs
+
 	ctx      context.Context // ends when the manager is to stop
 	requests chan func()
 	swaps    chan change.Effect
@@ -221,8 +227,12 @@
 		m.swaps <- e // does not block: at most two per transaction, and only one transaction is active
 	case change.Ended:
 		m.opts.Logger.Info("configuration change finished", "transaction", uint64(e.Tx), "state", e.State.String(), "reason", e.Reason)
-		if e.State != change.Discarded {
-			m.guard.End(e.State == change.Confirmed, m.lastSecond+1)
+		if e.State == change.Discarded {
+			return
+		}
+		m.guard.End(e.State == change.Confirmed, m.lastSecond+1)
+		if m.waiting != nil {
+			go m.takeUpWaiting(m.ctx)
 		}
 	}
 }
--- a/internal/configuration/manager/manager_test.go
+++ b/internal/configuration/manager/manager_test.go
@@ -75,6 +75,12 @@
 	return n.applied[len(n.applied)-1].Core.Generation
 }
 
+func (n *fakeNode) lastMultiplex() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.applied[len(n.applied)-1].Multiplex
+}
+
 const platform = `{"name":"n","listen":"127.0.0.1:0","discovery":%q,"limits":{"memory_mb":192,"sockets":1024},"known":{"revision":1,"members":[]},
 	"settings":{"membership_mode":"pushed","domain":{"places":1,"in_a_row":1,"shards":4,"per_call":4},"policy_limits":{"max_open":1000,"attempts_cap":3},
 	"classes":[{"name":"search","aim":1000000000,"deadline":4000000000,"effect":"safe","worth":1}]}}`
@@ -98,7 +104,7 @@
 	n := &fakeNode{discovery: discovery.NewAddressOwner(initial.Config.Discovery, time.Now())}
 	ctx, stop := context.WithCancel(context.Background())
 	m := Start(ctx, Options{
-		Node: n, Initial: initial, Machine: change.New(initial.Hash, change.Limits{}), History: h, LiveSettings: daemon.LiveSettings, Logger: slog.New(slog.DiscardHandler),
+		Node: n, Initial: initial, AtStart: initial.Files(), Machine: change.New(initial.Hash, change.Limits{}), History: h, LiveSettings: daemon.LiveSettings, Logger: slog.New(slog.DiscardHandler),
 		Names: bundle.Names{Operators: "e.xml"}, ReadFiles: func() (bundle.Bundle, string, error) { return initial.Bundle, "", nil },
 	})
 	t.Cleanup(func() {
--- a/internal/configuration/manager/reload.go
+++ b/internal/configuration/manager/reload.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"log/slog"
+	"time"
 
 	"eiderwinch/internal/configuration/bundle"
 	"eiderwinch/internal/configuration/change"
@@ -12,9 +15,13 @@
 type readFiles struct {
 	bundle    bundle.Bundle
 	signature string
+	readAt    time.Time
 	candidate *bundle.Candidate
 }
 
+// ErrWaits is returned for a reload whose files are applied later.
+var ErrWaits = errors.New("the files that were read now are applied when it has ended")
+
 // Reload follows the platform's file, and then applies the configuration files as a transaction; SIGHUP triggers it.
 func (m *Manager) Reload(ctx context.Context) error {
 	platformErr := m.followPlatform()
@@ -31,34 +38,84 @@
 	return m.opts.FollowPlatform()
 }
 
-// reloadFiles reads the configuration files and decides what becomes of them.
+// reloadFiles reads the configuration files and decides what becomes of them. One reload runs at a time, so that the
+// files that were read last are the ones decided about last.
 func (m *Manager) reloadFiles(ctx context.Context) error {
+	m.reloading.Lock()
+	defer m.reloading.Unlock()
 	b, signature, err := m.opts.ReadFiles()
 	if err != nil {
 		return err
 	}
-	f := &readFiles{bundle: b, signature: signature}
-	if f.candidate, err = m.check(ctx, b); err != nil {
+	return m.submitFiles(ctx, &readFiles{bundle: b, signature: signature, readAt: time.Now()})
+}
+
+// takeUpWaiting applies the files that wait, now that a change has ended.
+func (m *Manager) takeUpWaiting(ctx context.Context) {
+	m.reloading.Lock()
+	defer m.reloading.Unlock()
+	var f *readFiles
+	if m.runInLoop(ctx, func() { f = m.waiting }) != nil || f == nil {
+		return
+	}
+	m.opts.Logger.Info("configuration files that waited are taken up", "read_at", f.readAt)
+	err := m.submitFiles(ctx, f)
+	if err == nil || errors.Is(err, ErrWaits) || ctx.Err() != nil {
+		return
+	}
+	_ = m.runInLoop(ctx, m.forgetWaiting) // it fails only if the manager has ended
+	if m.opts.ReloadFailed != nil {
+		m.opts.ReloadFailed(err)
+	}
+}
+
+// forgetWaiting is called on the goroutine that owns the transactions.
+func (m *Manager) forgetWaiting() {
+	m.reloads.Forget()
+	m.waiting = nil
+}
+
+// submitFiles checks files and carries out what is decided about them.
+func (m *Manager) submitFiles(ctx context.Context, f *readFiles) (err error) {
+	if f.candidate, err = m.check(ctx, f.bundle); err != nil {
 		return err
 	}
-	var decision change.ReloadDecision
-	var busy error
-	if err := m.runInLoop(ctx, func() {
-		decision = m.reloads.Read(f.candidate.Files(), m.situation())
-		busy = m.machine.Busy()
-	}); err != nil {
+	var o reloadOutcome
+	if err := m.runInLoop(ctx, func() { o = m.record(f, m.reloads.Read(f.candidate.Files(), m.situation())) }); err != nil {
 		return err
 	}
-	log := m.opts.Logger
-	switch decision {
+	if o.decision == change.ReloadApply {
+		return m.applyFiles(ctx, f)
+	}
+	return o.report(m.opts.Logger)
+}
+
+// reloadOutcome is what was decided about files, with the error with which another change would have been refused.
+type reloadOutcome struct {
+	decision change.ReloadDecision
+	busy     error
+}
+
+// record remembers files that wait. It is called on the goroutine that owns the transactions.
+func (m *Manager) record(f *readFiles, d change.ReloadDecision) reloadOutcome {
+	m.waiting = nil
+	if m.reloads.Waits() {
+		m.waiting = f
+	}
+	return reloadOutcome{d, m.machine.Busy()}
+}
+
+// report logs what was decided about files that were not applied. It returns an error for files that wait.
+func (o reloadOutcome) report(log *slog.Logger) error {
+	switch o.decision {
 	case change.ReloadUnchanged:
 		log.Info("configuration not changed")
 	case change.ReloadOnProbation:
-		log.Info("configuration not changed: it is on probation already", "reason", busy)
+		log.Info("configuration not changed: it is on probation already", "reason", o.busy)
 	case change.ReloadPlatformOnly:
 		log.Info("configuration not changed: only the platform's file has changed since the files were read last")
-	case change.ReloadApply:
-		return m.applyFiles(ctx, f)
+	case change.ReloadWait:
+		return fmt.Errorf("%w; %w", o.busy, ErrWaits)
 	}
 	return nil
 }
@@ -82,18 +139,39 @@
 	return c.Files().Subject
 }
 
-// applyFiles stages the files and applies them.
+// applyFiles stages files and applies them, unless another change has begun meanwhile.
 func (m *Manager) applyFiles(ctx context.Context, f *readFiles) error {
-	s, err := m.Stage(ctx, f.bundle, 0, "reload", f.signature)
+	if err := m.verify(f.bundle, f.signature); err != nil {
+		return err
+	}
+	if err := m.dryRun(ctx, f.candidate); err != nil {
+		return err
+	}
+	var o reloadOutcome
+	var err error
+	loopErr := m.runInLoop(ctx, func() {
+		if o = m.record(f, m.reloads.Decide(m.situation())); o.decision == change.ReloadApply {
+			err = m.stageAndApply(f.candidate)
+		}
+	})
+	if err := errors.Join(loopErr, err); err != nil {
+		return err
+	}
+	return o.report(m.opts.Logger)
+}
+
+// stageAndApply is called on the goroutine that owns the transactions.
+func (m *Manager) stageAndApply(c *bundle.Candidate) error {
+	tx, err := m.stage(c, 0, "reload")
 	if err != nil {
 		return err
 	}
-	if len(s.Restart) > 0 {
-		m.opts.Logger.Warn("some changed settings take effect only at the next start", "keys", s.Restart)
+	if keys := bundle.RestartKeys(m.opts.Initial, c); len(keys) > 0 {
+		m.opts.Logger.Warn("some changed settings take effect only at the next start", "keys", keys)
 	}
-	if err := m.Apply(ctx, s.Tx, 0, nil); err != nil {
+	if err := m.step(m.applyEvent(tx, 0, nil), nil).Err; err != nil {
 		// Otherwise the transaction would stay staged for ever, because nobody knows its number.
-		return errors.Join(err, m.Undo(ctx, s.Tx, err.Error()))
+		return errors.Join(err, m.step(change.Undo{Tx: tx, Reason: err.Error()}, nil).Err)
 	}
 	return nil
 }
--- a/internal/configuration/manager/requests.go
+++ b/internal/configuration/manager/requests.go
@@ -143,6 +143,13 @@
 	Since   time.Time `json:"since"`
 }
 
+// WaitingStatus describes configuration files that are applied when the change under way has ended.
+type WaitingStatus struct {
+	Hash   string    `json:"hash"`
+	Reason string    `json:"reason"`
+	ReadAt time.Time `json:"read_at"`
+}
+
 // Status is the state of a gatherer's configuration.
 type Status struct {
 	Confirmed       change.Generation `json:"confirmed"`
@@ -151,6 +158,7 @@
 	OpenGenerations []uint64          `json:"open"`    // the generation in force, and those under which open queries were accepted
 	Durable         bool              `json:"durable"` // whether the history is on disk
 	Discovery       DiscoveryStatus   `json:"discovery"`
+	Waiting         *WaitingStatus    `json:"waiting,omitempty"`
 	Regressions     []string          `json:"falls,omitempty"`
 	Transactions    []Transaction     `json:"transactions"`
 	Counts          change.Counts     `json:"counts"`
@@ -165,6 +173,9 @@
 		s.Confirmed, _ = m.machine.Confirmed()
 		s.InForce, s.Hash = m.generation, fmt.Sprintf("%x", m.inForce.Hash)
 		s.Durable, s.Regressions, s.Counts = m.opts.History != nil, m.regressions, m.machine.Counts()
+		if f, busy := m.waiting, m.machine.Busy(); f != nil && busy != nil {
+			s.Waiting = &WaitingStatus{Hash: fmt.Sprintf("%x", f.candidate.Hash), Reason: busy.Error(), ReadAt: f.readAt}
+		}
 		s.Transactions = []Transaction{}
 		for _, t := range m.machine.Txs() {
 			x := Transaction{
