Say in the log what a reload with an operators' file takes from the platform's

With an operators' file a move of discovery logged 'configuration reloaded', and 'these keys take effect at the next start: settings', though settings are changed by transactions there. It logs 'platform's file read again' and leaves that key out; without an operators' file the lines are as before. The message follows the act, so that a reader of the log finds the address in force.

--- a/cmd/eiderwinch/reload.go
+++ b/cmd/eiderwinch/reload.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	started *config.Config // the configuration at the start
 	node    *netio.Node
 	log     *slog.Logger
+	managed bool // the settings change by transactions
 
 	reading sync.Mutex // held while the file is read and followed, so that the address read last is the one followed
 }
@@ -50,14 +52,25 @@
 	if err != nil {
 		return err
 	}
-	if keys := r.started.PendingRestart(next); len(keys) > 0 {
-		r.log.Warn("these keys take effect at the next start", "keys", keys)
-	}
-	r.log.Info("configuration reloaded", "discovery", next.Discovery)
 	r.node.FollowDiscovery(next.Discovery)
+	r.report(next)
 	return nil
 }
 
+// report logs what becomes of a file that was followed.
+func (r *platformReloader) report(next *config.Config) {
+	keys := r.started.PendingRestart(next)
+	message := "configuration reloaded"
+	if r.managed {
+		keys = slices.DeleteFunc(keys, func(key string) bool { return key == config.SettingsKey })
+		message = "platform's file read again"
+	}
+	if len(keys) > 0 {
+		r.log.Warn("these keys take effect at the next start", "keys", keys)
+	}
+	r.log.Info(message, "discovery", next.Discovery)
+}
+
 // retryReload repeats a reload while it fails with transient errors.
 func retryReload(node *netio.Node, log *slog.Logger, reload func() error) {
 	if err := durable.RetryTransient(reloadTimeout, reload); err != nil {
--- a/cmd/eiderwinch/serve.go
+++ b/cmd/eiderwinch/serve.go
@@ -117,7 +117,7 @@
 	options.NoShareUntil = share.Until
 	node := daemon.New(b.candidate.Config, options, counters, log)
 	ctx, stop := context.WithCancel(context.Background())
-	platform := &platformReloader{getenv: e.getenv, started: cfg, node: node, log: log}
+	platform := &platformReloader{getenv: e.getenv, started: cfg, node: node, log: log, managed: true}
 	configManager := b.startManager(ctx, f, node, platform, level, log)
 	defer func() {
 		stop()
--- a/internal/format/config/config.go
+++ b/internal/format/config/config.go
@@ -61,6 +61,9 @@
 	return parse(text, func(string) string { return "" }, false)
 }
 
+// SettingsKey is the key of the settings object in the configuration file.
+const SettingsKey = "settings"
+
 // PendingRestart returns the keys in which next differs from c and which take effect only
 // after a restart.
 func (c *Config) PendingRestart(next *Config) []string {
@@ -73,7 +76,7 @@
 		{"listen", c.Listen != next.Listen},
 		{"limits.memory_mb", c.MemoryLimit != next.MemoryLimit},
 		{"limits.sockets", c.SocketLimit != next.SocketLimit},
-		{"settings", !bytes.Equal(c.Settings.Canonical(), next.Settings.Canonical())},
+		{SettingsKey, !bytes.Equal(c.Settings.Canonical(), next.Settings.Canonical())},
 	} {
 		if setting.differs {
 			keys = append(keys, setting.key)
