Look for a hostile client's error in all that it has not read, not at its start

Its reader, which had taken the first 4 KB, got no processor to look at them, and the check for unread answers looked at the first bytes alone, which were the middle of an answer. So the gatherer's errors had come; the test did not see them.

Now the unread data is searched; it counts from the last arrival, which is later than the error's own. A row in TestEndCountsFromItsArrival has an error behind a part of an answer; it failed before.

--- a/internal/trial/hostile/tcp.go
+++ b/internal/trial/hostile/tcp.go
@@ -59,19 +59,23 @@
 	return at
 }
 
-// unreadEnd reports whether an error or the end of the connection was received that is not read yet, and when it arrived.
+// peekSize is how much of the unread data of a connection is searched for an error, in bytes: some answers to small requests.
+const peekSize = 2 << 10
+
+// unreadEnd reports whether an error or the end of the connection was received that is not read yet, and when it arrived at
+// the latest. The unread data may begin within an answer: a reader takes what fits into its buffer.
 func unreadEnd(c net.Conn) (at time.Time, received bool) {
-	start := make([]byte, len("HTTP/1.1 400"))
+	unread := make([]byte, peekSize)
 	n, err := -1, error(nil)
 	control(c, func(fd int) {
-		n, _, err = unix.Recvfrom(fd, start, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, err = unix.Recvfrom(fd, unread, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	switch text := string(start[:max(n, 0)]); {
+	switch text := string(unread[:max(n, 0)]); {
 	case err != nil || n < 0:
 		return at, false
 	case n == 0:
 		return arrivedAt(c, sinceSegment), true
-	case strings.HasPrefix(text, "HTTP/1.1 4") || strings.HasPrefix(text, "HTTP/1.1 5"):
+	case strings.Contains(text, "HTTP/1.1 4") || strings.Contains(text, "HTTP/1.1 5"):
 		return arrivedAt(c, sinceData), true
 	}
 	return at, false
--- a/internal/trial/hostile/tcp_test.go
+++ b/internal/trial/hostile/tcp_test.go
@@ -22,6 +22,7 @@
 		"a close that is read late":           {"", true, read, true},
 		"an error that is never read":         {failure, false, (*session).stop, true},
 		"a close that is never read":          {"", true, (*session).stop, true},
+		"an error behind a part of an answer": {"of a body" + failure, false, (*session).stop, true},
 		"an answer that is no error, unread":  {"HTTP/1.1 200 OK\r\n\r\n", false, (*session).stop, false},
 		"nothing, and closed by the client":   {"", false, (*session).stop, false},
 		"a start of an answer, and no status": {"HTTP/1.1 ", false, (*session).stop, false},
