Name a staged address of discovery as ignored only if a platform's file is staged

TestStagedAddressOfDiscoveryTakesNoEffect failed by it; it also holds that a staged address moves nothing, and that the dry run dials the address in force. A row for two moves without an operators' file.

--- a/cmd/eiderwinch/discoverymove_test.go
+++ b/cmd/eiderwinch/discoverymove_test.go
@@ -241,6 +241,12 @@
 				time.Sleep(300 * time.Millisecond)
 			}
 		},
+		"two moves without an operators' file": func(t *testing.T, m *movedProgram) {
+			m.launch(t, false)
+			m.move(t)
+			m.expectFollowed(t)
+			m.move(t)
+		},
 		"three moves without an operators' file": func(t *testing.T, m *movedProgram) {
 			m.launch(t, false)
 			for range 3 {
--- a/internal/configuration/manager/reload_test.go
+++ b/internal/configuration/manager/reload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -78,3 +79,33 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// Guards against a staged platform's file that moves discovery, which the platform alone does.
+func TestStagedAddressOfDiscoveryTakesNoEffect(t *testing.T) {
+	m, n := startManager(t, nil)
+	ctx := context.Background()
+	before := n.DiscoveryAddress()
+	for _, c := range []struct {
+		b       bundle.Bundle
+		ignored int
+	}{
+		{bundle.Bundle{Platform: fmt.Appendf(nil, platform, "127.0.0.1:1"), Operators: operators(`<pools multiplex="2"/>`)}, 1},
+		{bundle.Bundle{Operators: operators(`<pools multiplex="3"/>`)}, 0}, // with the platform's file of the first
+	} {
+		s, err := m.Stage(ctx, c.b, 0, "", "")
+		if err != nil || len(s.Ignored) != c.ignored {
+			t.Fatalf("staged: %+v, %v; want %d values ignored", s, err, c.ignored)
+		}
+		if err := m.Apply(ctx, s.Tx, time.Minute, nil); err != nil {
+			t.Fatal(err)
+		}
+		testpeer.WaitUntil(t, "probation", func() bool { return m.Confirm(ctx, s.Tx) == nil })
+	}
+	if now := n.DiscoveryAddress(); now != before {
+		t.Errorf("discovery is asked at %+v, want %+v", now, before)
+	}
+	n.discovery.Move("127.0.0.1:1", time.Now())
+	if _, err := m.Stage(ctx, bundle.Bundle{Operators: operators("")}, 0, "", ""); err == nil || !strings.Contains(err.Error(), "cannot connect to discovery") {
+		t.Errorf("the dry run dials another address than the one in force: %v", err)
+	}
+}
--- a/internal/configuration/manager/requests.go
+++ b/internal/configuration/manager/requests.go
@@ -34,7 +34,7 @@
 		return StageResult{}, err
 	}
 	result := StageResult{Hash: fmt.Sprintf("%x", c.Hash), Restart: bundle.RestartKeys(m.opts.Initial, c)}
-	if c.Config.Discovery != m.opts.Node.DiscoveryAddress().Value {
+	if len(b.Platform) > 0 && c.Config.Discovery != m.opts.Node.DiscoveryAddress().Value {
 		result.Ignored = []string{"discovery"}
 	}
 	loopErr := m.runInLoop(ctx, func() { result.Tx, err = m.stage(c, against, note) })
