Keep files that wait when a move or an unsigned file is read after them

Nobody signs the platform's file, so the change was refused at its turn and lost to the platform's signal. A file without its signature did the same to one that had it.

Change: the signature is checked before files are accepted to wait, and once more at their turn. Reloads.Read leaves what waits alone for the platform's signal and for unsigned files.

--- a/internal/configuration/change/reload.go
+++ b/internal/configuration/change/reload.go
@@ -16,6 +16,7 @@
 	ReloadOnProbation                        // being applied or on probation already
 	ReloadPlatformOnly                       // only the platform's file differs from the files that were read before
 	ReloadWait                               // to wait until the active transaction has ended
+	ReloadUnsigned                           // refused: a signature is required
 )
 
 // Situation is the state of the transactions, as far as decisions about reloads depend on it.
@@ -31,47 +32,54 @@
 // neither puts a text in force again that was undone meanwhile, nor undoes what the operators have applied without
 // writing it to their files.
 //
-// Files that arrive while another change is under way wait until it has ended. Only the files that were read last wait,
-// in the state in which they were read: a file that is edited meanwhile has not been submitted. Files that are on
-// probation already don't wait, so a text that is undone is not applied once more.
+// Files that arrive while another change is under way wait until it has ended. Only the files that were accepted last
+// wait, in the state in which they were read: a file that is edited meanwhile has not been submitted. Files that are on
+// probation already don't wait, so a text that is undone is not applied once more. The platform's signal, and files
+// without a required signature, leave those that wait as they are.
 //
 // Reloads does no I/O and is not safe for concurrent use.
 type Reloads struct {
 	last  Files // read last
-	waits bool  // last is to be applied when the active transaction has ended
+	waits bool  // files wait until the active transaction has ended
 }
 
 // NewReloads returns a Reloads for a process that has read the given files at its start.
 func NewReloads(atStart Files) *Reloads { return &Reloads{last: atStart} }
 
-// Read decides about files that were read now.
-func (r *Reloads) Read(files Files, s Situation) ReloadDecision {
+// Read decides about files that were read now. signed says whether they have the signature that is required, if one is.
+func (r *Reloads) Read(files Files, signed bool, s Situation) ReloadDecision {
 	platformOnly := files.Subject == r.last.Subject && files.Platform != r.last.Platform
 	r.last = files
-	wanted := r.waits || !platformOnly
-	switch d := r.Decide(s); {
-	case wanted || d == ReloadUnchanged || d == ReloadOnProbation:
-		return d
+	switch d := decideReload(files.Subject, s); {
+	case d == ReloadUnchanged || d == ReloadOnProbation:
+	case platformOnly:
+		return ReloadPlatformOnly
+	case !signed:
+		return ReloadUnsigned
 	}
-	r.waits = false
-	return ReloadPlatformOnly
+	return r.Decide(files.Subject, s)
 }
 
-// Decide decides about the files that were read last, which the operators want to be applied.
-func (r *Reloads) Decide(s Situation) (d ReloadDecision) {
+// Decide decides about files that were accepted, when they are to be applied or taken up after a wait.
+func (r *Reloads) Decide(subject Hash, s Situation) ReloadDecision {
+	d := decideReload(subject, s)
+	r.waits = d == ReloadWait
+	return d
+}
+
+func decideReload(subject Hash, s Situation) ReloadDecision {
 	switch {
-	case r.last.Subject == s.Confirmed:
-		d = ReloadUnchanged
-	case s.Busy && r.last.Subject == s.Active:
-		d = ReloadOnProbation
+	case subject == s.Confirmed:
+		return ReloadUnchanged
+	case s.Busy && subject == s.Active:
+		return ReloadOnProbation
 	case s.Busy:
-		d = ReloadWait
+		return ReloadWait
 	}
-	r.waits = d == ReloadWait
-	return d
+	return ReloadApply
 }
 
-// Waits reports whether the files that were read last wait.
+// Waits reports whether files wait.
 func (r *Reloads) Waits() bool { return r.waits }
 
 // Forget makes the files that wait wait no longer.
--- a/internal/configuration/change/reload_explore_test.go
+++ b/internal/configuration/change/reload_explore_test.go
@@ -44,6 +44,8 @@
 	takeUpPending bool        // a change has ended while files wait
 	reader        readerState // of the one reload that runs at a time
 	read          Files       // by the reader
+	takingUp      bool        // read has waited
+	lost          bool        // files that waited were dropped for files that were refused
 	waiting       Files       // valid while reloads.Waits
 	word          byte        // address in the platform's file when it was last read
 	submitted     Files       // by the last reload that was to apply its files
@@ -72,7 +74,7 @@
 	p.owner = discovery.NewAddressOwner(address(p.platform), t0)
 	p.reloads = *NewReloads(p.files())
 	p.word = p.platform
-	p.followPending, p.filesPending, p.takeUpPending, p.reader = false, false, false, readerIdle
+	p.followPending, p.filesPending, p.takeUpPending, p.takingUp, p.reader = false, false, false, false, readerIdle
 	p.submitted, p.applications = Files{}, 0
 }
 
@@ -89,7 +91,7 @@
 	for _, f := range []Files{p.reloads.last, p.read, p.waiting, p.submitted} {
 		b = append(b, f.Platform[0], f.Subject[1])
 	}
-	for _, flag := range []bool{p.reloads.waits, p.halfWritten, p.running, p.followPending, p.filesPending, p.takeUpPending} {
+	for _, flag := range []bool{p.reloads.waits, p.halfWritten, p.running, p.followPending, p.filesPending, p.takeUpPending, p.takingUp} {
 		b = strconv.AppendBool(b, flag)
 	}
 	b = append(b, p.platform, p.operators, byte(p.reader), p.word, byte(p.applications), byte(p.signals), byte(p.kills))
@@ -140,7 +142,10 @@
 	}
 	if p.readerMayRun() {
 		add("the reload goes on", func(p *process) { p.advanceReader(nil) })
-		if p.reader == readerDryRuns {
+		switch p.reader {
+		case readerChecks:
+			add("the signature does not fit", func(p *process) { p.advanceReader(errSwapFailed) })
+		case readerDryRuns:
 			add("the dry run fails", func(p *process) { p.advanceReader(errSwapFailed) })
 		}
 	}
@@ -198,33 +203,44 @@
 	return p.reader != readerIdle || p.filesPending || p.takeUpPending
 }
 
-// advanceReader carries out the next step of the reload that runs, or begins one.
-func (p *process) advanceReader(dryRun error) {
+// advanceReader carries out the next step of the reload that runs, or begins one. failure is that of the signature or of
+// the dry run.
+func (p *process) advanceReader(failure error) {
 	switch {
 	case p.reader == readerChecks:
-		p.decide()
+		p.decide(failure)
 	case p.reader == readerDryRuns:
-		p.applyFiles(dryRun)
+		p.applyFiles(failure)
 	case p.takeUpPending:
 		if p.takeUpPending = false; p.reloads.Waits() {
-			p.reader, p.read = readerChecks, p.waiting
+			p.reader, p.read, p.takingUp = readerChecks, p.waiting, true
 		}
 	default:
 		if p.filesPending = false; !p.halfWritten {
-			p.reader, p.read = readerChecks, p.files()
+			p.reader, p.read, p.takingUp = readerChecks, p.files(), false
 		}
 	}
 }
 
-func (p *process) decide() {
-	last := p.reloads.last
-	waited := p.reloads.Waits() && p.read == p.waiting
-	platformOnly := p.read.Subject == last.Subject && p.read.Platform != last.Platform
-	if !waited && !platformOnly {
-		p.submitted, p.applications = p.read, 0
-	}
+func (p *process) decide(unsigned error) {
 	p.reader = readerIdle
-	d := p.reloads.Read(p.read, p.situation())
+	var d ReloadDecision
+	if p.takingUp {
+		if unsigned != nil {
+			p.reloads.Forget()
+			return
+		}
+		d = p.reloads.Decide(p.read.Subject, p.situation())
+	} else {
+		last, waited := p.reloads.last, p.reloads.Waits()
+		d = p.reloads.Read(p.read, unsigned == nil, p.situation())
+		if platformOnly := p.read.Subject == last.Subject && p.read.Platform != last.Platform; !platformOnly && d != ReloadUnsigned {
+			p.submitted, p.applications = p.read, 0
+		}
+		if d == ReloadUnsigned || d == ReloadPlatformOnly {
+			p.lost = waited && !p.reloads.Waits()
+		}
+	}
 	p.note(d)
 	if d == ReloadApply {
 		p.reader = readerDryRuns
@@ -248,10 +264,9 @@
 func (p *process) applyFiles(dryRun error) {
 	p.reader = readerIdle
 	if dryRun != nil {
-		p.reloads.Forget()
 		return
 	}
-	d := p.reloads.Decide(p.situation())
+	d := p.reloads.Decide(p.read.Subject, p.situation())
 	p.note(d)
 	if d != ReloadApply {
 		return
@@ -279,6 +294,9 @@
 	if p.reloads.Waits() && !p.situation().Busy && !p.takeUpPending && p.reader == readerIdle {
 		return "files wait for nothing"
 	}
+	if p.lost {
+		return "files that waited are lost to files that were refused"
+	}
 	if p.applications > 1 {
 		return fmt.Sprintf("files were applied %d times", p.applications)
 	}
--- a/internal/configuration/manager/reload.go
+++ b/internal/configuration/manager/reload.go
@@ -59,7 +59,7 @@
 		return
 	}
 	m.opts.Logger.Info("configuration files that waited are taken up", "read_at", f.readAt)
-	err := m.submitFiles(ctx, f)
+	err := m.submitWaiting(ctx, f)
 	if err == nil || errors.Is(err, ErrWaits) || ctx.Err() != nil {
 		return
 	}
@@ -80,11 +80,42 @@
 	if f.candidate, err = m.check(ctx, f.bundle); err != nil {
 		return err
 	}
-	var o reloadOutcome
-	if err := m.runInLoop(ctx, func() { o = m.record(f, m.reloads.Read(f.candidate.Files(), m.situation())) }); err != nil {
+	unsigned := m.verify(f.bundle, f.signature)
+	o, err := m.decide(ctx, f, func(s change.Situation) change.ReloadDecision {
+		return m.reloads.Read(f.candidate.Files(), unsigned == nil, s)
+	})
+	if err == nil && o.decision == change.ReloadUnsigned {
+		return unsigned
+	}
+	return m.carryOut(ctx, f, o, err)
+}
+
+// submitWaiting is submitFiles for files that wait. What they fit to may have changed, so they are checked again.
+func (m *Manager) submitWaiting(ctx context.Context, f *readFiles) (err error) {
+	if f.candidate, err = m.check(ctx, f.bundle); err != nil {
 		return err
 	}
-	if o.decision == change.ReloadApply {
+	if err := m.verify(f.bundle, f.signature); err != nil {
+		return err
+	}
+	o, err := m.decide(ctx, f, func(s change.Situation) change.ReloadDecision {
+		return m.reloads.Decide(f.candidate.Files().Subject, s)
+	})
+	return m.carryOut(ctx, f, o, err)
+}
+
+// decide runs a decision about files on the goroutine that owns the transactions.
+func (m *Manager) decide(ctx context.Context, f *readFiles, decision func(change.Situation) change.ReloadDecision) (o reloadOutcome, err error) {
+	err = m.runInLoop(ctx, func() { o = m.record(f, decision(m.situation())) })
+	return o, err
+}
+
+// carryOut applies files if that was decided, else reports what was.
+func (m *Manager) carryOut(ctx context.Context, f *readFiles, o reloadOutcome, err error) error {
+	switch {
+	case err != nil:
+		return err
+	case o.decision == change.ReloadApply:
 		return m.applyFiles(ctx, f)
 	}
 	return o.report(m.opts.Logger)
@@ -98,9 +129,11 @@
 
 // record remembers files that wait. It is called on the goroutine that owns the transactions.
 func (m *Manager) record(f *readFiles, d change.ReloadDecision) reloadOutcome {
-	m.waiting = nil
-	if m.reloads.Waits() {
+	switch {
+	case d == change.ReloadWait:
 		m.waiting = f
+	case !m.reloads.Waits():
+		m.waiting = nil
 	}
 	return reloadOutcome{d, m.machine.Busy()}
 }
@@ -141,16 +174,13 @@
 
 // applyFiles stages files and applies them, unless another change has begun meanwhile.
 func (m *Manager) applyFiles(ctx context.Context, f *readFiles) error {
-	if err := m.verify(f.bundle, f.signature); err != nil {
-		return err
-	}
 	if err := m.dryRun(ctx, f.candidate); err != nil {
 		return err
 	}
 	var o reloadOutcome
 	var err error
 	loopErr := m.runInLoop(ctx, func() {
-		if o = m.record(f, m.reloads.Decide(m.situation())); o.decision == change.ReloadApply {
+		if o = m.record(f, m.reloads.Decide(f.candidate.Files().Subject, m.situation())); o.decision == change.ReloadApply {
 			err = m.stageAndApply(f.candidate)
 		}
 	})
