--- a/cmd/eiderwinch/discoverymove_test.go
+++ b/cmd/eiderwinch/discoverymove_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -83,8 +85,8 @@
 // writeOperators writes the operators' file with further elements besides the admin socket and the history.
 func (m *movedProgram) writeOperators(t *testing.T, elements string) {
 	t.Helper()
-	text := fmt.Sprintf(`<eiderwinch xmlns="urn:eiderwinch:operators:1"><admin endpoint="unix:%s/g"/><history file="history.db"/>%s</eiderwinch>`,
-		filepath.Dir(m.ops), elements)
+	text := fmt.Sprintf(`<eiderwinch xmlns="urn:eiderwinch:operators:1"><admin endpoint=%q/><history file="history.db"/>%s</eiderwinch>`,
+		m.socket(), elements)
 	if err := os.WriteFile(m.ops, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -148,17 +150,20 @@
 // command runs a command of the program that must succeed.
 func (m *movedProgram) command(t *testing.T, args ...string) {
 	t.Helper()
-	if code, out, errs := runCommand(t, nil, append(args, "--file", m.ops)...); code != exitOK {
+	if code, out, errs := runCommand(t, nil, append(args, "--at", m.socket())...); code != exitOK {
 		t.Fatalf("%v: %s%s", args, out, errs)
 	}
 }
 
+// socket returns the endpoint of the admin socket.
+func (m *movedProgram) socket() string { return "unix:" + filepath.Join(filepath.Dir(m.ops), "g") }
+
 // await waits until the first transaction is in a state, and returns the status.
 func (m *movedProgram) await(t *testing.T, state string) manager.Status {
 	t.Helper()
 	return waitForJSON(t, state, func(s manager.Status) bool {
 		return len(s.Transactions) > 0 && s.Transactions[0].State == state
-	}, "config", "status", "--json", "--file", m.ops)
+	}, "config", "status", "--json", "--at", m.socket())
 }
 
 // expectAddressAfterUndo waits until the first transaction is undone, and checks that discovery is asked at the address of
@@ -183,7 +188,7 @@
 // requestReload requests a reload on the admin socket.
 func (m *movedProgram) requestReload(t *testing.T) {
 	t.Helper()
-	client := admin.NewClient("unix:"+filepath.Join(filepath.Dir(m.ops), "g"), testpeer.Timeout, nil)
+	client := admin.NewClient(m.socket(), testpeer.Timeout, nil)
 	defer client.Close()
 	if err := client.Do(context.Background(), http.MethodPost, "/v1/config/reload", nil, nil); err != nil {
 		t.Errorf("reload: %v", err)
@@ -382,3 +387,73 @@
 	m.launch(t, true)
 	m.expectAsked(t)
 }
+
+// drawnMoveSeeds is how many seeds TestMovesOfDiscoveryBesideDrawnChanges plays, unless EIDERWINCH_SOAK_SEEDS says another number.
+const drawnMoveSeeds = 4
+
+// Guards against an order of moves, changes, signals and kills of a real process in which discovery is not followed.
+func TestMovesOfDiscoveryBesideDrawnChanges(t *testing.T) {
+	path := buildProgram(t)
+	seeds := drawnMoveSeeds
+	if n, err := strconv.Atoi(os.Getenv(soakSeedsVariable)); err == nil {
+		seeds = n
+	}
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+			t.Parallel()
+			m := newMovedProgram(t, path)
+			m.launch(t, true)
+			rng := rand.New(rand.NewPCG(seed+1, 61))
+			for range 12 {
+				step := drawnSteps[rng.IntN(len(drawnSteps))]
+				t.Log(step.name)
+				step.do(t, m, rng)
+				time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+			}
+			m.expectFollowed(t)
+		})
+	}
+}
+
+// drawnSteps are what TestMovesOfDiscoveryBesideDrawnChanges draws from.
+var drawnSteps = []struct {
+	name string
+	do   func(*testing.T, *movedProgram, *rand.Rand)
+}{
+	{"move", func(t *testing.T, m *movedProgram, _ *rand.Rand) { m.move(t) }},
+	{"move, and follow", func(t *testing.T, m *movedProgram, _ *rand.Rand) {
+		m.move(t)
+		m.expectFollowed(t)
+	}},
+	{"change by signal", func(t *testing.T, m *movedProgram, rng *rand.Rand) {
+		m.writeDrawnOperators(t, rng)
+		_ = m.Process.Signal(syscall.SIGHUP)
+	}},
+	{"change without signal", func(t *testing.T, m *movedProgram, rng *rand.Rand) { m.writeDrawnOperators(t, rng) }},
+	{"half-written change", func(t *testing.T, m *movedProgram, _ *rand.Rand) {
+		if err := os.WriteFile(m.ops, []byte("<eiderwinch"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}},
+	{"confirm", func(t *testing.T, m *movedProgram, _ *rand.Rand) { m.tryLastTransaction(t, "confirm") }},
+	{"undo", func(t *testing.T, m *movedProgram, _ *rand.Rand) { m.tryLastTransaction(t, "undo") }},
+	{"kill and start", func(t *testing.T, m *movedProgram, rng *rand.Rand) {
+		m.kill(t)
+		m.writeDrawnOperators(t, rng) // a half-written file would keep the program from starting
+		m.launch(t, true)
+	}},
+}
+
+func (m *movedProgram) writeDrawnOperators(t *testing.T, rng *rand.Rand) {
+	t.Helper()
+	m.writeOperators(t, fmt.Sprintf(`<guard probation="1s" auto="%t"/><class name="search" open="%d"/>`, rng.IntN(2) == 0, 50+rng.IntN(3)))
+}
+
+// tryLastTransaction runs a command for the last transaction, which may be refused.
+func (m *movedProgram) tryLastTransaction(t *testing.T, command string) {
+	t.Helper()
+	s := waitForJSON(t, "a status", func(manager.Status) bool { return true }, "config", "status", "--json", "--at", m.socket())
+	if n := len(s.Transactions); n > 0 {
+		runCommand(t, nil, "config", command, "--at", m.socket(), fmt.Sprint(s.Transactions[n-1].Tx))
+	}
+}
