--- a/cmd/eiderwinch/startup.go
+++ b/cmd/eiderwinch/startup.go
@@ -235,9 +235,17 @@
 // startManager starts the manager of a gatherer's configuration.
 func (b *bootState) startManager(ctx context.Context, f configFiles, node *netio.Node, platform *platformReloader, level *slog.LevelVar, log *slog.Logger) *manager.Manager {
 	o := manager.Options{
-		Node: node, Initial: b.candidate, AtStart: b.files, Machine: b.machine, Names: f.names(), FollowPlatform: platform.reload, ReadFiles: f.readSigned, LiveSettings: daemon.LiveSettings, Logger: log,
-		ReloadFailed: func(err error) { reportReload(node, log, err) },
-		Applied:      func(c *bundle.Candidate) { level.Set(logLevel(c)) },
+		Node:           node,
+		Initial:        b.candidate,
+		AtStart:        b.files,
+		Machine:        b.machine,
+		Names:          f.names(),
+		FollowPlatform: platform.reload,
+		ReadFiles:      f.readSigned,
+		LiveSettings:   daemon.LiveSettings,
+		ReloadFailed:   func(err error) { reportReload(node, log, err) },
+		Applied:        func(c *bundle.Candidate) { level.Set(logLevel(c)) },
+		Logger:         log,
 	}
 	if b.history != nil {
 		o.History = b.history
--- a/internal/netio/watch.go
+++ b/internal/netio/watch.go
@@ -269,9 +269,9 @@
 	}
 }
 
-// followDiscovery switches to discovery at the address that the platform has named last. The watch in use goes on until the new one has
-// received a list, so that no update is missed. Revisions of two addresses can't be compared, not even revision 0,
-// and the answer to a revision holds changes only. So the whole list is requested first.
+// followDiscovery switches to discovery at the address that the platform has named last. The watch in use goes on
+// until the new one has received a list, so that no update is missed. Revisions of two addresses can't be compared,
+// not even revision 0, and the answer to a revision holds changes only. So the whole list is requested first.
 func (n *Node) followDiscovery() {
 	addr := n.discoveryAddress.Address().Value
 	latest := n.watch
