Make two rows of the discovery test independent of other tests and a slow start

The port of the address that refuses at first could be taken by another test's connection before it listens: it is on 127.0.0.2 now. The history's faults begin 3 s after the start, not 1 s, so that a start on a busy machine is over by then.

--- a/cmd/eiderwinch/discoverymove_test.go
+++ b/cmd/eiderwinch/discoverymove_test.go
@@ -198,7 +198,7 @@
 // forwardLater forwards connections at an address, which refuses them until a delay is over, to another one.
 func forwardLater(t *testing.T, to string, delay time.Duration) (addr string) {
 	t.Helper()
-	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	reserved, err := net.Listen("tcp", "127.0.0.2:0") // at an address where no other test can take the port meanwhile
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -322,13 +322,15 @@
 			_ = before.Close()
 		},
 		"a history that can't be written": func(t *testing.T, m *movedProgram) {
-			fails := faults.Fault{Call: "pwrite64", Errno: syscall.ENOSPC, Target: faults.File, Path: ".db", After: time.Second}
+			const begin = 3 * time.Second // after the start, which writes the first record
+			fails := faults.Fault{Call: "pwrite64", Errno: syscall.ENOSPC, Target: faults.File, Path: ".db", After: begin}
 			cmd, err := faults.Command(faults.Plan{Seed: 1, Faults: []faults.Fault{fails}}, m.path, "serve", "--file", m.ops)
 			if err != nil {
 				t.Fatal(err)
 			}
+			started := time.Now()
 			m.awaitServing(t, launchCommand(t, cmd, m.platform(m.current.Addr())))
-			time.Sleep(time.Second) // until the faults begin
+			time.Sleep(time.Until(started.Add(begin)))
 			m.writeOperators(t, `<class name="search" open="50"/>`)
 			m.move(t)
 			m.expectFollowed(t)
