Make the tracer's 'poll' faults the call that unix.Poll makes on x86-64 too

Cause, traced with a copy that prints each poll(2) of the traced program: there is none. unix.Poll of golang.org/x/sys v0.30.0 calls ppoll(2) on every architecture; the table had poll(2) for x86-64. So no 'poll' fault of a test or soak was ever applied on x86-64.

The check is unchanged.

--- a/internal/trial/faults/plan.go
+++ b/internal/trial/faults/plan.go
@@ -42,6 +42,9 @@
 	Faults []Fault
 }
 
+// pollNumber is the number of the call that unix.Poll makes, on each architecture.
+const pollNumber = unix.SYS_PPOLL
+
 // syscallNumbers holds the system calls that can be made to fail, with their numbers. A call that the architecture
 // lacks has the number of the call that takes its place.
 var syscallNumbers = map[string]uint64{
--- a/internal/trial/faults/registers_linux_amd64.go
+++ b/internal/trial/faults/registers_linux_amd64.go
@@ -6,11 +6,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Numbers of the system calls that have another name, or none, on other architectures.
-const (
-	pollNumber      = unix.SYS_POLL
-	epollWaitNumber = unix.SYS_EPOLL_WAIT
-)
+// epollWaitNumber is the number of a system call that has another name on other architectures.
+const epollWaitNumber = unix.SYS_EPOLL_WAIT
 
 // registers holds the registers of a thread that is stopped at the entry to a system call or at the exit from it.
 type registers struct {
--- a/internal/trial/faults/registers_linux_arm64.go
+++ b/internal/trial/faults/registers_linux_arm64.go
@@ -7,11 +7,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Numbers of the system calls that stand in for calls that arm64 lacks.
-const (
-	pollNumber      = unix.SYS_PPOLL
-	epollWaitNumber = unix.SYS_EPOLL_PWAIT
-)
+// epollWaitNumber is the number of the system call that stands in for one that arm64 lacks.
+const epollWaitNumber = unix.SYS_EPOLL_PWAIT
 
 // Register sets of ptrace(2).
 const (
