Don't let a platform's file whose reading hangs hold up a newer one

One read that hung (a named pipe, a file system that does not answer) kept each later move of discovery from being read.

Now reads are numbered as they begin, the lock is held to follow alone, and a read is dropped if one that began later was followed. The newest file is always read by the signal that follows its writing, which begins last.

--- a/cmd/eiderwinch/discoverymove_test.go
+++ b/cmd/eiderwinch/discoverymove_test.go
@@ -336,6 +336,18 @@
 			m.expectFollowed(t)
 			m.move(t)
 		},
+		"a platform's file whose reading hangs, then another": func(t *testing.T, m *movedProgram) {
+			m.launch(t, true)
+			if err := errors.Join(os.Remove(m.file), syscall.Mkfifo(m.file, 0o600)); err != nil {
+				t.Fatal(err)
+			}
+			_ = m.Process.Signal(syscall.SIGHUP)
+			time.Sleep(300 * time.Millisecond) // until the read waits for a writer, which never comes
+			if err := os.Remove(m.file); err != nil {
+				t.Fatal(err)
+			}
+			m.move(t)
+		},
 		"a request on the admin socket in place of SIGHUP": func(t *testing.T, m *movedProgram) {
 			m.launch(t, true)
 			m.applyChange(t)
--- a/cmd/eiderwinch/reload.go
+++ b/cmd/eiderwinch/reload.go
@@ -30,7 +30,9 @@
 	log     *slog.Logger
 	managed bool // the settings change by transactions
 
-	reading sync.Mutex // held while the file is read and followed, so that the address read last is the one followed
+	mu       sync.Mutex // guards the fields below; not held while the file is read, since a read may hang
+	begun    uint64     // number of the read that has begun last
+	followed uint64     // number of the read that was followed last
 }
 
 // reload reads the file until it is valid, reading fails with a transient error, or contentTimeout has passed. An invalid
@@ -46,17 +48,37 @@
 
 // readOnce reads the file once and follows discovery to its address.
 func (r *platformReloader) readOnce() error {
-	r.reading.Lock()
-	defer r.reading.Unlock()
+	number := r.begin()
 	next, err := config.Reload(r.getenv)
 	if err != nil {
 		return err
 	}
-	r.node.FollowDiscovery(next.Discovery)
-	r.report(next)
+	if r.follow(number, next.Discovery) {
+		r.report(next)
+	}
 	return nil
 }
 
+// begin returns the number of a read that is about to begin.
+func (r *platformReloader) begin() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begun++
+	return r.begun
+}
+
+// follow follows discovery to the address that a read has found, unless a read that began later was followed already.
+func (r *platformReloader) follow(number uint64, discovery string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if number < r.followed {
+		return false
+	}
+	r.followed = number
+	r.node.FollowDiscovery(discovery)
+	return true
+}
+
 // report logs what becomes of a file that was followed.
 func (r *platformReloader) report(next *config.Config) {
 	keys := r.started.PendingRestart(next)
