Log each change of an attempt, and why sends are rejected and answers withdrawn

The operators' records show parts that were sent again after a searcher had answered them; our log told when a part was sent and how its query ended, but not how each attempt ended, whether its answer was provisional, nor why an answer was withdrawn or a send rejected.

At debug level there is a line 'attempt' now for each change (decided, ended, answer confirmed, answer withdrawn) with the part's id, the attempt's number, the searcher and the reason; 'send rejected' names the part, the attempt and the reason. Counters: groups 'not_sent' (of sent.not_sent) and 'withdrawn' (of outcomes.withdrawn), by reason. The checks of startAttempt are in startBar, which returns a SendBar; what is rejected is as before. The tests of Withdraw pass a reason; what they check is unchanged.

--- a/api.go
+++ b/api.go
@@ -127,6 +127,15 @@
 	NotSent             // the gatherer did not send it, for example because the part had ended
 )
 
+// statusNames are the names of the statuses in logs.
+var statusNames = map[Status]string{
+	OK: "ok", Failed: "failed", Full: "full", TimedOut: "timed out",
+	NoConnection: "no connection", Reset: "reset", Cancelled: "cancelled", NotSent: "not sent",
+}
+
+// String returns the status's name in logs.
+func (s Status) String() string { return statusNames[s] }
+
 // Outcome ends one attempt. Each Send is followed by exactly one, except that a Reset may follow a
 // provisional OK before the query's final answer: the answer is withdrawn.
 type Outcome struct {
--- a/internal/gatherer/attempts.go
+++ b/internal/gatherer/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"eiderwinch"
@@ -49,13 +48,10 @@
 
 // PartID returns the ID of the attempt's part as sent to searchers: the query's trace, the
 // shard, and ".b" in a second step. All attempts of a part have the same ID.
-func (a *Attempt) PartID() string {
-	id := a.Trace + "." + strconv.Itoa(a.Shard)
-	if a.IsSecondStep {
-		id += ".b"
-	}
-	return id
-}
+func (a *Attempt) PartID() string { return a.part.wireID() }
+
+// Number returns the number of the attempt among those of its part, counted from 0.
+func (a *Attempt) Number() int { return a.number }
 
 // startAttempt starts one attempt, or returns nil if it must not be sent. Whatever the
 // aggregator decided, a send is rejected if it would break a rule: for a removed part, while
@@ -68,23 +64,9 @@
 		c.log.Error("send for an unknown part", "part", send.Part)
 		return nil
 	}
-	maxAttempts := c.settings.Module.MaxAttempts
-	if classLimit := p.query.liveSettings.class(p.query.class).Attempts; classLimit > 0 && (maxAttempts == 0 || classLimit < maxAttempts) {
-		maxAttempts = classLimit
-	}
-	holders := p.query.holders(p.shard)
-	notHolder := holders != nil && !slices.Contains(holders, send.Replica)
-	forbidden := p.removed || len(p.inFlight) > 0 && !c.maySendSecondCopy(p, send.Replica) ||
-		maxAttempts > 0 && p.attempts >= maxAttempts || notHolder || c.notReady(send.Replica)
-	if forbidden || c.clientDisconnected(p.query) {
-		if forbidden {
-			c.log.Warn("send rejected", "trace", p.query.trace, "shard", p.shard, "searcher", send.Replica)
-			c.stats.RejectedSends++
-		}
-		c.addEvent(c.now, eiderwinch.Outcome{
-			Part: p.id, Attempt: p.attempts, Replica: send.Replica, Status: eiderwinch.NotSent,
-		})
-		p.attempts++
+	bar := c.startBar(p, send.Replica)
+	if bar != SendAllowed || c.clientDisconnected(p.query) {
+		c.rejectSend(p, send.Replica, bar)
 		return nil
 	}
 	timeout := p.query.deadline.Sub(c.now)
@@ -112,9 +94,44 @@
 	p.inFlight = append(p.inFlight, a)
 	a.deadlineTimer.Value = a
 	c.inFlight.Set(&a.deadlineTimer, a.Deadline)
+	c.logAttempt(a, attemptDecided, "timeout", timeout)
 	return a
 }
 
+// startBar returns why the core rejects an attempt of a part that the aggregator has decided on.
+func (c *Core) startBar(p *part, searcher string) SendBar {
+	maxAttempts := c.settings.Module.MaxAttempts
+	if classLimit := p.query.liveSettings.class(p.query.class).Attempts; classLimit > 0 && (maxAttempts == 0 || classLimit < maxAttempts) {
+		maxAttempts = classLimit
+	}
+	holders := p.query.holders(p.shard)
+	switch {
+	case p.removed:
+		return ResultUnwanted
+	case len(p.inFlight) > 0 && !c.maySendSecondCopy(p, searcher):
+		return SecondCopyBarred
+	case maxAttempts > 0 && p.attempts >= maxAttempts:
+		return AttemptsUsed
+	case holders != nil && !slices.Contains(holders, searcher):
+		return NotHolder
+	case c.notReady(searcher):
+		return SearcherNotReady
+	}
+	return SendAllowed
+}
+
+// rejectSend ends an attempt that is not started. It counts and logs those that would have broken a rule: a bar other than
+// SendAllowed. The others are for clients that have disconnected.
+func (c *Core) rejectSend(p *part, searcher string, bar SendBar) {
+	if bar != SendAllowed {
+		c.log.Warn("send rejected", "part", p.wireID(), "attempt", p.attempts, "searcher", searcher, "reason", bar)
+		c.stats.RejectedSends++
+		c.stats.RejectedSendsBy[bar.String()]++
+	}
+	c.addEvent(c.now, eiderwinch.Outcome{Part: p.id, Attempt: p.attempts, Replica: searcher, Status: eiderwinch.NotSent})
+	p.attempts++
+}
+
 // maxInFlight is the most attempts of a part in flight where second copies are allowed.
 const maxInFlight = 2
 
@@ -185,6 +202,7 @@
 		a.part.mayHaveRunFrom = earlier(a.part.mayHaveRunFrom, a.decidedAt)
 	}
 	c.countOutcome(status)
+	c.logAttempt(a, attemptEnded, "status", status, "took", now.Sub(a.decidedAt), "provisional", a.provisional, "closed_here", a.closedHere)
 	c.addEvent(now, eiderwinch.Outcome{
 		Part: a.part.id, Attempt: a.number, Replica: a.Searcher, Status: status, Took: now.Sub(a.decidedAt), Load: a.Load,
 		Provisional: a.provisional, ClosedByGatherer: a.closedHere,
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -34,6 +34,7 @@
 // Confirm makes the answer of a ProvisionalResult final.
 func (c *Core) Confirm(now time.Time, a *Attempt) {
 	a.provisional = false
+	c.logAttempt(a, answerConfirmed, "used", a.part.answeredBy == a)
 	if a.part.answeredBy == a {
 		a.part.finalAt = now
 	}
@@ -42,12 +43,25 @@
 	}
 }
 
+// WithdrawReason is why an answer is withdrawn, as counters and the log name it.
+type WithdrawReason string
+
+// The reasons.
+const (
+	ConnectionEnded WithdrawReason = "ended"      // by the searcher
+	ConnectionReset WithdrawReason = "reset"      // by the searcher or the network
+	ClosedHere      WithdrawReason = "closed"     // by this gatherer
+	InvalidData     WithdrawReason = "invalid"    // data that is no answer to a part that waits
+	IncompleteFrame WithdrawReason = "incomplete" // a frame whose rest did not come in time
+)
+
 // Withdraw takes back the answer of a ProvisionalResult: it has turned out to be spoilt, or nothing can confirm it any more.
 // The attempt may have been executed. Once the query has its final answer, nothing can be taken back: Withdraw returns
 // false.
-func (c *Core) Withdraw(now time.Time, a *Attempt) bool {
+func (c *Core) Withdraw(now time.Time, a *Attempt, reason WithdrawReason) bool {
 	p := a.part
 	a.provisional = false
+	c.logAttempt(a, answerWithdrawn, "reason", string(reason), "used", p.used, "query_open", !p.removed, "since_answer", now.Sub(p.answeredAt))
 	if p.answeredBy == a && p.used {
 		c.stats.RefutedLate++
 		c.log.Warn("answer refuted after it was used", "trace", a.Trace, "shard", a.Shard, "searcher", a.Searcher, "since_answer", now.Sub(p.answeredAt))
@@ -57,6 +71,7 @@
 	}
 	p.clearAnswer()
 	c.stats.Withdrawn++
+	c.stats.WithdrawnBy[string(reason)]++
 	c.addEvent(now, eiderwinch.Outcome{
 		Part: p.id, Attempt: a.number, Replica: a.Searcher, Status: eiderwinch.Reset, Took: now.Sub(a.decidedAt),
 	})
--- a/internal/gatherer/core_test.go
+++ b/internal/gatherer/core_test.go
@@ -512,22 +512,22 @@
 	first, second := h.calls[0][0], h.calls[1][0]
 	h.ProvisionalResult(h.at, first, 1, "spoilt")
 	h.advance(5 * ms)
-	h.Withdraw(h.at, first)
-	h.Withdraw(h.at, first)
+	h.Withdraw(h.at, first, InvalidData)
+	h.Withdraw(h.at, first, InvalidData)
 	h.Result(h.at, second, eiderwinch.OK, 1, "good")
 	h.advance(5*ms, send(id+1, "b"))
 	h.checkEqual("outcomes", h.outcomes(), []eiderwinch.Status{eiderwinch.OK, eiderwinch.Reset, eiderwinch.OK})
-	h.Withdraw(h.at, first) // the value below is that of another attempt
+	h.Withdraw(h.at, first, InvalidData) // the value below is that of another attempt
 	h.Result(h.at, h.calls[2][0], eiderwinch.OK, 1, "whole")
 	h.advance(5*ms, eiderwinch.Answer{Query: id, Whole: true})
-	h.checkEqual("withdrawn after the reply", h.Withdraw(h.at, second), false)
+	h.checkEqual("withdrawn after the reply", h.Withdraw(h.at, second, InvalidData), false)
 	h.advance(5 * ms)
 	h.checkEqual("replies", h.replies, []Reply{{Kind: Answered, Whole: true, Values: []ShardValue{{3, "whole"}, {4, "good"}}}})
 
 	id = h.submit("search", "y", 3)
 	h.advance(5*ms, send(id+1, "a"))
 	h.ProvisionalResult(h.at, h.calls[3][0], 1, "spoilt")
-	h.Withdraw(h.at, h.calls[3][0])
+	h.Withdraw(h.at, h.calls[3][0], InvalidData)
 	h.advance(5*ms, eiderwinch.Answer{Query: id, Whole: true}) // whatever is decided
 	h.checkEqual("the reply without a value", h.replies[1].Kind, Failed)
 	h.checkEqual("withdrawn", h.stats.Withdrawn, 2)
@@ -560,7 +560,7 @@
 		h.checkEqual(name+": reply", h.replies[0].Kind, c.want)
 		h.checkEqual(name+": held", []int{h.stats.Held, h.stats.Unconfirmed}, []int{c.held, c.unconfirmed})
 		if !c.confirmed {
-			h.Withdraw(h.at, a)
+			h.Withdraw(h.at, a, InvalidData)
 		}
 		h.checkEqual(name+": refuted late", h.stats.RefutedLate, c.unconfirmed)
 	}
@@ -576,7 +576,7 @@
 	h.ProvisionalResult(h.at, first, 1, "spoilt")
 	h.Result(h.at, second, eiderwinch.OK, 1, "whole")
 	h.checkEqual("awaits confirmation", first.AwaitsConfirmation(), false)
-	h.checkEqual("withdrawn", h.Withdraw(h.at, first), false)
+	h.checkEqual("withdrawn", h.Withdraw(h.at, first, InvalidData), false)
 	h.advance(5*ms, eiderwinch.Answer{Query: id, Whole: true})
 	h.checkEqual("reply", h.replies, []Reply{{Kind: Answered, Whole: true, Values: []ShardValue{{3, "whole"}}}})
 }
--- a/internal/gatherer/memory_test.go
+++ b/internal/gatherer/memory_test.go
@@ -44,7 +44,7 @@
 	base := h.held
 	h.advance(5*ms, eiderwinch.Send{Part: id + 1, Replica: "a"})
 	h.Result(h.at, h.calls[0][0], eiderwinch.OK, 1, strings.Repeat("v", 5000))
-	if !h.Withdraw(h.at, h.calls[0][0]) {
+	if !h.Withdraw(h.at, h.calls[0][0], InvalidData) {
 		t.Error("the value was not withdrawn")
 	}
 	h.checkEqual("held after the withdrawal", h.held, base)
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -1,6 +1,7 @@
 package gatherer
 
 import (
+	"strconv"
 	"time"
 
 	"eiderwinch"
@@ -71,6 +72,15 @@
 	value      string
 }
 
+// wireID returns the part's ID as sent to searchers.
+func (p *part) wireID() string {
+	id := p.query.trace + "." + strconv.Itoa(p.shard)
+	if p.secondStep {
+		id += ".b"
+	}
+	return id
+}
+
 // setAnswer records an answer of an attempt, unless the part has one. A final answer replaces a provisional one.
 func (p *part) setAnswer(now time.Time, a *Attempt, score int64, value string) {
 	replaces := p.answered && p.answeredBy.provisional && !a.provisional
--- a/internal/gatherer/sending.go
+++ b/internal/gatherer/sending.go
@@ -17,11 +17,15 @@
 	ToldTooMuch              // the client has less time left than the searcher is told
 	RepeatWindowOver         // the searcher may not recognize the attempt as a repeat any more
 	SearcherNotReady         // the searcher is draining or not in the member list
+	SecondCopyBarred         // another attempt of the part is in flight
+	AttemptsUsed             // the part has had as many attempts as it may
+	NotHolder                // the searcher does not hold the part's segment in the query's epoch
 )
 
 // sendBarNames are the names of the reasons in counters and logs.
 var sendBarNames = map[SendBar]string{
 	SendAllowed: "allowed", ResultUnwanted: "unwanted", AttemptOver: "over", ToldTooMuch: "told", RepeatWindowOver: "window", SearcherNotReady: "not_ready",
+	SecondCopyBarred: "second_copy", AttemptsUsed: "attempts", NotHolder: "not_holder",
 }
 
 // String returns the reason's name in counters and logs.
--- a/internal/netio/searcheranswers.go
+++ b/internal/netio/searcheranswers.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"time"
 
@@ -34,7 +35,7 @@
 	}
 	if err != nil {
 		c.closedHere = !errors.Is(err, answerstream.ErrFrameRejected)
-		c.closeMalformed("malformed frame from searcher", err)
+		c.closeMalformed("malformed frame from searcher", gatherer.InvalidData, err)
 		return
 	}
 	if received.Frames > 0 {
@@ -96,23 +97,23 @@
 
 // withdrawProvisional withdraws the provisional answer, if there is one, because nothing can confirm it any more. It reports
 // whether it could still do so.
-func (c *searcherConn) withdrawProvisional(now time.Time) bool {
+func (c *searcherConn) withdrawProvisional(now time.Time, reason gatherer.WithdrawReason) bool {
 	if _, ok := c.answers.Refuted(); !ok {
 		return false
 	}
-	return c.pool.node.core.Withdraw(now, c.endProvisional())
+	return c.pool.node.core.Withdraw(now, c.endProvisional(), reason)
 }
 
 // closeMalformed closes a connection that carried a frame that is invalid, unsolicited or incomplete for too long:
 // the attempts in flight on it would only wait for their time-out. They end as those of a broken connection. A provisional
 // answer is withdrawn; all others stay.
-func (c *searcherConn) closeMalformed(message string, detail any) {
+func (c *searcherConn) closeMalformed(message string, reason gatherer.WithdrawReason, detail any) {
 	if c.malformed {
 		return
 	}
 	now := time.Now()
 	lastAnswered, answeredAt, basis := c.answers.LastAnswered()
-	withdrawn := c.withdrawProvisional(now)
+	withdrawn := c.withdrawProvisional(now, reason)
 	c.pool.node.stats.MalformedConns++
 	c.pool.node.log.Warn(message, "searcher", c.searcher.id, "parts", len(c.inFlight), "detail", detail, "last_answered", lastAnswered,
 		"since_answer", now.Sub(answeredAt), "basis", basis, "withdrawn", withdrawn, "unparsed", fmt.Sprintf("%.32q", c.answers.Incomplete()))
@@ -124,19 +125,30 @@
 // closeIncomplete closes a connection on which a frame has stayed incomplete for too long.
 func (c *searcherConn) closeIncomplete() {
 	c.closedHere = true
-	c.closeMalformed("incomplete frame from searcher", len(c.answers.Incomplete()))
+	c.closeMalformed("incomplete frame from searcher", gatherer.IncompleteFrame, len(c.answers.Incomplete()))
 }
 
 // withdrawAtEnd withdraws the provisional answer when the connection has ended. If it was used before, the end shows nothing of it.
-func (c *searcherConn) withdrawAtEnd(now time.Time) {
+func (c *searcherConn) withdrawAtEnd(now time.Time, reason gatherer.WithdrawReason) {
 	if c.provisional == nil || c.provisional.AwaitsConfirmation() {
-		c.withdrawProvisional(now)
+		c.withdrawProvisional(now, reason)
 		return
 	}
 	c.answers.Refuted()
 	c.endProvisional()
 }
 
+// endReason returns why a provisional answer is withdrawn at the end of its connection, which the event loop explains by err.
+func endReason(err error) gatherer.WithdrawReason {
+	switch {
+	case err == nil:
+		return gatherer.ClosedHere
+	case errors.Is(err, io.EOF):
+		return gatherer.ConnectionEnded
+	}
+	return gatherer.ConnectionReset
+}
+
 var statusByEnd = map[frame.PartOutcome]eiderwinch.Status{
 	frame.Served: eiderwinch.OK, frame.Failed: eiderwinch.Failed, frame.Skipped: eiderwinch.Full,
 }
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -181,7 +181,7 @@
 		return
 	}
 	for _, a := range attempts {
-		node.log.Debug("part sent", "part", a.PartID(), "searcher", c.searcher.id, "waited", now.Sub(a.DecidedAt()),
+		node.log.Debug("part sent", "part", a.PartID(), "attempt", a.Number(), "searcher", c.searcher.id, "waited", now.Sub(a.DecidedAt()),
 			"buffered", c.conn.Buffered(), "last_news", now.Sub(node.watch.lastUpdate))
 	}
 }
@@ -222,9 +222,9 @@
 	now := time.Now()
 	if len(c.inFlight) > 0 {
 		c.pool.node.log.Debug("connection to a searcher closed with parts in flight", "searcher", c.searcher.id, "parts", len(c.inFlight),
-			"buffered", c.conn.Buffered(), "reason", reason)
+			"buffered", c.conn.Buffered(), "abandoned", c.answers.Abandoned(), "provisional", c.answers.HasProvisional(), "reason", reason)
 	}
-	c.withdrawAtEnd(now)
+	c.withdrawAtEnd(now, endReason(reason))
 	flushed := c.flushed()
 	unanswered := c.inFlight
 	if !c.retired {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -18,6 +18,10 @@
 
 	Rejected map[string]int // of Malformed, by the text of the status
 
+	RejectedSendsBy map[string]int // of RejectedSends, by reason
+
+	WithdrawnBy map[string]int // of Withdrawn, by reason
+
 	GivenUpCalls map[string]int // of KeptCalls: given up before their last byte was sent, because a part might not be sent any more, by reason
 
 	Whole               int // answers marked whole
@@ -127,7 +131,7 @@
 // New returns counters that are all 0.
 func New() *Counters {
 	return &Counters{
-		Evicted: make(map[string]int), Rejected: make(map[string]int), GivenUpCalls: make(map[string]int), ClosedClients: make(map[string]int), HeldBytes: make(map[string]int),
+		Evicted: make(map[string]int), Rejected: make(map[string]int), GivenUpCalls: make(map[string]int), RejectedSendsBy: make(map[string]int), WithdrawnBy: make(map[string]int), ClosedClients: make(map[string]int), HeldBytes: make(map[string]int),
 	}
 }
 
@@ -164,6 +168,8 @@
 			"beside", c.ParallelDials, "half_open", c.HalfOpen, "spoilt", c.MalformedConns, "held_back", c.StoppedForDrain,
 			"outlived", c.ConnsToRestartedSearcher, "end_unread", c.SkippedClosed, "given_up", c.ClosedToAbandon, "no_room", c.StoppedForMemory),
 		group("unsent", sortedPairs(c.GivenUpCalls)...),
+		group("not_sent", sortedPairs(c.RejectedSendsBy)...),
+		group("withdrawn", sortedPairs(c.WithdrawnBy)...),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut, "unread", c.ExpiredUnread,
 			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "provisional", c.Provisional, "withdrawn", c.Withdrawn, "refuted_late", c.RefutedLate,
 			"reports", c.Reports, "reports_bad", c.MalformedReports),
