--- a/internal/trial/fake/deployment.go
+++ b/internal/trial/fake/deployment.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"eiderwinch/internal/layout"
+	"eiderwinch/internal/trial/partaudit"
 )
 
 // DeploymentOptions configures a Deployment.
@@ -17,7 +18,10 @@
 	SegmentsPerCell int           // 0 means 3
 	ServiceTime     time.Duration // median time to serve a part; 0 means 6 ms
 	Seed            uint64
-	Received        func(Part) // see SearcherOptions
+	Received        func(Part) // see SearcherOptions, as for the next three
+	Slots           int
+	Audit           *partaudit.Audit
+	Trouble         func(p Part, waiting int) Trouble
 
 	// Ring places the segments in a ring: each searcher is the first holder of two segments,
 	// which the next searcher holds as well. Cells and SegmentsPerCell are ignored.
@@ -111,7 +115,7 @@
 }
 
 func (d *Deployment) newSearcher(id string) (*Searcher, error) {
-	return NewSearcher(SearcherOptions{ID: id, Handler: d.handler, CallCost: callCost, Received: d.opts.Received})
+	return NewSearcher(SearcherOptions{ID: id, Handler: d.handler, CallCost: callCost, Received: d.opts.Received, Slots: d.opts.Slots, Audit: d.opts.Audit, Trouble: d.opts.Trouble})
 }
 
 // InitialLayout returns the initial layout. It is nil if the segments are assigned by cell.
--- a/internal/trial/fake/searcher.go
+++ b/internal/trial/fake/searcher.go
@@ -9,7 +9,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"eiderwinch/internal/trial/partaudit"
 )
 
 // Part is one part of a call, as parsed by a searcher.
@@ -60,6 +63,12 @@
 
 	// Received is called with each part as soon as its frame has arrived; nil for none. It must be safe for concurrent use.
 	Received func(Part)
+
+	// Audit is told of all parts that are received and answered; nil for none.
+	Audit *partaudit.Audit
+	// Trouble returns the trouble that comes with an answer to a part, beside which a number of other parts wait on the
+	// connection; nil for none. It must be safe for concurrent use.
+	Trouble func(p Part, waiting int) Trouble
 }
 
 // Searcher is a fake searcher on loopback. Its methods are safe for concurrent use.
@@ -147,8 +156,10 @@
 
 // gathererConn is a gatherer's connection to the searcher.
 type gathererConn struct {
-	conn net.Conn
-	mu   sync.Mutex // guards writes
+	conn     net.Conn
+	mu       sync.Mutex // guards writes and unusable
+	unusable bool       // nothing more is answered on the connection, see Trouble
+	waiting  atomic.Int64
 
 	cancelByPart sync.Map // part id -> chan struct{}, closed by a cancel frame
 }
@@ -209,10 +220,12 @@
 func (s *Searcher) acceptCall(g *gathererConn, list []Part, activeParts *sync.WaitGroup) {
 	cost := s.opts.CallCost
 	s.updateCounts(func(n *Counts) { n.Calls++; n.Parts += len(list) })
+	g.waiting.Add(int64(len(list)))
 	for _, p := range list {
 		if s.opts.Received != nil {
 			s.opts.Received(p)
 		}
+		s.opts.Audit.Received(p.ID, s.opts.ID, time.Now())
 		s.mu.Lock()
 		draining := s.draining
 		if draining {
@@ -250,6 +263,7 @@
 	select {
 	case s.running <- struct{}{}:
 	case <-cancelled:
+		g.waiting.Add(-1)
 		return
 	case <-s.closed:
 		return
@@ -265,10 +279,18 @@
 			return
 		}
 	}
-	s.answer(g, p, a)
+	good := s.answer(g, p, a)
+	select {
+	case <-cancelled: // the part was given up before: its answer does not end it
+	default:
+		if good {
+			s.opts.Audit.Answered(p.ID, s.opts.ID, time.Now())
+		}
+	}
 }
 
-func (s *Searcher) answer(g *gathererConn, p Part, a Answer) {
+// answer writes the answer to a part. It reports whether that was a whole good answer.
+func (s *Searcher) answer(g *gathererConn, p Part, a Answer) (good bool) {
 	s.updateCounts(func(n *Counts) {
 		switch a.Outcome {
 		case Served:
@@ -279,7 +301,9 @@
 			n.Skipped++
 		}
 	})
-	g.write(fmt.Sprintf("a%s %s %d -\n%s", p.ID, a.Outcome, a.Score, a.Value))
+	g.waiting.Add(-1)
+	good = g.writeTroubled(fmt.Sprintf("a%s %s %d -\n%s", p.ID, a.Outcome, a.Score, a.Value), s.drawTrouble(g, p, a))
+	return good && a.Outcome == Served
 }
 
 // errMalformedFrame is wrapped by the errors about malformed frames and calls.
