Keep a part over once its answer was read whole, also when the answer is in doubt

Cause: an answer beside waiting parts is provisional. When its connection ended, or data that is no answer came behind it, Core.Withdraw took it back as if it were spoilt for certain, and forgot that there was one: the module tried the part again, and nothing in the core stood against that.

Change: partAnswers in the core owns whether a part is over; startAttempt asks it, whatever the module has decided, and rejects, counts and logs the send (not_sent.answered). Nothing can tell whether such an answer was good or spoilt, so it is in doubt: neither served nor asked for again (event InDoubt in place of a Reset after an OK). A class that may be answered in part goes on without it, a safe query is refused at once, others fail. An answer that is read together with the data behind it is treated alike; it was dropped before. Of two provisional copies the one that is confirmed counts now, whichever came first.

Why this works: no path leads from 'answered' back to 'unanswered' any more; the set of answers of a part only grows.

Tests of the root, gatherer, answerstream, netio, daemon and trial packages pass.

--- a/admission.go
+++ b/admission.go
@@ -162,7 +162,7 @@
 		return // load is not the reason: other calls are quick
 	}
 	for _, p := range query.parts {
-		if p.answeredBy == nil && len(p.attempts) > 0 {
+		if !p.isOver() && len(p.attempts) > 0 {
 			a.replicaGroup(p.Part).reduceAdmission(admissionDecrease)
 		}
 	}
--- a/aggregator.go
+++ b/aggregator.go
@@ -159,6 +159,8 @@
 			a.handleOutcome(event)
 		case Confirmed:
 			a.handleConfirmed(event)
+		case InDoubt:
+			a.handleInDoubt(event)
 		case Gone:
 			if q := a.openQueries[event.Query]; q != nil {
 				a.closeQuery(q)
--- a/api.go
+++ b/api.go
@@ -136,8 +136,7 @@
 // String returns the status's name in logs.
 func (s Status) String() string { return statusNames[s] }
 
-// Outcome ends one attempt. Each Send is followed by exactly one, except that a Reset may follow a
-// provisional OK before the query's final answer: the answer is withdrawn.
+// Outcome ends one attempt. Each Send is followed by exactly one.
 type Outcome struct {
 	Part    uint64
 	Attempt int // counted from 0 in the order of the part's Sends
@@ -146,8 +145,8 @@
 	Took    time.Duration // from the Send until the end
 	Load    *Load         // as the replica reported it with its answer; nil if it did not
 
-	// Provisional is whether an answer that is OK may still turn out to be spoilt. Either Confirmed or a
-	// Reset follows, if the part's query is open for that long.
+	// Provisional is whether an answer that is OK may still turn out to be spoilt. Either Confirmed or
+	// InDoubt follows, if the part's query is open for that long.
 	Provisional bool
 	// ClosedByGatherer is whether a Reset is of a connection that the gatherer itself has closed because of
 	// another part: it does not show that the replica has crashed.
@@ -160,6 +159,14 @@
 	Attempt int
 }
 
+// InDoubt reports that a replica may have answered a part, and that nothing can show any more whether the
+// answer is good. It must not be used, and the part must not be sent again: the first would be wrong if the
+// answer was spoilt, the second if it was good. Only the answer to another attempt in flight can still count.
+type InDoubt struct {
+	Part    uint64
+	Attempt int
+}
+
 // Load is what a replica reports of itself. It may be seconds old and is somewhat noisy.
 type Load struct {
 	Waiting float64 // parts that wait to be served, from all gatherers; 0 or more
@@ -220,6 +227,7 @@
 func (Query) event()      {}
 func (SecondStep) event() {}
 func (Outcome) event()    {}
+func (InDoubt) event()    {}
 func (Confirmed) event()  {}
 func (Gone) event()       {}
 func (ListChange) event() {}
--- a/completion.go
+++ b/completion.go
@@ -57,10 +57,12 @@
 }
 
 // awaitsConfirmation reports whether a query that could be answered has to wait because an answer of its
-// parts is provisional. It waits until that is confirmed or withdrawn, but not until the wait would cost the
+// parts is provisional. It waits until that is confirmed or in doubt, but not until the wait would cost the
 // query some of its worth.
 func (a *Aggregator) awaitsConfirmation(q *query) bool {
-	isProvisional := func(p *part) bool { return p.answeredBy != nil && p.answeredBy.provisional }
+	isProvisional := func(p *part) bool {
+		return p.answeredBy != nil && p.answeredBy.answer == provisionalAnswer
+	}
 	if !slices.ContainsFunc(q.parts, isProvisional) {
 		q.confirmBy = 0
 		return false
--- a/health.go
+++ b/health.go
@@ -121,7 +121,7 @@
 	withoutCopies := !a.settings.SecondCopies
 	for _, attempt := range s.inFlight {
 		class := attempt.part.query.class
-		if class.Effect == Safe && !attempt.cancelled && class.typicalLatency > 0 &&
+		if class.Effect == Safe && !attempt.cancelled && !attempt.part.isOver() && class.typicalLatency > 0 &&
 			float64(a.silentFor(attempt)) >= factor*class.typicalLatency &&
 			(attempt.noResponseSince() &&
 				(a.deadConnEvidence >= 1 || withoutCopies && class.hasQuickCalls()) ||
--- a/internal/answerstream/stream.go
+++ b/internal/answerstream/stream.go
@@ -13,8 +13,8 @@
 // nothing.
 //
 // An answer with other parts waiting is therefore provisional until the next answer confirms it.
-// No time limit does: nothing bounds the time between two pieces of what a searcher sends. The end of
-// the connection refutes it, since it may have cut off what was to stand behind the answer. Whoever
+// No time limit does: nothing bounds the time between two pieces of what a searcher sends. At the end of
+// the connection it is in doubt, since the end may have cut off what was to stand behind the answer. Whoever
 // uses a provisional answer has to wait for its confirmation for as long as its query allows.
 package answerstream
 
@@ -118,24 +118,14 @@
 }
 
 // Receive takes data that has arrived. An error means that nothing more can be read from the
-// connection. The answers returned with it may be used all the same, and none of them is provisional;
-// see also Refuted.
+// connection. The answers returned with it are valid all the same, but a provisional one is in doubt
+// then; see Doubtful.
 func (s *Stream) Receive(now time.Time, data []byte) (r Received, err error) {
 	s.parser.Feed(data)
-	if err = s.receiveFrames(now, &r); err != nil {
-		r.dropProvisional(s)
-	}
+	err = s.receiveFrames(now, &r)
 	return r, err
 }
 
-// dropProvisional drops an answer that was received in the same data as what refutes it.
-func (r *Received) dropProvisional(s *Stream) {
-	if n := len(r.Answers); n > 0 && r.Answers[n-1].Provisional {
-		r.Answers = r.Answers[:n-1]
-		s.last.Provisional = false
-	}
-}
-
 // receiveFrames handles all complete frames.
 func (s *Stream) receiveFrames(now time.Time, r *Received) error {
 	for {
@@ -262,10 +252,12 @@
 // HasProvisional reports whether the last answer is provisional.
 func (s *Stream) HasProvisional() bool { return s.last.Provisional }
 
-// Refuted returns the ID of the provisional answer, if there is one, which must not be used any more. It is
+// Doubtful returns the ID of the provisional answer, if there is one, which must not be used any more. It is
 // called once the connection can't be read any further: after an error of Receive, if a frame has stayed
 // incomplete for too long, or at the end of the connection, since what stood behind the answer may be missing.
-func (s *Stream) Refuted() (id string, ok bool) {
+// The answer may have been good all the same: data that is no answer may be the rest of it, or what a searcher
+// has sent in place of the answer to another part.
+func (s *Stream) Doubtful() (id string, ok bool) {
 	if !s.last.Provisional {
 		return "", false
 	}
--- a/internal/gatherer/attempt_log.go
+++ b/internal/gatherer/attempt_log.go
@@ -10,11 +10,10 @@
 
 // The changes. The log lines of package netio tell when an attempt was written and when its connection was closed.
 const (
-	attemptDecided   attemptChange = "decided"
-	attemptEnded     attemptChange = "ended"
-	answerConfirmed  attemptChange = "answer confirmed"
-	answerWithdrawn  attemptChange = "answer withdrawn"
-	answerSuperseded attemptChange = "answer superseded" // by that of another attempt
+	attemptDecided  attemptChange = "decided"
+	attemptEnded    attemptChange = "ended"
+	answerConfirmed attemptChange = "answer confirmed"
+	answerInDoubt   attemptChange = "answer in doubt"
 )
 
 // logAttempt logs a change of an attempt's state at debug level, with further keys and values.
--- a/internal/gatherer/attempts.go
+++ b/internal/gatherer/attempts.go
@@ -29,7 +29,6 @@
 	decidedAt     time.Time
 	sendBy        time.Time // when its last byte must have been sent, see TellWait; zero if its searcher was told nothing yet
 	ended         bool
-	provisional   bool                       // it was answered, and the answer may still turn out to be spoilt
 	closedHere    bool                       // its connection was closed here because of another attempt
 	deadlineTimer timerqueue.Timer[*Attempt] // expires at Deadline
 }
@@ -37,24 +36,24 @@
 // DecidedAt returns the time of the turn in which the aggregator decided on the attempt.
 func (a *Attempt) DecidedAt() time.Time { return a.decidedAt }
 
-// MayRetry reports whether the attempt's part may be sent again: it is not answered, and its
-// query is still open.
-func (a *Attempt) MayRetry() bool { return !a.part.removed && !a.part.answered }
+// MayRetry reports whether the attempt's part may be sent again: it is not over.
+func (a *Attempt) MayRetry() bool { return a.part.overBar() == SendAllowed }
 
-// AwaitsConfirmation reports whether the attempt's answer is provisional, and its query is still open.
+// AwaitsConfirmation reports whether the attempt's answer is provisional and to be used, and its query is still open.
 func (a *Attempt) AwaitsConfirmation() bool {
-	return a.provisional && !a.part.removed && a.part.answeredBy == a
+	best := a.part.answers.best()
+	return !a.part.removed && best != nil && best.attempt == a && best.state == provisionalAnswer
 }
 
 // PartID returns the ID of the attempt's part as sent to searchers: the query's trace, the
 // shard, and ".b" in a second step. All attempts of a part have the same ID.
-func (a *Attempt) PartID() string { return a.part.wireID() }
+func (a *Attempt) PartID() string { return partID(a.Trace, a.Shard, a.IsSecondStep) }
 
 // Number returns the number of the attempt among those of its part, counted from 0.
 func (a *Attempt) Number() int { return a.number }
 
 // startAttempt starts one attempt, or returns nil if it must not be sent. Whatever the
-// aggregator decided, a send is rejected if it would break a rule: for a removed part, while
+// aggregator decided, a send is rejected if it would break a rule: for a part that is over, while
 // another attempt is in flight unless maySendSecondCopy allows it, beyond the limit on
 // attempts, to a searcher that does not hold the part's segment in the query's epoch, or to
 // one that is not ready. Nothing is sent for a client that has disconnected either.
@@ -105,9 +104,10 @@
 		maxAttempts = classLimit
 	}
 	holders := p.query.holders(p.shard)
+	over := p.overBar()
 	switch {
-	case p.removed:
-		return ResultUnwanted
+	case over != SendAllowed:
+		return over
 	case len(p.inFlight) > 0 && !c.maySendSecondCopy(p, searcher):
 		return SecondCopyBarred
 	case maxAttempts > 0 && p.attempts >= maxAttempts:
@@ -124,7 +124,7 @@
 // SendAllowed. The others are for clients that have disconnected.
 func (c *Core) rejectSend(p *part, searcher string, bar SendBar) {
 	if bar != SendAllowed {
-		c.log.Warn("send rejected", "part", p.wireID(), "attempt", p.attempts, "searcher", searcher, "reason", bar)
+		c.log.Warn("send rejected", "part", partID(p.query.trace, p.shard, p.secondStep), "attempt", p.attempts, "searcher", searcher, "reason", bar)
 		c.stats.RejectedSends++
 		c.stats.RejectedSendsBy[bar.String()]++
 	}
@@ -152,7 +152,7 @@
 	}
 	if i := slices.IndexFunc(p.inFlight, func(a *Attempt) bool { return a.number == action.Attempt }); i >= 0 {
 		a := p.inFlight[i]
-		c.endAttempt(c.now, a, eiderwinch.Cancelled)
+		c.endAttempt(c.now, a, eiderwinch.Cancelled, false)
 		c.searchers.Abandon(a)
 	}
 }
@@ -169,7 +169,7 @@
 			c.inFlight.Set(&t.Value.deadlineTimer, c.nextTurn)
 			continue
 		}
-		c.endAttempt(c.now, t.Value, eiderwinch.TimedOut)
+		c.endAttempt(c.now, t.Value, eiderwinch.TimedOut, false)
 		c.searchers.Abandon(t.Value)
 	}
 }
@@ -188,9 +188,9 @@
 	return q.disconnected
 }
 
-// endAttempt ends an attempt and adds the Outcome event for the aggregator. It returns false if
-// the attempt had ended before.
-func (c *Core) endAttempt(now time.Time, a *Attempt, status eiderwinch.Status) bool {
+// endAttempt ends an attempt and adds the Outcome event for the aggregator. provisional is whether it has a provisional
+// answer. It returns false if the attempt had ended before.
+func (c *Core) endAttempt(now time.Time, a *Attempt, status eiderwinch.Status, provisional bool) bool {
 	if a.ended {
 		return false
 	}
@@ -202,10 +202,10 @@
 		a.part.mayHaveRunFrom = earlier(a.part.mayHaveRunFrom, a.decidedAt)
 	}
 	c.countOutcome(status)
-	c.logAttempt(a, attemptEnded, "status", status, "took", now.Sub(a.decidedAt), "provisional", a.provisional, "closed_here", a.closedHere)
+	c.logAttempt(a, attemptEnded, "status", status, "took", now.Sub(a.decidedAt), "provisional", provisional, "closed_here", a.closedHere)
 	c.addEvent(now, eiderwinch.Outcome{
 		Part: a.part.id, Attempt: a.number, Replica: a.Searcher, Status: status, Took: now.Sub(a.decidedAt), Load: a.Load,
-		Provisional: a.provisional, ClosedByGatherer: a.closedHere,
+		Provisional: provisional, ClosedByGatherer: a.closedHere,
 	})
 	return true
 }
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -18,63 +18,67 @@
 // Result records a searcher's answer to an attempt: OK with a score and a value, or
 // Failed or Full. Results of attempts that have ended are ignored.
 func (c *Core) Result(now time.Time, a *Attempt, status eiderwinch.Status, score int64, value string) {
-	if c.endAttempt(now, a, status) && status == eiderwinch.OK {
-		a.part.setAnswer(now, a, score, value)
+	if c.endAttempt(now, a, status, false) && status == eiderwinch.OK {
+		a.part.addAnswer(&answer{attempt: a, state: finalAnswer, readAt: now, finalAt: now, score: score, value: value})
 	}
 }
 
 // ProvisionalResult records an answer that was OK, as Result does, but may still turn out to be spoilt. Unless its query
-// ends first, Confirm or Withdraw follows.
+// ends first, Confirm or Doubt follows.
 func (c *Core) ProvisionalResult(now time.Time, a *Attempt, score int64, value string) {
-	a.provisional = true
 	c.stats.Provisional++
-	c.Result(now, a, eiderwinch.OK, score, value)
+	if c.endAttempt(now, a, eiderwinch.OK, true) {
+		a.part.addAnswer(&answer{attempt: a, state: provisionalAnswer, readAt: now, score: score, value: value})
+	}
 }
 
 // Confirm makes the answer of a ProvisionalResult final.
 func (c *Core) Confirm(now time.Time, a *Attempt) {
-	a.provisional = false
-	c.logAttempt(a, answerConfirmed, "used", a.part.answeredBy == a)
-	if a.part.answeredBy == a {
-		a.part.finalAt = now
+	x := a.part.answers.of(a)
+	if x == nil || x.state != provisionalAnswer {
+		return
 	}
+	x.state, x.finalAt = finalAnswer, now
+	c.logAttempt(a, answerConfirmed, "used", a.part.used == x)
 	if !a.part.removed {
 		c.addEvent(now, eiderwinch.Confirmed{Part: a.part.id, Attempt: a.number})
 	}
 }
 
-// WithdrawReason is why an answer is withdrawn, as counters and the log name it.
-type WithdrawReason string
+// DoubtReason is why an answer is in doubt, as counters and the log name it.
+type DoubtReason string
 
 // The reasons.
 const (
-	ConnectionEnded WithdrawReason = "ended"      // by the searcher
-	ConnectionReset WithdrawReason = "reset"      // by the searcher or the network
-	ClosedHere      WithdrawReason = "closed"     // by this gatherer
-	InvalidData     WithdrawReason = "invalid"    // data that is no answer to a part that waits
-	IncompleteFrame WithdrawReason = "incomplete" // a frame whose rest did not come in time
+	ConnectionEnded DoubtReason = "ended"      // by the searcher
+	ConnectionReset DoubtReason = "reset"      // by the searcher or the network
+	ClosedHere      DoubtReason = "closed"     // by this gatherer
+	InvalidData     DoubtReason = "invalid"    // data that is no answer to a part that waits
+	IncompleteFrame DoubtReason = "incomplete" // a frame whose rest did not come in time
 )
 
-// Withdraw takes back the answer of a ProvisionalResult: it has turned out to be spoilt, or nothing can confirm it any more.
-// The attempt may have been executed. Once the query has its final answer, nothing can be taken back: Withdraw returns
-// false.
-func (c *Core) Withdraw(now time.Time, a *Attempt, reason WithdrawReason) bool {
+// Doubt takes back the answer of a ProvisionalResult, because nothing can show any more whether it is good or spoilt. It must
+// not be used then; and the part stays over, since a good answer has ended it. Once the query has its final answer, nothing
+// can be taken back: Doubt returns false.
+func (c *Core) Doubt(now time.Time, a *Attempt, reason DoubtReason) bool {
 	p := a.part
-	a.provisional = false
-	c.logAttempt(a, answerWithdrawn, "reason", string(reason), "used", p.used, "query_open", !p.removed, "since_answer", now.Sub(p.answeredAt))
-	if p.answeredBy == a && p.used {
+	x := p.answers.of(a)
+	if x == nil || x.state != provisionalAnswer {
+		return false
+	}
+	c.logAttempt(a, answerInDoubt, "reason", string(reason), "used", p.used == x, "query_open", !p.removed, "since_answer", now.Sub(x.readAt))
+	if p.used == x {
 		c.stats.RefutedLate++
-		c.log.Warn("answer refuted after it was used", "trace", a.Trace, "shard", a.Shard, "searcher", a.Searcher, "since_answer", now.Sub(p.answeredAt))
+		c.log.Warn("answer refuted after it was used", "trace", a.Trace, "shard", a.Shard, "searcher", a.Searcher, "since_answer", now.Sub(x.readAt))
 	}
-	if p.removed || p.answeredBy != a {
+	x.state = doubtfulAnswer
+	p.dropValue(x)
+	if p.removed {
 		return false
 	}
-	p.clearAnswer()
-	c.stats.Withdrawn++
-	c.stats.WithdrawnBy[string(reason)]++
-	c.addEvent(now, eiderwinch.Outcome{
-		Part: p.id, Attempt: a.number, Replica: a.Searcher, Status: eiderwinch.Reset, Took: now.Sub(a.decidedAt),
-	})
+	c.stats.InDoubt++
+	c.stats.InDoubtBy[string(reason)]++
+	c.addEvent(now, eiderwinch.InDoubt{Part: p.id, Attempt: a.number})
 	return true
 }
 
@@ -85,20 +89,22 @@
 		c.TakenBack(now, a)
 		return
 	}
-	c.endAttempt(now, a, eiderwinch.NoConnection)
+	c.endAttempt(now, a, eiderwinch.NoConnection, false)
 }
 
 // TakenBack ends an attempt that was never written whole, so it certainly was not executed, for a reason that does not count
 // against its searcher.
-func (c *Core) TakenBack(now time.Time, a *Attempt) { c.endAttempt(now, a, eiderwinch.NotSent) }
+func (c *Core) TakenBack(now time.Time, a *Attempt) { c.endAttempt(now, a, eiderwinch.NotSent, false) }
 
 // ConnectionBroken ends an attempt whose connection broke after the attempt may have arrived.
-func (c *Core) ConnectionBroken(now time.Time, a *Attempt) { c.endAttempt(now, a, eiderwinch.Reset) }
+func (c *Core) ConnectionBroken(now time.Time, a *Attempt) {
+	c.endAttempt(now, a, eiderwinch.Reset, false)
+}
 
 // ConnectionClosed ends an attempt whose connection was closed here because of another attempt, after it may have arrived.
 func (c *Core) ConnectionClosed(now time.Time, a *Attempt) {
 	a.closedHere = true
-	c.endAttempt(now, a, eiderwinch.Reset)
+	c.endAttempt(now, a, eiderwinch.Reset, false)
 }
 
 // answer sends a client its answer or, if the class has a second step, starts that
@@ -127,7 +133,7 @@
 	}
 	reply := Reply{Kind: Answered, Whole: whole}
 	for _, p := range answered {
-		reply.Values = append(reply.Values, ShardValue{Shard: p.shard, Value: p.value})
+		reply.Values = append(reply.Values, ShardValue{Shard: p.shard, Value: p.used.value})
 	}
 	c.complete(q, reply)
 }
@@ -138,12 +144,12 @@
 	var lastAnswered, lastFinal time.Time
 	unconfirmed := false
 	for _, p := range answered {
-		p.used = true
-		finalAt := p.finalAt
+		p.used = p.answers.best()
+		finalAt := p.used.finalAt
 		if finalAt.IsZero() {
 			unconfirmed, finalAt = true, c.now
 		}
-		lastAnswered, lastFinal = later(lastAnswered, p.answeredAt), later(lastFinal, finalAt)
+		lastAnswered, lastFinal = later(lastAnswered, p.answers.firstReadAt()), later(lastFinal, finalAt)
 	}
 	if unconfirmed {
 		c.stats.Unconfirmed++
@@ -184,7 +190,7 @@
 	}
 	slices.Sort(q.firstStepShards)
 	slices.SortStableFunc(answered, func(x, y *part) int {
-		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.shard, y.shard))
+		return cmp.Or(cmp.Compare(y.used.score, x.used.score), cmp.Compare(x.shard, y.shard))
 	})
 	c.removeParts(q)
 	event := eiderwinch.SecondStep{Query: q.id}
@@ -301,7 +307,7 @@
 	}
 	answered, inFlight, attempts := 0, 0, 0
 	for _, p := range q.parts {
-		if p.answered {
+		if p.answers.best() != nil {
 			answered++
 		}
 		inFlight += len(p.inFlight)
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -6,7 +6,6 @@
 
 	"eiderwinch"
 	"eiderwinch/internal/layout"
-	"eiderwinch/internal/memory"
 	"eiderwinch/internal/timerqueue"
 )
 
@@ -42,7 +41,8 @@
 // something stands behind that may refute it.
 func (c *Core) usableParts(q *query) (usable []*part, weight float64) {
 	for _, p := range q.parts {
-		if p.answered && !(p.answeredBy.provisional && c.searchers.DataBehind(p.answeredBy)) {
+		best := p.answers.best()
+		if best != nil && !(best.state == provisionalAnswer && c.searchers.DataBehind(best.attempt)) {
 			usable = append(usable, p)
 			weight += p.weight
 		}
@@ -62,50 +62,19 @@
 	inFlight       []*Attempt // at most one, or maxInFlight where second copies are allowed
 	removed        bool       // the step or query has ended; results are ignored
 	mayHaveRunFrom time.Time  // time of the turn that started the earliest attempt that has ended and may have run; zero if there is none
-
-	answered   bool
-	answeredBy *Attempt // the attempt that value is from; nil if there is none
-	answeredAt time.Time
-	finalAt    time.Time // when the answer became final; zero while it is provisional
-	used       bool      // the answer stands in the query's final one, or its second step names it
-	score      int64
-	value      string
+	answers        partAnswers
+	used           *answer // the answer that stands in the query's final one, or for which its second step names the part
 }
 
-// wireID returns the part's ID as sent to searchers.
-func (p *part) wireID() string {
-	id := p.query.trace + "." + strconv.Itoa(p.shard)
-	if p.secondStep {
+// partID returns the ID of a part as sent to searchers.
+func partID(trace string, shard int, secondStep bool) string {
+	id := trace + "." + strconv.Itoa(shard)
+	if secondStep {
 		id += ".b"
 	}
 	return id
 }
 
-// setAnswer records an answer of an attempt, unless the part has one. A final answer replaces a provisional one.
-func (p *part) setAnswer(now time.Time, a *Attempt, score int64, value string) {
-	replaces := p.answered && p.answeredBy.provisional && !a.provisional
-	if p.removed || p.answered && !replaces {
-		return
-	}
-	if !replaces {
-		p.answeredAt = now
-	}
-	p.clearAnswer()
-	if !a.provisional {
-		p.finalAt = now
-	}
-	p.answered, p.answeredBy, p.score, p.value = true, a, score, value
-	p.query.hold(memory.BufferSize(len(value)))
-}
-
-// clearAnswer takes back the part's answer, if it has one.
-func (p *part) clearAnswer() {
-	if p.answered {
-		p.query.hold(-memory.BufferSize(len(p.value)))
-	}
-	p.answered, p.answeredBy, p.finalAt, p.score, p.value = false, nil, time.Time{}, 0, ""
-}
-
 // modulePart returns the part in the form that the decision module takes.
 func (p *part) modulePart() eiderwinch.Part {
 	return eiderwinch.Part{ID: p.id, Shard: p.shard, Weight: p.weight, Holders: p.query.holders(p.shard)}
--- a/internal/gatherer/sending.go
+++ b/internal/gatherer/sending.go
@@ -20,12 +20,13 @@
 	SecondCopyBarred         // another attempt of the part is in flight
 	AttemptsUsed             // the part has had as many attempts as it may
 	NotHolder                // the searcher does not hold the part's segment in the query's epoch
+	PartAnswered             // the part has an answer, be it one that can't be used
 )
 
 // sendBarNames are the names of the reasons in counters and logs.
 var sendBarNames = map[SendBar]string{
 	SendAllowed: "allowed", ResultUnwanted: "unwanted", AttemptOver: "over", ToldTooMuch: "told", RepeatWindowOver: "window", SearcherNotReady: "not_ready",
-	SecondCopyBarred: "second_copy", AttemptsUsed: "attempts", NotHolder: "not_holder",
+	SecondCopyBarred: "second_copy", AttemptsUsed: "attempts", NotHolder: "not_holder", PartAnswered: "answered",
 }
 
 // String returns the reason's name in counters and logs.
--- a/internal/netio/searcheranswers.go
+++ b/internal/netio/searcheranswers.go
@@ -95,28 +95,28 @@
 	c.pool.node.core.Confirm(now, c.endProvisional())
 }
 
-// withdrawProvisional withdraws the provisional answer, if there is one, because nothing can confirm it any more. It reports
+// doubtProvisional takes back the provisional answer, if there is one, because nothing can confirm it any more. It reports
 // whether it could still do so.
-func (c *searcherConn) withdrawProvisional(now time.Time, reason gatherer.WithdrawReason) bool {
-	if _, ok := c.answers.Refuted(); !ok {
+func (c *searcherConn) doubtProvisional(now time.Time, reason gatherer.DoubtReason) bool {
+	if _, ok := c.answers.Doubtful(); !ok {
 		return false
 	}
-	return c.pool.node.core.Withdraw(now, c.endProvisional(), reason)
+	return c.pool.node.core.Doubt(now, c.endProvisional(), reason)
 }
 
 // closeMalformed closes a connection that carried a frame that is invalid, unsolicited or incomplete for too long:
 // the attempts in flight on it would only wait for their time-out. They end as those of a broken connection. A provisional
-// answer is withdrawn; all others stay.
-func (c *searcherConn) closeMalformed(message string, reason gatherer.WithdrawReason, detail any) {
+// answer is in doubt then; all others stay.
+func (c *searcherConn) closeMalformed(message string, reason gatherer.DoubtReason, detail any) {
 	if c.malformed {
 		return
 	}
 	now := time.Now()
 	lastAnswered, answeredAt, basis := c.answers.LastAnswered()
-	withdrawn := c.withdrawProvisional(now, reason)
+	inDoubt := c.doubtProvisional(now, reason)
 	c.pool.node.stats.MalformedConns++
 	c.pool.node.log.Warn(message, "searcher", c.searcher.id, "parts", len(c.inFlight), "detail", detail, "last_answered", lastAnswered,
-		"since_answer", now.Sub(answeredAt), "basis", basis, "withdrawn", withdrawn, "unparsed", fmt.Sprintf("%.32q", c.answers.Incomplete()))
+		"since_answer", now.Sub(answeredAt), "basis", basis, "in_doubt", inDoubt, "unparsed", fmt.Sprintf("%.32q", c.answers.Incomplete()))
 	c.malformed = true
 	c.pool.timers.Stop(&c.frameTimer)
 	c.close()
@@ -128,18 +128,18 @@
 	c.closeMalformed("incomplete frame from searcher", gatherer.IncompleteFrame, len(c.answers.Incomplete()))
 }
 
-// withdrawAtEnd withdraws the provisional answer when the connection has ended. If it was used before, the end shows nothing of it.
-func (c *searcherConn) withdrawAtEnd(now time.Time, reason gatherer.WithdrawReason) {
+// doubtAtEnd takes back the provisional answer when the connection has ended. If it was used before, the end shows nothing of it.
+func (c *searcherConn) doubtAtEnd(now time.Time, reason gatherer.DoubtReason) {
 	if c.provisional == nil || c.provisional.AwaitsConfirmation() {
-		c.withdrawProvisional(now, reason)
+		c.doubtProvisional(now, reason)
 		return
 	}
-	c.answers.Refuted()
+	c.answers.Doubtful()
 	c.endProvisional()
 }
 
-// endReason returns why a provisional answer is withdrawn at the end of its connection, which the event loop explains by err.
-func endReason(err error) gatherer.WithdrawReason {
+// endReason returns why a provisional answer is in doubt at the end of its connection, which the event loop explains by err.
+func endReason(err error) gatherer.DoubtReason {
 	switch {
 	case err == nil:
 		return gatherer.ClosedHere
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -224,7 +224,7 @@
 		c.pool.node.log.Debug("connection to a searcher closed with parts in flight", "searcher", c.searcher.id, "parts", len(c.inFlight),
 			"buffered", c.conn.Buffered(), "abandoned", c.answers.Abandoned(), "provisional", c.answers.HasProvisional(), "reason", reason)
 	}
-	c.withdrawAtEnd(now, endReason(reason))
+	c.doubtAtEnd(now, endReason(reason))
 	flushed := c.flushed()
 	unanswered := c.inFlight
 	if !c.retired {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -20,7 +20,7 @@
 
 	RejectedSendsBy map[string]int // of RejectedSends, by reason
 
-	WithdrawnBy map[string]int // of Withdrawn, by reason
+	InDoubtBy map[string]int // of InDoubt, by reason
 
 	GivenUpCalls map[string]int // of KeptCalls: given up before their last byte was sent, because a part might not be sent any more, by reason
 
@@ -57,7 +57,7 @@
 	Reset            int
 	Cancelled        int
 	Provisional      int // of OK: answers while other parts waited on their connection and nothing behind them confirmed them yet
-	Withdrawn        int // of Provisional: answers that were refuted before their query had its final answer
+	InDoubt          int // answers that nothing can show to be good or spoilt any more, before their query had its final answer
 	RefutedLate      int // of Provisional: answers that were refuted after they had been used
 	Reports          int // of OK, Errors and Skipped: answers with a load report that is used
 	MalformedReports int // of OK, Errors and Skipped: answers with a load report that can't be used
@@ -131,7 +131,7 @@
 // New returns counters that are all 0.
 func New() *Counters {
 	return &Counters{
-		Evicted: make(map[string]int), Rejected: make(map[string]int), GivenUpCalls: make(map[string]int), RejectedSendsBy: make(map[string]int), WithdrawnBy: make(map[string]int), ClosedClients: make(map[string]int), HeldBytes: make(map[string]int),
+		Evicted: make(map[string]int), Rejected: make(map[string]int), GivenUpCalls: make(map[string]int), RejectedSendsBy: make(map[string]int), InDoubtBy: make(map[string]int), ClosedClients: make(map[string]int), HeldBytes: make(map[string]int),
 	}
 }
 
@@ -169,9 +169,9 @@
 			"outlived", c.ConnsToRestartedSearcher, "end_unread", c.SkippedClosed, "given_up", c.ClosedToAbandon, "no_room", c.StoppedForMemory),
 		group("unsent", sortedPairs(c.GivenUpCalls)...),
 		group("not_sent", sortedPairs(c.RejectedSendsBy)...),
-		group("withdrawn", sortedPairs(c.WithdrawnBy)...),
+		group("in_doubt", sortedPairs(c.InDoubtBy)...),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut, "unread", c.ExpiredUnread,
-			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "provisional", c.Provisional, "withdrawn", c.Withdrawn, "refuted_late", c.RefutedLate,
+			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "provisional", c.Provisional, "in_doubt", c.InDoubt, "refuted_late", c.RefutedLate,
 			"reports", c.Reports, "reports_bad", c.MalformedReports),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists,
 			"lists_bad", c.MalformedLists, "twice", c.DuplicateMembers, "news_first", c.DelayedForUpdates, "doubted", c.RejectedMembers, "reinstated", c.ReinstatedMembers, "forgotten", c.ForgottenMembers),
--- a/outcomes.go
+++ b/outcomes.go
@@ -10,7 +10,6 @@
 	}
 	attempt := part.attempts[outcome.Attempt]
 	if attempt.ended {
-		a.withdrawAnswer(attempt, outcome)
 		return
 	}
 	attempt.ended = true
@@ -18,64 +17,14 @@
 	a.removeFromSearcher(attempt)
 	a.recordOutcome(attempt, outcome)
 	attempt.neverRan = outcome.Status == Full || outcome.Status == NoConnection || outcome.Status == NotSent
-	attempt.provisional = outcome.Provisional
 	if outcome.Status == OK && !part.ended {
-		a.useAnswer(attempt)
+		a.useAnswer(attempt, outcome.Provisional)
 	}
 	if part.ended && part.inFlight == 0 {
 		delete(a.parts, part.ID)
 	}
 }
 
-// useAnswer records that an attempt has answered its part, unless another has. A final answer replaces a
-// provisional one. Until there is a final one, the part's other attempt in flight may still be needed.
-func (a *Aggregator) useAnswer(attempt *attempt) {
-	part := attempt.part
-	if part.answeredBy == nil {
-		if part.inFlight > 0 && attempt.number > 0 {
-			// The copy was useful, so its credit is returned.
-			a.secondCopyCredit = min(a.secondCopyCredit+1, maxSecondCopyCredit)
-		}
-		part.query.answeredWeight += part.Weight
-		part.query.lastAnswerAt = a.now
-	} else if attempt.provisional || !part.answeredBy.provisional {
-		return
-	}
-	part.answeredBy = attempt
-	if !attempt.provisional {
-		a.cancelAttempts(part)
-	}
-}
-
-// handleConfirmed makes a provisional answer final.
-func (a *Aggregator) handleConfirmed(event Confirmed) {
-	part := a.parts[event.Part]
-	if part == nil || event.Attempt < 0 || event.Attempt >= len(part.attempts) {
-		return
-	}
-	attempt := part.attempts[event.Attempt]
-	attempt.provisional = false
-	if part.answeredBy == attempt {
-		a.cancelAttempts(part)
-	}
-}
-
-// withdrawAnswer takes back a provisional answer: the part needs another attempt.
-func (a *Aggregator) withdrawAnswer(attempt *attempt, outcome Outcome) {
-	part := attempt.part
-	if outcome.Status != Reset || part.answeredBy != attempt || part.ended {
-		return
-	}
-	part.answeredBy, attempt.provisional = nil, false
-	part.query.answeredWeight = 0 // the sum is taken anew, so that no rounding error is left of it
-	for _, p := range part.query.parts {
-		if p.answeredBy != nil {
-			part.query.answeredWeight += p.Weight
-		}
-	}
-	a.recordFailure(attempt.searcher, attempt, 1)
-}
-
 // recordOutcome updates the typical latencies and the searcher's window and failure score by an outcome.
 func (a *Aggregator) recordOutcome(attempt *attempt, outcome Outcome) {
 	searcher, class := attempt.searcher, attempt.part.query.class
--- a/selection.go
+++ b/selection.go
@@ -10,7 +10,7 @@
 // mayAttempt reports whether a part may get a first attempt or a retry now.
 func (a *Aggregator) mayAttempt(p *part) bool {
 	anotherAllowed := p.inFlight == 0 || a.settings.SecondCopies
-	return p.answeredBy == nil && !a.isTooLateForCall(p.query) &&
+	return !p.isOver() && !a.isTooLateForCall(p.query) &&
 		(len(p.attempts) == 0 || anotherAllowed && a.mayRetry(p))
 }
 
--- a/state.go
+++ b/state.go
@@ -274,8 +274,8 @@
 	searcherIdle time.Duration // time from the searcher's last answer until it was sent
 	connReset    bool          // its connection broke, and not because the gatherer closed it
 
-	cancelled   bool // a Cancel was issued; its part may still be needed
-	provisional bool // it was answered, and the answer may still turn out to be spoilt
+	cancelled bool // a Cancel was issued; its part may still be needed
+	answer    answerState
 }
 
 // noResponseSince reports whether the searcher has answered nothing since the attempt was sent.
@@ -285,7 +285,7 @@
 type part struct {
 	Part
 	query      *query
-	answeredBy *attempt // the attempt whose answer is used; nil if the part is not answered
+	answeredBy *attempt // the attempt whose answer is used, see chooseAnswer; nil if there is none
 	attempts   []*attempt
 	inFlight   int  // number of attempts in flight
 	ended      bool // its query, or the step of the query that it belongs to, has ended
