Ask whether a part is over before each write of a call, not only in a turn

What callers would see: a second copy that begins after its part was answered, where the settings allow copies.

Cause: Core.CompletionBar, which each write of a queued or kept call asks, knew of queries that had ended and of attempts that had, not of parts that another attempt has answered. A provisional answer cancels no copy, so one that waited for its connection, or whose frame was written in part, still left.

Change: SendBar and CompletionBar ask the part's answers, as startAttempt does. Such a call is given up (unsent.answered); it does not count against its searcher.

--- a/internal/gatherer/sending.go
+++ b/internal/gatherer/sending.go
@@ -50,8 +50,11 @@
 // its last byte, so whatever bars its start bars its completion as well, except that its searcher has begun to drain: a
 // drain allows what was begun before it.
 func (c *Core) CompletionBar(now time.Time, a *Attempt) SendBar {
+	over := a.part.overBar()
 	switch {
-	case a.unwanted():
+	case over != SendAllowed:
+		return over
+	case a.part.query.client.Disconnected():
 		return ResultUnwanted
 	case a.ended || !now.Before(a.Deadline):
 		return AttemptOver
@@ -83,10 +86,11 @@
 	return wait
 }
 
-// unwanted reports whether the result of an attempt in flight is no longer needed: its query or
-// step has ended and the aggregator has not cancelled the attempt yet or may not, or the client
-// has disconnected.
-func (a *Attempt) unwanted() bool { return a.part.removed || a.part.query.client.Disconnected() }
+// unwanted reports whether the result of an attempt in flight is no longer needed: its part is over
+// and the aggregator has not cancelled the attempt yet or may not, or the client has disconnected.
+func (a *Attempt) unwanted() bool {
+	return a.part.overBar() != SendAllowed || a.part.query.client.Disconnected()
+}
 
 // repeatWindowOver reports whether an attempt of a keyed part, of which another attempt may have
 // been executed, would arrive too late for its searcher to recognize it as a repeat. The aggregator
--- a/internal/netio/unsentcall.go
+++ b/internal/netio/unsentcall.go
@@ -97,10 +97,10 @@
 	}
 }
 
-// blamesSearcher reports whether a call that was given up counts against its searcher: not if the client or the aggregator has
-// ended one of its parts, nor if this machine was short of buffers.
+// blamesSearcher reports whether a call that was given up counts against its searcher: not if one of its parts was answered by
+// another one, or ended by the client or the aggregator, nor if this machine was short of buffers.
 func blamesSearcher(bar gatherer.SendBar, stalled bool) bool {
-	return bar != gatherer.ResultUnwanted && bar != gatherer.AttemptOver && !stalled
+	return bar != gatherer.ResultUnwanted && bar != gatherer.PartAnswered && bar != gatherer.AttemptOver && !stalled
 }
 
 // stopSending ends the attempts of the unsent call by the given function. Nothing more is written to the connection, so they have
