Count a good answer to an attempt that had timed out or was cancelled before

What callers would see: a part that is sent after its searcher has answered it, if the answer crossed the cancel or came while the next attempt waited for a connection; and a query that fails or waits though all its values have arrived.

Cause: answerstream only noted that an abandoned part had been answered; its value was dropped, and neither the core nor the module learned of it. WIRE, attempt_end: 'done_flag = true: this part is over (its answer is in, [...])'. A searcher that had read the cancel does not say so, so each such answer is taken for one that was given before.

Change: a late answer is an answer like any other, provisional while others wait. Core.LateResult records it with its part's answers, so that queued retries are barred; the module gets LateAnswer, uses the value and cancels the retry in flight. Counter: outcomes.late.

--- a/aggregator.go
+++ b/aggregator.go
@@ -159,6 +159,8 @@
 			a.handleOutcome(event)
 		case Confirmed:
 			a.handleConfirmed(event)
+		case LateAnswer:
+			a.handleLateAnswer(event)
 		case InDoubt:
 			a.handleInDoubt(event)
 		case Gone:
--- a/answers.go
+++ b/answers.go
@@ -100,3 +100,13 @@
 	a.updateAnswer(attempt.part)
 	a.recordFailure(attempt.searcher, attempt, 1)
 }
+
+// handleLateAnswer uses an answer that came after the end of its attempt.
+func (a *Aggregator) handleLateAnswer(event LateAnswer) {
+	attempt := a.attemptOf(event.Part, event.Attempt)
+	if attempt == nil || !attempt.ended || attempt.answer != noAnswer || attempt.part.ended {
+		return
+	}
+	attempt.searcher.lastAnswerAt = a.now
+	a.useAnswer(attempt, event.Provisional)
+}
--- a/api.go
+++ b/api.go
@@ -159,6 +159,14 @@
 	Attempt int
 }
 
+// LateAnswer reports that an attempt was answered well after its Outcome, which was TimedOut or Cancelled.
+// The part is over, and the answer counts like any other. Provisional is as in an Outcome.
+type LateAnswer struct {
+	Part        uint64
+	Attempt     int
+	Provisional bool
+}
+
 // InDoubt reports that a replica may have answered a part, and that nothing can show any more whether the
 // answer is good. It must not be used, and the part must not be sent again: the first would be wrong if the
 // answer was spoilt, the second if it was good. Only the answer to another attempt in flight can still count.
@@ -227,6 +235,7 @@
 func (Query) event()      {}
 func (SecondStep) event() {}
 func (Outcome) event()    {}
+func (LateAnswer) event() {}
 func (InDoubt) event()    {}
 func (Confirmed) event()  {}
 func (Gone) event()       {}
--- a/doubtful_answer_test.go
+++ b/doubtful_answer_test.go
@@ -180,3 +180,24 @@
 		d.checkEqual(name+": answered", len(actionsOf[Answer](actions)) == 1, c.answered)
 	}
 }
+
+// An answer that comes after its attempt was given up ends its part: the retry in flight is cancelled, and the part
+// is not sent again, whatever becomes of that.
+func TestLateAnswerEndsItsPart(t *testing.T) {
+	for name, status := range map[string]Status{"timed out": TimedOut, "cancelled": Cancelled} {
+		s := testSettings()
+		s.SecondCopies = false
+		d := startAggregator(t, s)
+		sent := actionsOf[Send](d.turn(newQuery(1, 0, 0, 1)))
+		again := actionsOf[Send](d.after(20*ms, withStatus(okOutcome(10, 0, sent[0].Replica), status)))
+		if len(again) != 1 || again[0].Part != 10 {
+			t.Fatalf("%s: sent again: %v", name, again)
+		}
+		actions := d.after(5*ms, LateAnswer{Part: 10, Attempt: 0})
+		d.checkEqual(name+": cancels", actionsOf[Cancel](actions), []Cancel{{10, 1}})
+		actions = d.after(5*ms, withStatus(okOutcome(10, 1, again[0].Replica), Reset))
+		d.checkEqual(name+": sent a third time", len(actionsOf[Send](actions)), 0)
+		actions = d.after(5*ms, okOutcome(11, 0, sent[1].Replica))
+		d.checkEqual(name+": answers", actionsOf[Answer](actions), []Answer{{1, true}})
+	}
+}
--- a/internal/answerstream/stream.go
+++ b/internal/answerstream/stream.go
@@ -38,6 +38,7 @@
 type Answer struct {
 	frame.Result
 	ReceivedAt  time.Time
+	Late        bool // the part was abandoned before: the searcher may have answered before it read the cancel
 	Provisional bool // what follows on the connection may still show that the value is cut short
 }
 
@@ -59,7 +60,7 @@
 	read      uint64            // how many of these the searcher has certainly read
 	inFlight  map[string]uint64 // parts that wait for their answer, by ID; the value of sent behind each
 	abandoned map[string]uint64 // cancelled parts that may still be answered; the value of sent behind each cancel
-	last      Answer            // the last answer to a part in flight
+	last      Answer            // the last answer
 	basis     Basis             // why the last answer counts
 }
 
@@ -109,12 +110,9 @@
 
 // Received is what Receive has found in the data.
 type Received struct {
-	Answers   []Answer // the answers to parts in flight, in the order of their arrival; only the last may be provisional
+	Answers   []Answer // in the order of their arrival; only the last may be provisional
 	Confirmed string   // ID of the provisional answer of an earlier Receive that is confirmed now; empty if there is none
-	Late      []string // IDs of abandoned parts whose answers have arrived
 	Frames    int      // complete frames
-	// Answered is whether a part was answered, be it that nobody waits for it any more.
-	Answered bool
 }
 
 // Receive takes data that has arrived. An error means that nothing more can be read from the
@@ -193,15 +191,12 @@
 	if err != nil {
 		return err
 	}
-	if position := s.inFlight[answer.ID]; position > 0 {
-		s.confirm(r) // unless its ID was too long to be found before
-		return s.receiveAnswer(Answer{Result: answer, ReceivedAt: now}, position, r)
-	}
-	if s.abandoned[answer.ID] > 0 {
-		delete(s.abandoned, answer.ID)
-		r.Late = append(r.Late, answer.ID)
-		r.Answered = true
-		return nil
+	position := s.inFlight[answer.ID]
+	a := Answer{Result: answer, ReceivedAt: now, Late: position == 0 && s.abandoned[answer.ID] > 0}
+	if position > 0 || a.Late {
+		s.confirm(r)                   // unless its ID was too long to be found before
+		s.read = max(s.read, position) // the searcher reads in order
+		return s.receiveAnswer(a, r)
 	}
 	if answer.ID == s.last.ID {
 		return nil
@@ -209,14 +204,13 @@
 	return s.unsolicited(f.Type)
 }
 
-// receiveAnswer handles an answer to a part in flight.
-func (s *Stream) receiveAnswer(a Answer, position uint64, r *Received) error {
-	r.Answered = true
+// receiveAnswer handles an answer to a part in flight or an abandoned one.
+func (s *Stream) receiveAnswer(a Answer, r *Received) error {
 	delete(s.inFlight, a.ID)
+	delete(s.abandoned, a.ID)
 	if s.containsAnswer(a.Value) {
 		return errSwallowed
 	}
-	s.read = max(s.read, position) // the searcher reads in order
 	a.Provisional = a.End == frame.Served && s.othersWait()
 	s.last, s.basis = a, Alone
 	if a.Provisional {
--- a/internal/gatherer/attempt_log.go
+++ b/internal/gatherer/attempt_log.go
@@ -12,6 +12,7 @@
 const (
 	attemptDecided  attemptChange = "decided"
 	attemptEnded    attemptChange = "ended"
+	answeredLate    attemptChange = "answered late" // after it had ended
 	answerConfirmed attemptChange = "answer confirmed"
 	answerInDoubt   attemptChange = "answer in doubt"
 )
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -32,7 +32,24 @@
 	}
 }
 
-// Confirm makes the answer of a ProvisionalResult final.
+// LateResult records an answer that was OK to an attempt that had ended before: it had timed out or was cancelled, and its
+// searcher answered before it read that. The answer counts as any other does.
+func (c *Core) LateResult(now time.Time, a *Attempt, provisional bool, score int64, value string) {
+	p := a.part
+	if p.removed || p.answers.of(a) != nil {
+		return
+	}
+	x := &answer{attempt: a, state: finalAnswer, readAt: now, finalAt: now, score: score, value: value}
+	if provisional {
+		x.state, x.finalAt = provisionalAnswer, time.Time{}
+	}
+	c.stats.LateAnswers++
+	c.logAttempt(a, answeredLate, "provisional", provisional, "took", now.Sub(a.decidedAt))
+	p.addAnswer(x)
+	c.addEvent(now, eiderwinch.LateAnswer{Part: p.id, Attempt: a.number, Provisional: provisional})
+}
+
+// Confirm makes a provisional answer final.
 func (c *Core) Confirm(now time.Time, a *Attempt) {
 	x := a.part.answers.of(a)
 	if x == nil || x.state != provisionalAnswer {
@@ -57,7 +74,7 @@
 	IncompleteFrame DoubtReason = "incomplete" // a frame whose rest did not come in time
 )
 
-// Doubt takes back the answer of a ProvisionalResult, because nothing can show any more whether it is good or spoilt. It must
+// Doubt takes back a provisional answer, because nothing can show any more whether it is good or spoilt. It must
 // not be used then; and the part stays over, since a good answer has ended it. Once the query has its final answer, nothing
 // can be taken back: Doubt returns false.
 func (c *Core) Doubt(now time.Time, a *Attempt, reason DoubtReason) bool {
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -37,8 +37,8 @@
 
 // Searchers sends calls to searchers. For each attempt passed to Call it calls
 // one of Core.Result, Core.ProvisionalResult, Core.NotSent, Core.ConnectionBroken and
-// Core.ConnectionClosed, unless Abandon is called
-// first. It may do so before Call returns.
+// Core.ConnectionClosed, unless Abandon is called first; after that, it calls Core.LateResult if the attempt
+// is answered all the same. It may do so before Call returns.
 type Searchers interface {
 	// Call sends attempts to their common searcher as one call.
 	Call(now time.Time, attempts []*Attempt)
--- a/internal/netio/overparts_test.go
+++ b/internal/netio/overparts_test.go
@@ -80,3 +80,84 @@
 	first.Answer("served", 1, "v")
 	h.checkNothingArrives()
 }
+
+// cancelThen scripts an aggregator that sends the part of a query to "s", and cancels that attempt for another one at "o" once the
+// test signals. It answers when the part is answered, and sends it to "s" if it was reset.
+func cancelThen(h *harness, cancelNow <-chan bool) {
+	var query, part uint64
+	h.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+		switch e := e.(type) {
+		case eiderwinch.Query:
+			query, part = e.ID, e.Parts[0].ID
+			return []eiderwinch.Action{eiderwinch.Send{Part: part, Replica: "s"}, eiderwinch.Wake{}}
+		case eiderwinch.Woken:
+			return onceSignalled(cancelNow, eiderwinch.Cancel{Part: part}, eiderwinch.Send{Part: part, Replica: "o"})
+		case eiderwinch.LateAnswer:
+			return []eiderwinch.Action{eiderwinch.Answer{Query: query, Whole: true}}
+		case eiderwinch.Outcome:
+			if e.Status == eiderwinch.Reset {
+				return []eiderwinch.Action{eiderwinch.Send{Part: part, Replica: "s"}}
+			}
+		}
+		return nil
+	}
+}
+
+// WIRE, outcomes: "attempt_end [...] done_flag = true: this part is over (its answer is in [...])". Guards against a part that is sent after a
+// late answer: its searcher answered before it read the cancel.
+func TestQueuedRetryIsNotSentAfterALateAnswer(t *testing.T) {
+	var other *testpeer.Searcher
+	cancelNow, dialed, release := make(chan bool, 1), make(chan bool, 10), make(chan bool)
+	h := startHarness(t, func(h *harness) {
+		other = withOther(t, h)
+		cancelThen(h, cancelNow)
+		h.beforeDial(other.Addr, waitFor(dialed, release))
+	})
+	client := h.sendQuery("search", "t", time.Minute, 1)
+	first := h.nextPart()
+	cancelNow <- true
+	testpeer.Receive(t, dialed, "a dial for the retry")
+	first.Answer("served", 1, wholeValue)
+	if resp, body := client.ReadResponse(); resp.StatusCode != 200 || body != wholeBody {
+		t.Errorf("have %s %s, want the late value", resp.Status, body)
+	}
+	close(release)
+	h.waitUntil("the connection is up", func() bool { return len(h.pool.searchers["o"].queue) == 0 })
+	time.Sleep(sentAgainWithin)
+	if len(other.Parts) > 0 {
+		t.Errorf("part %s is sent after its answer", (<-other.Parts).ID)
+	}
+}
+
+// Guards against a third attempt after a late answer to the first one, which ended while the second was in flight.
+func TestPartIsNotSentAgainAfterALateAnswer(t *testing.T) {
+	var other *testpeer.Searcher
+	cancelNow := make(chan bool, 1)
+	h := startHarness(t, func(h *harness) {
+		other = withOther(t, h)
+		cancelThen(h, cancelNow)
+		withoutAnswer := h.decide
+		h.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+			if _, late := e.(eiderwinch.LateAnswer); late {
+				return nil // so that the query is still open when the second attempt is reset
+			}
+			return withoutAnswer(e)
+		}
+	})
+	h.sendQuery("search", "t", time.Minute, 1)
+	first := h.nextPart()
+	cancelNow <- true
+	second := testpeer.Receive(t, other.Parts, "the retry")
+	first.Answer("served", 1, wholeValue)
+	h.waitUntil("the late answer is read", func() bool { return h.stats.LateAnswers == 1 })
+	second.Conn.Close()
+	if outcome := h.nextOutcome(); outcome.Status != eiderwinch.Cancelled {
+		t.Errorf("have %+v", outcome)
+	}
+	if outcome := h.nextOutcome(); outcome.Status != eiderwinch.Reset {
+		t.Errorf("have %+v", outcome)
+	}
+	if outcome := h.nextOutcome(); outcome.Status != eiderwinch.NotSent || len(h.searcher.Parts) > 0 {
+		t.Errorf("have %+v and %d parts, want the third attempt not sent", outcome, len(h.searcher.Parts))
+	}
+}
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -187,6 +187,7 @@
 	id, blocked := a.PartID(), c.full() || c.conn.Buffered() > 0
 	c.checkHalfOpen(now, c.removeAttempt(a))
 	c.answers.Abandon(id)
+	c.abandoned[id] = a
 	if blocked && a.MayRetry() {
 		c.pool.node.stats.ClosedToAbandon++
 		c.closedHere = true
--- a/internal/netio/searcheranswers.go
+++ b/internal/netio/searcheranswers.go
@@ -21,18 +21,15 @@
 	now := time.Now()
 	c.lastReceived, c.halfOpen = now, false
 	received, err := c.answers.Receive(now, data)
-	for _, id := range received.Late {
-		delete(c.unreadCancels, id)
-	}
-	if received.Answered {
-		c.clearUnreadCancels()
-	}
 	if received.Confirmed != "" {
 		c.confirmProvisional(now)
 	}
 	for _, answer := range received.Answers {
 		c.useAnswer(now, answer)
 	}
+	if len(received.Answers) > 0 {
+		c.clearUnreadCancels()
+	}
 	if err != nil {
 		c.closedHere = !errors.Is(err, answerstream.ErrFrameRejected)
 		c.closeMalformed("malformed frame from searcher", gatherer.InvalidData, err)
@@ -57,6 +54,10 @@
 
 // useAnswer passes an answer on to the core.
 func (c *searcherConn) useAnswer(now time.Time, answer answerstream.Answer) {
+	if answer.Late {
+		c.useLateAnswer(now, answer)
+		return
+	}
 	index := slices.IndexFunc(c.inFlight, func(f sentAttempt) bool { return f.partID == answer.ID })
 	a := c.inFlight[index].attempt
 	c.read = max(c.read, c.inFlight[index].endByte)
@@ -76,6 +77,20 @@
 	c.pool.node.core.Result(now, a, statusByEnd[answer.End], answer.Score, answer.Value)
 }
 
+// useLateAnswer passes an answer to an abandoned attempt on to the core.
+func (c *searcherConn) useLateAnswer(now time.Time, answer answerstream.Answer) {
+	delete(c.unreadCancels, answer.ID)
+	a := c.abandoned[answer.ID]
+	delete(c.abandoned, answer.ID)
+	if a == nil || answer.End != frame.Served {
+		return
+	}
+	if answer.Provisional {
+		c.setProvisional(a)
+	}
+	c.pool.node.core.LateResult(now, a, answer.Provisional, answer.Score, answer.Value)
+}
+
 // setProvisional records the attempt whose answer is provisional.
 func (c *searcherConn) setProvisional(a *gatherer.Attempt) {
 	c.provisional = a
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -24,15 +24,16 @@
 	answers       *answerstream.Stream
 	inFlight      []sentAttempt
 	openedAt      time.Time
-	unreadCancels map[string]bool   // abandoned parts whose cancel frame waits unread at the searcher
-	written       uint64            // bytes written to the connection, including its buffer
-	read          uint64            // how many of these the searcher has certainly read: it has answered a part behind them
-	idleSince     time.Time         // when the last attempt in flight ended
-	lastReceived  time.Time         // when data was last received
-	frameTimer    timer             // set while a frame is incomplete: the time limit for its rest
-	provisional   *gatherer.Attempt // the attempt whose answer is provisional; nil if none is
-	halfOpen      bool              // it may be cut off, see checkHalfOpen
-	unsentTimer   timer             // set while there is an unsent call: when it is checked again
+	abandoned     map[string]*gatherer.Attempt // attempts that were abandoned and may still be answered, by part
+	unreadCancels map[string]bool              // abandoned parts whose cancel frame waits unread at the searcher
+	written       uint64                       // bytes written to the connection, including its buffer
+	read          uint64                       // how many of these the searcher has certainly read: it has answered a part behind them
+	idleSince     time.Time                    // when the last attempt in flight ended
+	lastReceived  time.Time                    // when data was last received
+	frameTimer    timer                        // set while a frame is incomplete: the time limit for its rest
+	provisional   *gatherer.Attempt            // the attempt whose answer is provisional; nil if none is
+	halfOpen      bool                         // it may be cut off, see checkHalfOpen
+	unsentTimer   timer                        // set while there is an unsent call: when it is checked again
 }
 
 // sentAttempt is an attempt that is in flight on a connection.
--- a/internal/netio/searcherdial.go
+++ b/internal/netio/searcherdial.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"eiderwinch/internal/answerstream"
+	"eiderwinch/internal/gatherer"
 )
 
 // dial opens connections for queued calls while there are descriptors for them. A connection takes two descriptors from
@@ -34,7 +35,7 @@
 			return
 		}
 		c := &searcherConn{
-			pool: p, searcher: s, addr: s.addr, answers: answerstream.New(), unreadCancels: make(map[string]bool),
+			pool: p, searcher: s, addr: s.addr, answers: answerstream.New(), abandoned: make(map[string]*gatherer.Attempt), unreadCancels: make(map[string]bool),
 		}
 		c.dialTimer.Value = func(time.Time) { c.retired = true } // the dial itself has the same time limit
 		c.frameTimer.Value = func(time.Time) { c.closeIncomplete() }
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -57,6 +57,7 @@
 	Reset            int
 	Cancelled        int
 	Provisional      int // of OK: answers while other parts waited on their connection and nothing behind them confirmed them yet
+	LateAnswers      int // answers to attempts that had timed out or were cancelled before, to parts that were still wanted
 	InDoubt          int // answers that nothing can show to be good or spoilt any more, before their query had its final answer
 	RefutedLate      int // of Provisional: answers that were refuted after they had been used
 	Reports          int // of OK, Errors and Skipped: answers with a load report that is used
@@ -171,7 +172,7 @@
 		group("not_sent", sortedPairs(c.RejectedSendsBy)...),
 		group("in_doubt", sortedPairs(c.InDoubtBy)...),
 		group("outcomes", "ok", c.OK, "errors", c.Errors, "skipped", c.Skipped, "timed_out", c.TimedOut, "unread", c.ExpiredUnread,
-			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "provisional", c.Provisional, "in_doubt", c.InDoubt, "refuted_late", c.RefutedLate,
+			"unconnected", c.Unconnected, "reset", c.Reset, "cancelled", c.Cancelled, "provisional", c.Provisional, "late", c.LateAnswers, "in_doubt", c.InDoubt, "refuted_late", c.RefutedLate,
 			"reports", c.Reports, "reports_bad", c.MalformedReports),
 		group("discovery", "watches", c.Watches, "watch_fails", c.WatchFails, "updates", c.Updates, "empty_lists", c.EmptyLists,
 			"lists_bad", c.MalformedLists, "twice", c.DuplicateMembers, "news_first", c.DelayedForUpdates, "doubted", c.RejectedMembers, "reinstated", c.ReinstatedMembers, "forgotten", c.ForgottenMembers),
