Read the answers that have arrived before a connection to a searcher is closed

What callers would see: a part that is sent again, or a query that fails, though its answer had arrived: 502 in each row of the new test.

Cause: a connection that the gatherer closes itself (to cancel a part for certain, for a searcher that has restarted), or to which a write fails, was closed over what lay unread on it. All parts in flight ended as reset. PROTOCOL's reset is for the parts 'that are out on it'; one that was answered is not.

Change: searcherConn.Closed reads the rest first (eventloop.Conn.ReadRest, up to 4 MiB) and handles it as ever.

Measured: TestUnreadAnswerIsReadBeforeItsConnectionIsClosed, 3 of 3 rows fail without the change (Reset, 502) and pass with it.

--- a/internal/netio/eventloop/conn.go
+++ b/internal/netio/eventloop/conn.go
@@ -228,6 +228,28 @@
 // ReadingPaused reports whether nothing is read until ResumeReading.
 func (c *Conn) ReadingPaused() bool { return c.readingPaused && !c.closed }
 
+// restBufferSize is how many bytes ReadRest reads at once.
+const restBufferSize = 16 << 10
+
+// ReadRest reads what was received and not read yet, up to limit bytes, and passes it on in pieces. It is for Handler.Closed:
+// the system drops what is unread when the descriptor is closed. A piece is valid until receive returns.
+func (c *Conn) ReadRest(limit int, receive func(piece []byte)) {
+	buffer := make([]byte, min(limit, restBufferSize)) // the loop's own buffer may be in use: a write can close a connection at any time
+	for tries := 0; limit > 0 && tries < maxInterruptTries; {
+		n, err := unix.Read(c.fd, buffer[:min(limit, len(buffer))])
+		switch {
+		case err == unix.EINTR || isMemoryShortage(err):
+			c.loop.countFailure("read", err)
+			tries++
+		case err != nil || n <= 0:
+			return
+		default:
+			limit -= n
+			receive(buffer[:n])
+		}
+	}
+}
+
 // retryInterrupted repeats a system call while it fails with EINTR, up to maxInterruptTries times. It calls
 // interrupted for each of these failures.
 func retryInterrupted(call func() (int, error), interrupted func()) (n int, err error) {
--- a/internal/netio/overparts_test.go
+++ b/internal/netio/overparts_test.go
@@ -1,11 +1,13 @@
 package netio
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	"eiderwinch"
 	"eiderwinch/internal/format/catalog"
+	"eiderwinch/internal/format/frame"
 	"eiderwinch/internal/trial/testpeer"
 )
 
@@ -161,3 +163,39 @@
 		t.Errorf("have %+v and %d parts, want the third attempt not sent", outcome, len(h.searcher.Parts))
 	}
 }
+
+// PROTOCOL: "the connection breaks or ends after that | reset, for all parts that are out on it"; a part whose answer has arrived is not out.
+// Guards against an answer that is dropped unread because the gatherer closes its connection, or because a write to it fails.
+func TestUnreadAnswerIsReadBeforeItsConnectionIsClosed(t *testing.T) {
+	for name, end := range map[string]func(h *harness, p testpeer.Part, c *searcherConn){
+		"closed here": func(_ *harness, _ testpeer.Part, c *searcherConn) { c.close() },
+		"its searcher restarts": func(h *harness, _ testpeer.Part, _ *searcherConn) {
+			h.pool.updateSearcher(time.Now(), "s", "", time.Now().Add(time.Second))
+		},
+		"a write fails": func(h *harness, p testpeer.Part, c *searcherConn) {
+			_ = p.Conn.(*net.TCPConn).SetLinger(0)
+			p.Conn.Close()
+			h.spinUntil("the reset is received", func() bool { return remoteClosed(c.conn.FD()) })
+			c.write(frame.AppendCancel(nil, "x.0"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := startHarness(t, sendOnce)
+			client := h.sendQuery("search", "t", time.Minute, 1)
+			p := h.nextPart()
+			h.onLoop(func() {
+				c := h.pool.searchers["s"].conns[0]
+				p.Answer("served", 1, wholeValue)
+				h.spinUntil("the answer is received", func() bool { return pendingBytes(c.conn.FD()) > 0 })
+				end(h, p, c)
+			})
+			if outcome := h.nextOutcome(); outcome.Status != eiderwinch.OK {
+				t.Errorf("have %+v", outcome)
+			}
+			if resp, body := client.ReadResponse(); resp.StatusCode != 200 || body != wholeBody {
+				t.Errorf("have %s %s", resp.Status, body)
+			}
+		})
+	}
+}
--- a/internal/netio/searcheranswers.go
+++ b/internal/netio/searcheranswers.go
@@ -15,10 +15,27 @@
 
 // Traffic implements eventloop.Handler.
 func (c *searcherConn) Traffic(data []byte) {
+	now := time.Now()
+	if c.receive(now, data) {
+		c.attemptsEnded(now)
+	}
+}
+
+// maxRest bounds the bytes, received and not read, that are read when a connection is closed.
+const maxRest = 4 << 20
+
+// receiveRest handles what was received and not read when the connection is closed: it may hold answers.
+func (c *searcherConn) receiveRest(now time.Time) {
+	if pendingBytes(c.conn.FD()) > 0 {
+		c.conn.ReadRest(maxRest, func(piece []byte) { c.receive(now, piece) })
+	}
+}
+
+// receive handles data that was received. It reports whether the connection can be read further.
+func (c *searcherConn) receive(now time.Time, data []byte) bool {
 	if c.malformed {
-		return // it is being closed
+		return false // it is being closed
 	}
-	now := time.Now()
 	c.lastReceived, c.halfOpen = now, false
 	received, err := c.answers.Receive(now, data)
 	if received.Confirmed != "" {
@@ -33,7 +50,7 @@
 	if err != nil {
 		c.closedHere = !errors.Is(err, answerstream.ErrFrameRejected)
 		c.closeMalformed("malformed frame from searcher", gatherer.InvalidData, err)
-		return
+		return false
 	}
 	if received.Frames > 0 {
 		c.pool.timers.Stop(&c.frameTimer)
@@ -41,7 +58,7 @@
 	if len(c.answers.Incomplete()) > 0 && !c.frameTimer.IsSet() {
 		c.pool.timers.Set(&c.frameTimer, now.Add(c.pool.node.cfg.ConnectTimeout))
 	}
-	c.attemptsEnded(now)
+	return true
 }
 
 // attemptsEnded sends calls that have waited for what ended attempts have freed.
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -221,6 +221,9 @@
 // Closed implements eventloop.Handler. Data still in the connection's buffer was not sent and is dropped.
 func (c *searcherConn) Closed(reason error) {
 	now := time.Now()
+	closedBySearcher := !c.retired
+	c.retired = true
+	c.receiveRest(now)
 	if len(c.inFlight) > 0 {
 		c.pool.node.log.Debug("connection to a searcher closed with parts in flight", "searcher", c.searcher.id, "parts", len(c.inFlight),
 			"buffered", c.conn.Buffered(), "abandoned", c.answers.Abandoned(), "provisional", c.answers.HasProvisional(), "reason", reason)
@@ -228,7 +231,7 @@
 	c.doubtAtEnd(now, endReason(reason))
 	flushed := c.flushed()
 	unanswered := c.inFlight
-	if !c.retired {
+	if closedBySearcher {
 		c.pool.node.stats.ClosedBySearcher++
 		if len(unanswered) > 0 {
 			c.pool.node.stats.ClosedBySearcherInFlight++
