Send no retry while data that may answer its part lies unread

What callers would see: a part that is sent again after its answer has arrived at a gatherer that was held up, or where many connections are ready at once: a turn runs before the loop reads.

Cause: only attempts that time out looked for unread data (for four ticks); cancels, second copies and whatever waited in a queue did not.

Change: a bar of its own, AnswerUnread, which SendBar and CompletionBar find for each other attempt of the part that is in flight or was given up and whose connection holds unread data. The call waits until that must have been read, three rounds of the loop at most, as due work does for provisional answers; then the part's answers decide. The wait is one type for both now (rounds).

--- a/internal/gatherer/attempts.go
+++ b/internal/gatherer/attempts.go
@@ -198,6 +198,9 @@
 	c.inFlight.Stop(&a.deadlineTimer)
 	c.endedAttempts = append(c.endedAttempts, a)
 	a.part.inFlight = slices.DeleteFunc(a.part.inFlight, func(x *Attempt) bool { return x == a })
+	if status == eiderwinch.TimedOut || status == eiderwinch.Cancelled {
+		a.part.givenUp = append(a.part.givenUp, a)
+	}
 	if status != eiderwinch.Full && status != eiderwinch.NoConnection && status != eiderwinch.NotSent {
 		a.part.mayHaveRunFrom = earlier(a.part.mayHaveRunFrom, a.decidedAt)
 	}
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -44,8 +44,8 @@
 	Call(now time.Time, attempts []*Attempt)
 	// Abandon reports that the result of an attempt is no longer needed.
 	Abandon(a *Attempt)
-	// DataUnread reports whether something was received on the connection of an attempt in flight that was not read yet:
-	// it may be the attempt's answer.
+	// DataUnread reports whether something was received on the connection of an attempt that was not read yet: it may be the
+	// attempt's answer. The attempt is in flight, or it was abandoned and is not answered yet.
 	DataUnread(a *Attempt) bool
 	// DataBehind reports whether an incomplete frame was read behind the answer of an attempt whose result is provisional: it
 	// may refute that answer.
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -60,6 +60,7 @@
 	secondStep     bool
 	attempts       int        // number of attempts so far, including sends that were rejected
 	inFlight       []*Attempt // at most one, or maxInFlight where second copies are allowed
+	givenUp        []*Attempt // those that timed out or were cancelled: their answers may still come
 	removed        bool       // the step or query has ended; results are ignored
 	mayHaveRunFrom time.Time  // time of the turn that started the earliest attempt that has ended and may have run; zero if there is none
 	answers        partAnswers
--- a/internal/gatherer/sending.go
+++ b/internal/gatherer/sending.go
@@ -1,6 +1,7 @@
 package gatherer
 
 import (
+	"slices"
 	"time"
 
 	"eiderwinch"
@@ -21,12 +22,13 @@
 	AttemptsUsed             // the part has had as many attempts as it may
 	NotHolder                // the searcher does not hold the part's segment in the query's epoch
 	PartAnswered             // the part has an answer, be it one that can't be used
+	AnswerUnread             // what was received and not read yet may answer the part; this passes once it is read
 )
 
 // sendBarNames are the names of the reasons in counters and logs.
 var sendBarNames = map[SendBar]string{
 	SendAllowed: "allowed", ResultUnwanted: "unwanted", AttemptOver: "over", ToldTooMuch: "told", RepeatWindowOver: "window", SearcherNotReady: "not_ready",
-	SecondCopyBarred: "second_copy", AttemptsUsed: "attempts", NotHolder: "not_holder", PartAnswered: "answered",
+	SecondCopyBarred: "second_copy", AttemptsUsed: "attempts", NotHolder: "not_holder", PartAnswered: "answered", AnswerUnread: "unread",
 }
 
 // String returns the reason's name in counters and logs.
@@ -62,10 +64,23 @@
 		return ToldTooMuch
 	case c.repeatWindowOver(now, a):
 		return RepeatWindowOver
+	case c.answerUnread(a):
+		return AnswerUnread
 	}
 	return SendAllowed
 }
 
+// answerUnread reports whether data was received and not read on a connection that may bring the answer to another attempt of the
+// part: one in flight, or one that timed out or was cancelled.
+func (c *Core) answerUnread(a *Attempt) bool {
+	for _, other := range a.part.inFlight {
+		if other != a && c.searchers.DataUnread(other) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(a.part.givenUp, c.searchers.DataUnread)
+}
+
 const (
 	// toldSlack is by how much the time that a searcher is told may exceed what is left to the client when the attempt's last
 	// byte is sent. Searchers allow 150 ms; the rest is for delays behind this process and between its clock and its write.
--- a/internal/netio/node.go
+++ b/internal/netio/node.go
@@ -95,7 +95,7 @@
 	deferredSince    time.Time // since when due work has waited for unread updates; zero if it does not wait
 	deferredAtWakeup int       // value of wakeups when that wait began
 
-	answersUnreadAtWakeup int // value of wakeups when unread data was first seen behind a provisional answer; 0 if there is none
+	unreadAnswers rounds // for which due work waits
 
 	dialContext      dialFunc        // dials searchers and discovery
 	ctx              context.Context // of all dials
--- a/internal/netio/overparts_test.go
+++ b/internal/netio/overparts_test.go
@@ -8,6 +8,7 @@
 	"eiderwinch"
 	"eiderwinch/internal/format/catalog"
 	"eiderwinch/internal/format/frame"
+	"eiderwinch/internal/gatherer"
 	"eiderwinch/internal/trial/testpeer"
 )
 
@@ -199,3 +200,75 @@
 		})
 	}
 }
+
+// Guards against a part that is sent again though its answer has arrived: a gatherer that was held up decides before it reads.
+func TestRetryWaitsUntilAnUnreadAnswerIsRead(t *testing.T) {
+	for name, copies := range map[string]bool{"after a cancel": false, "a second copy": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var other *testpeer.Searcher
+			cancelNow := make(chan bool, 1)
+			h := startHarness(t, func(h *harness) {
+				other = withOther(t, h)
+				cancelThen(h, cancelNow)
+				if copies {
+					copyThen(h, cancelNow)
+					allowSecondCopies(h)
+				}
+			})
+			h.onLoop(func() { h.pool.dialFor("o") })
+			h.waitUntil("a connection to the other searcher is up", func() bool { return h.pool.hasOpenConn("o") })
+			client := h.sendQuery("search", "t", time.Minute, 1)
+			p := h.nextPart()
+			h.onLoop(func() {
+				c := h.pool.searchers["s"].conns[0]
+				p.Answer("served", 1, wholeValue)
+				h.spinUntil("the answer is received", func() bool { return pendingBytes(c.conn.FD()) > 0 })
+				cancelNow <- true
+				for len(cancelNow) > 0 {
+					h.runTurn()
+				}
+			})
+			if resp, body := client.ReadResponse(); resp.StatusCode != 200 || body != wholeBody {
+				t.Errorf("have %s %s", resp.Status, body)
+			}
+			time.Sleep(sentAgainWithin)
+			if len(other.Parts) > 0 {
+				t.Errorf("part %s is sent after its answer has arrived", (<-other.Parts).ID)
+			}
+		})
+	}
+}
+
+// copyThen is cancelThen without the cancel: the second attempt is a copy of the first.
+func copyThen(h *harness, copyNow <-chan bool) {
+	var query, part uint64
+	h.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+		switch e := e.(type) {
+		case eiderwinch.Query:
+			query, part = e.ID, e.Parts[0].ID
+			return []eiderwinch.Action{eiderwinch.Send{Part: part, Replica: "s"}, eiderwinch.Wake{}}
+		case eiderwinch.Woken:
+			return onceSignalled(copyNow, eiderwinch.Send{Part: part, Replica: "o"})
+		case eiderwinch.Outcome:
+			if e.Status == eiderwinch.OK {
+				return []eiderwinch.Action{eiderwinch.Answer{Query: query, Whole: true}}
+			}
+		}
+		return nil
+	}
+}
+
+// dialFor opens a connection to a searcher.
+func (p *pool) dialFor(id string) {
+	s := p.searchers[id]
+	s.queue = append(s.queue, &pendingCall{attempts: make([]*gatherer.Attempt, 1)})
+	p.dial(time.Now(), s)
+	s.queue = nil
+}
+
+// hasOpenConn reports whether a connection to a searcher is up.
+func (p *pool) hasOpenConn(id string) bool {
+	s := p.searchers[id]
+	return len(s.conns) > 0 && s.conns[0].conn != nil
+}
--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -52,8 +52,9 @@
 
 // pendingCall is a call that waits for a connection.
 type pendingCall struct {
-	attempts []*gatherer.Attempt
-	timer    timer // when the call is given up
+	attempts      []*gatherer.Attempt
+	timer         timer // when the call is given up
+	unreadAnswers rounds
 }
 
 // updateSearcher records a searcher's address and when its process started. Connections to a previous address are
@@ -111,30 +112,50 @@
 func (p *pool) sendQueued(now time.Time, s *searcher) {
 	for len(s.queue) > 0 {
 		call := s.queue[0]
-		var sendable []*gatherer.Attempt
-		for _, a := range call.attempts {
-			// A call may have waited past its searcher's drain grace, or past its own end.
-			if p.node.core.MaySend(now, a) {
-				sendable = append(sendable, a)
-			} else {
-				p.node.core.NotSent(now, a)
-			}
+		if p.awaitsUnreadAnswer(now, call) {
+			retry := &timer{Value: func(now time.Time) { p.sendQueued(now, s) }}
+			p.timers.Set(retry, now.Add(unreadCheckInterval))
+			break
 		}
-		call.attempts = sendable
-		if len(sendable) > 0 {
-			c := s.pickConn(now, sendable, p.node.cfg.Multiplex, p.maxIdle())
-			if c == nil {
-				break
-			}
+		p.dropBarred(now, call)
+		if len(call.attempts) == 0 {
 			s.dequeue(p, call)
-			c.sendCall(sendable)
 			continue
 		}
+		c := s.pickConn(now, call.attempts, p.node.cfg.Multiplex, p.maxIdle())
+		if c == nil {
+			break
+		}
 		s.dequeue(p, call)
+		c.sendCall(call.attempts)
 	}
 	p.dial(now, s)
 }
 
+// unreadCheckInterval is how long a call waits until it looks again whether unread data was read: a round of the loop.
+const unreadCheckInterval = time.Millisecond
+
+// awaitsUnreadAnswer reports whether a call has to wait because one of its parts may be answered by what was received and not
+// read yet. It waits until all of that must have been read.
+func (p *pool) awaitsUnreadAnswer(now time.Time, call *pendingCall) bool {
+	unread := func(a *gatherer.Attempt) bool { return p.node.core.SendBar(now, a) == gatherer.AnswerUnread }
+	return call.unreadAnswers.wait(p.node, slices.ContainsFunc(call.attempts, unread))
+}
+
+// dropBarred ends the attempts of a call that must not be sent any more. A call may have waited past its searcher's drain grace,
+// or past the end of its parts.
+func (p *pool) dropBarred(now time.Time, call *pendingCall) {
+	var sendable []*gatherer.Attempt
+	for _, a := range call.attempts {
+		if bar := p.node.core.SendBar(now, a); bar == gatherer.SendAllowed || bar == gatherer.AnswerUnread {
+			sendable = append(sendable, a)
+		} else {
+			p.node.core.NotSent(now, a)
+		}
+	}
+	call.attempts = sendable
+}
+
 // resumeQueued sends queued calls. If an update from discovery has to be read first, it tries again after that.
 func (p *pool) resumeQueued(now time.Time, s *searcher) {
 	if len(s.queue) > 0 && p.node.deferForUpdates(now) {
@@ -203,9 +224,25 @@
 // DataUnread implements gatherer.Searchers.
 func (p *pool) DataUnread(a *gatherer.Attempt) bool {
 	c := p.connByAttempt[a]
+	if c == nil {
+		c = p.connOfAbandoned(a)
+	}
 	return c != nil && c.conn != nil && pendingBytes(c.conn.FD()) > 0
 }
 
+// connOfAbandoned returns the connection on which an abandoned attempt may still be answered, or nil.
+func (p *pool) connOfAbandoned(a *gatherer.Attempt) *searcherConn {
+	s := p.searchers[a.Searcher]
+	if s == nil {
+		return nil
+	}
+	id := a.PartID()
+	if i := slices.IndexFunc(s.conns, func(c *searcherConn) bool { return c.abandoned[id] == a }); i >= 0 {
+		return s.conns[i]
+	}
+	return nil
+}
+
 // DataBehind implements gatherer.Searchers.
 func (p *pool) DataBehind(a *gatherer.Attempt) bool {
 	c := p.provisional[a]
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -33,6 +33,7 @@
 	frameTimer    timer                        // set while a frame is incomplete: the time limit for its rest
 	provisional   *gatherer.Attempt            // the attempt whose answer is provisional; nil if none is
 	halfOpen      bool                         // it may be cut off, see checkHalfOpen
+	unreadAnswers rounds                       // for which the unsent call waits
 	unsentTimer   timer                        // set while there is an unsent call: when it is checked again
 }
 
--- a/internal/netio/unsentcall.go
+++ b/internal/netio/unsentcall.go
@@ -73,8 +73,13 @@
 	if c.callNotBegun() {
 		barOf = c.pool.node.core.SendBar
 	}
+	unread := false
 	for _, a := range attempts {
-		if bar := barOf(now, a); bar != gatherer.SendAllowed {
+		switch bar := barOf(now, a); bar {
+		case gatherer.SendAllowed:
+		case gatherer.AnswerUnread:
+			unread = true
+		default:
 			c.giveUpUnsentCall(now, bar)
 			return false
 		}
@@ -82,7 +87,7 @@
 	if len(attempts) > 0 {
 		c.pool.timers.Set(&c.unsentTimer, now.Add(unsentCheckInterval))
 	}
-	return true
+	return !c.unreadAnswers.wait(c.pool.node, unread)
 }
 
 // giveUpUnsentCall ends the unsent call because a part of it might not be sent any more.
--- a/internal/netio/updates.go
+++ b/internal/netio/updates.go
@@ -47,14 +47,26 @@
 // deferForAnswers reports whether due work has to wait because data was received behind a provisional answer and not read: it may
 // refute that answer, and a turn of a gatherer that was held up might use it. It waits for up to minDeferWakeups rounds of the loop.
 func (n *Node) deferForAnswers() bool {
-	if !n.pool.provisionalUnread() {
-		n.answersUnreadAtWakeup = 0
+	return n.unreadAnswers.wait(n, n.pool.provisionalUnread())
+}
+
+// rounds counts rounds of the loop for which something waits until data that was received is read. The zero value waits for
+// nothing.
+type rounds struct {
+	waiting bool
+	since   int // value of Node.wakeups when the wait began
+}
+
+// wait reports whether to wait on: there is unread data, and the wait has not lasted for minDeferWakeups rounds.
+func (r *rounds) wait(n *Node, unread bool) bool {
+	if !unread {
+		r.waiting = false
 		return false
 	}
-	if n.answersUnreadAtWakeup == 0 {
-		n.answersUnreadAtWakeup = n.wakeups
+	if !r.waiting {
+		r.waiting, r.since = true, n.wakeups
 	}
-	return n.wakeups-n.answersUnreadAtWakeup < minDeferWakeups
+	return n.wakeups-r.since < minDeferWakeups
 }
 
 // applyUpdate passes an update that a watch has received on to the core and the pool.
