Doubt parts whose whole answer stands in data of a searcher that can't be read

What callers would see: a part that is sent again although its whole answer had been received, behind another part's spoilt answer or inside a value whose length is too long.

Cause: after data that is no frame nothing more was looked at; all parts in flight ended as reset, and were sent again.

Change: Stream.MayHaveAnswered looks for a whole valid answer frame to a part in what can't be parsed (the frame at fault, what stands behind it, an incomplete frame). Such a part is in doubt (Core.UnreadableAnswer): neither served, since the bytes may belong to a value, nor sent again. A part whose own frame is at fault is sent again as before.

Measured: TestPartWithAnAnswerInUnreadableDataIsNotSentAgain, 5 of 5 rows fail without the change (the second part is sent again, the first waits for it) and pass with it.

--- a/internal/answerstream/stream.go
+++ b/internal/answerstream/stream.go
@@ -19,6 +19,7 @@
 package answerstream
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"time"
@@ -62,6 +63,7 @@
 	abandoned map[string]uint64 // cancelled parts that may still be answered; the value of sent behind each cancel
 	last      Answer            // the last answer
 	basis     Basis             // why the last answer counts
+	rejected  []byte            // the payload of the frame that Receive returned an error for
 }
 
 // New returns a Stream for a new connection.
@@ -136,6 +138,7 @@
 		}
 		r.Frames++
 		if err := s.receiveFrame(now, f, r); err != nil {
+			s.rejected = bytes.Clone(f.Payload)
 			return err
 		}
 	}
@@ -240,6 +243,26 @@
 	return false
 }
 
+// maxSkipped bounds the data, in bytes, that Skip keeps.
+const maxSkipped = 256 << 10
+
+// Skip takes data that arrives after Receive has returned an error.
+func (s *Stream) Skip(data []byte) {
+	if s.parser.Buffered()+len(data) <= maxSkipped {
+		s.parser.Feed(data)
+	}
+}
+
+// MayHaveAnswered reports whether a whole answer to a part stands in data that can't be read as frames: behind an error of
+// Receive, in the frame that has caused it, or in a frame that is incomplete. Whether that answer is good can't be told.
+func (s *Stream) MayHaveAnswered(id string) bool {
+	unparsed := s.parser.Unparsed()
+	if len(s.rejected) == 0 {
+		return frame.ContainsWholeAnswer(unparsed, id)
+	}
+	return frame.ContainsWholeAnswer(append(bytes.Clone(s.rejected), unparsed...), id) // it may begin in the one and end in the other
+}
+
 // Waiting returns the number of parts in flight whose answers have not arrived.
 func (s *Stream) Waiting() int { return len(s.inFlight) }
 
--- a/internal/format/frame/frame.go
+++ b/internal/format/frame/frame.go
@@ -259,6 +259,28 @@
 	}
 }
 
+// ContainsWholeAnswer reports whether a whole and valid Answer frame that serves a part stands anywhere in data.
+func ContainsWholeAnswer(data []byte, id string) bool {
+	head := []byte(string(Answer) + id + " ")
+	for start := 0; ; start++ {
+		found := bytes.Index(data[start:], head)
+		if found < 0 {
+			return false
+		}
+		start += found
+		if start < lengthSize {
+			continue
+		}
+		length := int64(binary.BigEndian.Uint32(data[start-lengthSize:]))
+		if length < int64(len(head)) || length > int64(len(data)-start) {
+			continue
+		}
+		if r, err := ParseAnswer(data[start+1 : start+int(length)]); err == nil && r.End == Served {
+			return true
+		}
+	}
+}
+
 var errMalformedAnswer = errors.New("malformed answer")
 
 // ParseAnswer parses the payload of an Answer frame. A score, and a value that is valid
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -83,19 +83,38 @@
 	if x == nil || x.state != provisionalAnswer {
 		return false
 	}
-	c.logAttempt(a, answerInDoubt, "reason", string(reason), "used", p.used == x, "query_open", !p.removed, "since_answer", now.Sub(x.readAt))
 	if p.used == x {
 		c.stats.RefutedLate++
 		c.log.Warn("answer refuted after it was used", "trace", a.Trace, "shard", a.Shard, "searcher", a.Searcher, "since_answer", now.Sub(x.readAt))
 	}
 	x.state = doubtfulAnswer
 	p.dropValue(x)
+	return c.recordDoubt(now, x, reason)
+}
+
+// UnreadableAnswer ends an attempt that may have been answered in data of its connection that can't be read. The answer is in
+// doubt, as in Doubt. An attempt that had timed out or was cancelled may have been answered so as well.
+func (c *Core) UnreadableAnswer(now time.Time, a *Attempt) {
+	a.closedHere = true
+	c.endAttempt(now, a, eiderwinch.Reset, false)
+	if a.part.answers.of(a) != nil {
+		return
+	}
+	x := &answer{attempt: a, state: doubtfulAnswer, readAt: now}
+	a.part.addAnswer(x)
+	c.recordDoubt(now, x, InvalidData)
+}
+
+// recordDoubt counts and logs an answer in doubt, and tells the aggregator. It returns false if the answer is not wanted any more.
+func (c *Core) recordDoubt(now time.Time, x *answer, reason DoubtReason) bool {
+	p := x.attempt.part
+	c.logAttempt(x.attempt, answerInDoubt, "reason", string(reason), "used", p.used == x, "query_open", !p.removed, "since_answer", now.Sub(x.readAt))
 	if p.removed {
 		return false
 	}
 	c.stats.InDoubt++
 	c.stats.InDoubtBy[string(reason)]++
-	c.addEvent(now, eiderwinch.InDoubt{Part: p.id, Attempt: a.number})
+	c.addEvent(now, eiderwinch.InDoubt{Part: p.id, Attempt: x.attempt.number})
 	return true
 }
 
--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -36,7 +36,7 @@
 }
 
 // Searchers sends calls to searchers. For each attempt passed to Call it calls
-// one of Core.Result, Core.ProvisionalResult, Core.NotSent, Core.ConnectionBroken and
+// one of Core.Result, Core.ProvisionalResult, Core.UnreadableAnswer, Core.NotSent, Core.ConnectionBroken and
 // Core.ConnectionClosed, unless Abandon is called first; after that, it calls Core.LateResult if the attempt
 // is answered all the same. It may do so before Call returns.
 type Searchers interface {
--- a/internal/netio/overparts_test.go
+++ b/internal/netio/overparts_test.go
@@ -240,6 +240,42 @@
 	}
 }
 
+// WIRE, rule 1, speaks of a part whose "end [was] told", however little else of its connection can be read. Guards against a part that is
+// sent again though its whole answer stands behind data that can't be read, or inside a value that is too long.
+func TestPartWithAnAnswerInUnreadableDataIsNotSentAgain(t *testing.T) {
+	answerTo := func(p testpeer.Part) string { return string(encodeFrame("a" + p.ID + " served 1 -\n" + wholeValue)) }
+	for name, send := range map[string]func(first, second testpeer.Part){
+		"behind noise": func(first, second testpeer.Part) { first.WriteRaw("\xff\xff no frame" + answerTo(second)) },
+		"behind noise, later": func(first, second testpeer.Part) {
+			first.WriteRaw("\xff\xff no frame")
+			first.WriteRaw(answerTo(second))
+		},
+		"in a value":              func(first, second testpeer.Part) { first.Write("a" + first.ID + " served 1 -\nv" + answerTo(second)) },
+		"behind an unknown frame": func(first, second testpeer.Part) { first.Write("zzz"); first.WriteRaw(answerTo(second)) },
+		"in an incomplete frame": func(first, second testpeer.Part) {
+			first.WriteRaw("\x00\x00\x10\x00a" + first.ID + " served 1 -\nv" + answerTo(second))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h, client, first, second := startTwoQueries(t, "search", time.Minute)
+			h.onLoop(func() { send(first, second) }) // so that all of it is read at once
+			again := h.nextPart()
+			if again.ID != first.ID {
+				t.Errorf("part %s is sent again, want %s, which was not answered", again.ID, first.ID)
+			}
+			again.Answer("served", 1, wholeValue)
+			if resp, body := client.ReadResponse(); resp.StatusCode != 200 || body != wholeBody {
+				t.Errorf("have %s %s", resp.Status, body)
+			}
+			time.Sleep(sentAgainWithin)
+			if len(h.searcher.Parts) > 0 {
+				t.Errorf("part %s is sent again after its answer", h.nextPart().ID)
+			}
+		})
+	}
+}
+
 // copyThen is cancelThen without the cancel: the second attempt is a copy of the first.
 func copyThen(h *harness, copyNow <-chan bool) {
 	var query, part uint64
--- a/internal/netio/searcheranswers.go
+++ b/internal/netio/searcheranswers.go
@@ -33,8 +33,9 @@
 
 // receive handles data that was received. It reports whether the connection can be read further.
 func (c *searcherConn) receive(now time.Time, data []byte) bool {
-	if c.malformed {
-		return false // it is being closed
+	if c.malformed { // it is being closed
+		c.answers.Skip(data)
+		return false
 	}
 	c.lastReceived, c.halfOpen = now, false
 	received, err := c.answers.Receive(now, data)
--- a/internal/netio/searcherconn.go
+++ b/internal/netio/searcherconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -240,18 +241,36 @@
 	}
 	c.inFlight = nil
 	c.remove()
-	end := c.pool.node.core.ConnectionBroken
-	if c.closedHere {
-		end = c.pool.node.core.ConnectionClosed
-	}
 	for _, f := range unanswered {
 		delete(c.pool.connByAttempt, f.attempt)
-		if f.endByte <= flushed {
-			end(now, f.attempt)
-		} else {
-			c.pool.node.core.NotSent(now, f.attempt)
-		}
+		c.endUnanswered(now, f, f.endByte <= flushed)
 	}
+	c.doubtAbandoned(now)
 	c.pool.resumeQueued(now, c.searcher)
 	c.pool.descriptorsFreed(now)
 }
+
+// endUnanswered ends an attempt that was in flight at the end of the connection. sentWhole is whether the system has accepted its
+// whole frame.
+func (c *searcherConn) endUnanswered(now time.Time, f sentAttempt, sentWhole bool) {
+	core := c.pool.node.core
+	switch {
+	case !sentWhole:
+		core.NotSent(now, f.attempt)
+	case c.answers.MayHaveAnswered(f.partID):
+		core.UnreadableAnswer(now, f.attempt)
+	case c.closedHere:
+		core.ConnectionClosed(now, f.attempt)
+	default:
+		core.ConnectionBroken(now, f.attempt)
+	}
+}
+
+// doubtAbandoned passes on which abandoned attempts may have been answered in data that can't be read.
+func (c *searcherConn) doubtAbandoned(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(c.abandoned)) {
+		if c.answers.MayHaveAnswered(id) {
+			c.pool.node.core.UnreadableAnswer(now, c.abandoned[id])
+		}
+	}
+}
