Check in all soaks and fault tests that no part is sent after its whole answer

Change: fake deployments have an audit of their parts. The soaks report what it finds (SentAfterAnswer), the tests with a fake deployment start it by startDeployment, which fails them, the test cluster's searchers tell it too, and the emulator counts a breach in virtual time, without slack. The emulator passes late answers on, as the connections do. Answers on a connection that the gatherer has closed don't count: a close gives up its parts.

The emulator's breach is checked by TestBreachesAreDetected.

--- a/cmd/eiderwinch/config_test.go
+++ b/cmd/eiderwinch/config_test.go
@@ -22,11 +22,7 @@
 
 func newManagedProgram(t *testing.T) *managedProgram {
 	m := &managedProgram{path: buildProgram(t), ops: filepath.Join(t.TempDir(), "eiderwinch.xml")}
-	var err error
-	if m.deployment, err = fake.NewDeployment(fake.DeploymentOptions{Searchers: 4, Seed: 1}); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = m.deployment.Close() })
+	m.deployment = startDeployment(t, fake.DeploymentOptions{Searchers: 4, Seed: 1})
 	text, err := m.deployment.Config("g", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/eiderwinch/coordinate_test.go
+++ b/cmd/eiderwinch/coordinate_test.go
@@ -29,8 +29,7 @@
 func newReshardDeployment(t *testing.T) *reshardDeployment {
 	d := &reshardDeployment{dir: t.TempDir(), path: buildProgram(t)}
 	d.ops = filepath.Join(d.dir, "eiderwinch.xml")
-	var err error
-	d.deployment, err = fake.NewDeployment(fake.DeploymentOptions{
+	d.deployment = startDeployment(t, fake.DeploymentOptions{
 		Searchers: 4, Zones: 2, Cells: 2, Seed: 1,
 		Handler: func(l *layout.Layout) fake.Handler {
 			d.catalogue = fake.NewShardedCatalogue(fake.ShardedCatalogueOptions{Keys: 20, Seed: 1}, l)
@@ -44,10 +43,6 @@
 			return l
 		},
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = d.deployment.Close() })
 	var peers strings.Builder
 	for _, s := range d.deployment.Searchers {
 		server := fake.NewAssignmentServer(s.ID(), d.catalogue, filepath.Join(d.dir, s.ID()))
--- a/cmd/eiderwinch/faults_test.go
+++ b/cmd/eiderwinch/faults_test.go
@@ -124,11 +124,7 @@
 // launchDeployed starts a command that runs the program, with a fake deployment around it.
 func launchDeployed(t *testing.T, cmd *exec.Cmd, seed uint64) *tracedProgram {
 	t.Helper()
-	deployment, err := fake.NewDeployment(fake.DeploymentOptions{Seed: seed})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = deployment.Close() })
+	deployment := startDeployment(t, fake.DeploymentOptions{Seed: seed})
 	text, err := deployment.Config("n0", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -182,11 +178,7 @@
 
 func newLogHarness(t *testing.T, args ...string) *logHarness {
 	t.Helper()
-	deployment, err := fake.NewDeployment(fake.DeploymentOptions{Searchers: 4})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = deployment.Close() })
+	deployment := startDeployment(t, fake.DeploymentOptions{Searchers: 4})
 	text, err := deployment.Config("n1", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/eiderwinch/hostile_test.go
+++ b/cmd/eiderwinch/hostile_test.go
@@ -53,11 +53,7 @@
 // startSmallGatherer starts the built program on one core with the least limits.
 func startSmallGatherer(t *testing.T, path string, options fake.DeploymentOptions) *smallGatherer {
 	t.Helper()
-	deployment, err := fake.NewDeployment(options)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = deployment.Close() })
+	deployment := startDeployment(t, options)
 	p := launchOnOneCore(t, exec.Command(path), limitedConfig(t, deployment))
 	limit := unix.Rlimit{Cur: leastDescriptors, Max: leastDescriptors}
 	if err := unix.Prlimit(p.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
--- a/cmd/eiderwinch/overparts_test.go
+++ b/cmd/eiderwinch/overparts_test.go
@@ -14,7 +14,6 @@
 	"eiderwinch/internal/layout"
 	"eiderwinch/internal/trial/ask"
 	"eiderwinch/internal/trial/fake"
-	"eiderwinch/internal/trial/partaudit"
 )
 
 // Sizes and times of a run with troubled connections.
@@ -88,12 +87,7 @@
 			return slowPartDuration
 		}}
 	}
-	d, err := fake.NewDeployment(options)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = d.Close() })
-	return d
+	return startDeployment(t, options)
 }
 
 // programLog keeps the lines of a program's log.
@@ -140,9 +134,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			audit := partaudit.New()
 			var strikes atomic.Int64
-			d := identityDeployment(t, fake.DeploymentOptions{Seed: 1, Audit: audit, Trouble: func(p fake.Part, waiting int) fake.Trouble {
+			d := identityDeployment(t, fake.DeploymentOptions{Seed: 1, Trouble: func(p fake.Part, waiting int) fake.Trouble {
 				if waiting < troubledWaiting || p.Shard >= 4 || strikes.Add(1) > troubledStrikes {
 					return fake.Trouble{}
 				}
@@ -161,12 +154,12 @@
 				queries = append(queries, drawQuery("q", i, d.Segments()))
 			}
 			results := askAll(addr, queries)
-			answered, again := audit.Counts()
+			answered, again := d.Audit.Counts()
 			t.Logf("%d troubles, %d parts answered, %d sent again, %v", min(strikes.Load(), troubledStrikes), answered, again, results.counts)
 			if strikes.Load() < 4 {
 				t.Errorf("%d answers had others waiting beside them, want 4 at least", strikes.Load())
 			}
-			if violations := audit.Violations(); len(violations) > 0 {
+			if violations := d.Audit.Violations(); len(violations) > 0 {
 				part := strings.Fields(violations[0])[1]
 				t.Errorf("sent again:\n%s\nlog of the first:\n%s", strings.Join(violations, "\n"), strings.Join(log.linesWith("part="+part+" "), "\n"))
 			}
--- a/internal/trial/emulator/emulator_test.go
+++ b/internal/trial/emulator/emulator_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"eiderwinch"
 	"eiderwinch/internal/gatherer"
 )
 
@@ -117,6 +118,10 @@
 	n.drainingSince["s-0000"] = sim.now.Add(-501 * time.Millisecond)
 	n.conns["s-0000"].send(n.pending[a])
 	checkBreach("a part for a searcher that is draining", "after notice of its drain")
+	delete(n.drainingSince, "s-0000")
+	n.recordAnswer(n.pending[a], eiderwinch.OK)
+	n.conns["s-0000"].send(n.pending[a])
+	checkBreach("a part that was answered", "after its answer")
 	c := newClient(sim, 1)
 	c.Reply(gatherer.Reply{})
 	c.Reply(gatherer.Reply{})
--- a/internal/trial/emulator/node.go
+++ b/internal/trial/emulator/node.go
@@ -23,6 +23,7 @@
 	conns         map[string]*searcherConn
 	pending       map[*gatherer.Attempt]*pendingAttempt
 	inFlight      map[string]int       // number of attempts in flight by part
+	answered      map[string]time.Time // when the first whole answer to a part was received, by part
 	knownRevision map[string]int       // revision of the last update received about each searcher
 	drainingSince map[string]time.Time // when it was notified that a searcher drains or is gone
 	holder        *share.Holder        // nil if the fleet's limits are not divided
@@ -59,6 +60,7 @@
 	sim := n.sim
 	n.counters = stats.New()
 	n.conns, n.pending = make(map[string]*searcherConn), make(map[*gatherer.Attempt]*pendingAttempt)
+	n.answered = make(map[string]time.Time)
 	n.inFlight, n.knownRevision, n.drainingSince = make(map[string]int), make(map[string]int), make(map[string]time.Time)
 	n.runTimer.Value = n.run
 	moduleSettings := sim.settings(n.number, zoneName(n.zone), sim.rng.Uint64())
@@ -297,7 +299,12 @@
 
 // handleResult passes a searcher's answer to the core.
 func (n *node) handleResult(p *pendingAttempt, status eiderwinch.Status, load *eiderwinch.Load) {
+	n.recordAnswer(p, status)
 	if !n.endAttempt(p) {
+		if status == eiderwinch.OK {
+			n.core.LateResult(n.sim.now, p.attempt, false, int64(p.attempt.Shard), "v")
+			n.scheduleRun()
+		}
 		return
 	}
 	p.attempt.Load = load
@@ -305,6 +312,20 @@
 	n.scheduleRun()
 }
 
+// answersRemembered is how many answered parts a node remembers at most.
+const answersRemembered = 1 << 14
+
+// recordAnswer records that a part was answered: nothing may be sent for it from now on.
+func (n *node) recordAnswer(p *pendingAttempt, status eiderwinch.Status) {
+	if _, known := n.answered[p.partID]; known || status != eiderwinch.OK {
+		return
+	}
+	if len(n.answered) == answersRemembered {
+		clear(n.answered)
+	}
+	n.answered[p.partID] = n.sim.now
+}
+
 // dial opens the connection. It fails after a round trip if the searcher's process is dead, since its host
 // refuses the connection, and after ConnectTimeout if the zones are partitioned, since nothing answers.
 func (c *searcherConn) dial() {
@@ -370,6 +391,9 @@
 	sim, n := c.node.sim, c.node
 	p.sent = true
 	sim.result.Sent++
+	if at, answered := n.answered[p.partID]; answered {
+		sim.result.addBreach("part %s was sent to %s %v after its answer", p.partID, c.searcher.id, sim.now.Sub(at))
+	}
 	if at, draining := n.drainingSince[c.searcher.id]; draining && sim.now.Sub(at) > maxSendAfterDrain {
 		sim.result.addBreach("part %s was sent to %s %v after notice of its drain", p.partID, c.searcher.id, sim.now.Sub(at))
 	}
--- a/internal/trial/fake/deployment.go
+++ b/internal/trial/fake/deployment.go
@@ -18,9 +18,8 @@
 	SegmentsPerCell int           // 0 means 3
 	ServiceTime     time.Duration // median time to serve a part; 0 means 6 ms
 	Seed            uint64
-	Received        func(Part) // see SearcherOptions, as for the next three
+	Received        func(Part) // see SearcherOptions, as for the next two
 	Slots           int
-	Audit           *partaudit.Audit
 	Trouble         func(p Part, waiting int) Trouble
 
 	// Ring places the segments in a ring: each searcher is the first holder of two segments,
@@ -46,6 +45,7 @@
 	Searchers []*Searcher
 	Discovery *Discovery
 	Catalogue *SharedCatalogue // nil if DeploymentOptions.Handler is set
+	Audit     *partaudit.Audit // of the parts of all searchers
 
 	handler Handler
 	initial *layout.Layout
@@ -81,7 +81,7 @@
 	if o.Searchers < o.Cells {
 		return nil, fmt.Errorf("fake deployment: found %d searchers, want at least one for each of %d cells", o.Searchers, o.Cells)
 	}
-	d := &Deployment{opts: o}
+	d := &Deployment{opts: o, Audit: partaudit.New()}
 	var ids, zones []string
 	for i := range o.Searchers {
 		// The searchers of one cell are in different zones.
@@ -115,7 +115,10 @@
 }
 
 func (d *Deployment) newSearcher(id string) (*Searcher, error) {
-	return NewSearcher(SearcherOptions{ID: id, Handler: d.handler, CallCost: callCost, Received: d.opts.Received, Slots: d.opts.Slots, Audit: d.opts.Audit, Trouble: d.opts.Trouble})
+	return NewSearcher(SearcherOptions{
+		ID: id, Handler: d.handler, CallCost: callCost, Audit: d.Audit,
+		Received: d.opts.Received, Slots: d.opts.Slots, Trouble: d.opts.Trouble,
+	})
 }
 
 // InitialLayout returns the initial layout. It is nil if the segments are assigned by cell.
--- a/internal/trial/fake/searcher.go
+++ b/internal/trial/fake/searcher.go
@@ -64,7 +64,7 @@
 	// Received is called with each part as soon as its frame has arrived; nil for none. It must be safe for concurrent use.
 	Received func(Part)
 
-	// Audit is told of all parts that are received and answered; nil for none.
+	// Audit is told of all parts that are received and answered; nil means one of the searcher's own.
 	Audit *partaudit.Audit
 	// Trouble returns the trouble that comes with an answer to a part, beside which a number of other parts wait on the
 	// connection; nil for none. It must be safe for concurrent use.
@@ -105,6 +105,9 @@
 	if o.Queue == 0 {
 		o.Queue = defaultQueue
 	}
+	if o.Audit == nil {
+		o.Audit = partaudit.New()
+	}
 	s := &Searcher{
 		opts: o, admitted: make(chan struct{}, o.Slots+o.Queue), running: make(chan struct{}, o.Slots), closed: make(chan struct{}),
 	}
@@ -158,12 +161,19 @@
 type gathererConn struct {
 	conn     net.Conn
 	mu       sync.Mutex // guards writes and unusable
-	unusable bool       // nothing more is answered on the connection, see Trouble
+	unusable bool       // nothing more is answered on the connection: it has had trouble, or has ended
 	waiting  atomic.Int64
 
 	cancelByPart sync.Map // part id -> chan struct{}, closed by a cancel frame
 }
 
+// end is called when the gatherer has closed the connection, which gives up all parts on it.
+func (g *gathererConn) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unusable = true
+}
+
 func (g *gathererConn) write(body string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -182,6 +192,7 @@
 	g := &gathererConn{conn: c}
 	var activeParts sync.WaitGroup
 	defer activeParts.Wait()
+	defer g.end()
 	for {
 		letter, payload, err := ReadFrame(c)
 		if err != nil {
--- a/internal/trial/partaudit/partaudit.go
+++ b/internal/trial/partaudit/partaudit.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,10 +15,16 @@
 // maxViolations bounds the violations whose texts are kept.
 const maxViolations = 20
 
-// Audit records the parts that were answered. Its methods are safe for concurrent use, and do nothing if it is nil.
+// remembered is for how long an answer is remembered at least: longer than any query is open.
+const remembered = time.Minute
+
+// Audit records the parts that were answered. Its methods are safe for concurrent use.
 type Audit struct {
 	mu         sync.Mutex
-	answers    map[string]answer // the first whole good answer by part
+	recent     map[string]answer // the first whole good answer by part, of those since rotatedAt
+	older      map[string]answer // the same, of the time before; forgotten when recent becomes older
+	rotatedAt  time.Time
+	answered   int
 	sentAgain  int
 	violations []string
 }
@@ -29,29 +36,36 @@
 }
 
 // New returns an Audit that knows no parts.
-func New() *Audit { return &Audit{answers: make(map[string]answer)} }
+func New() *Audit { return &Audit{recent: make(map[string]answer)} }
+
+// firstAnswer returns the first answer to a part that is remembered. The caller holds mu.
+func (a *Audit) firstAnswer(part string) (first answer, known bool) {
+	if first, known = a.older[part]; !known {
+		first, known = a.recent[part]
+	}
+	return first, known
+}
 
 // Answered records that a searcher has written a whole good answer to a part.
 func (a *Audit) Answered(part, searcher string, at time.Time) {
-	if a == nil {
-		return
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if _, known := a.answers[part]; !known {
-		a.answers[part] = answer{searcher, at}
+	if _, known := a.firstAnswer(part); known {
+		return
+	}
+	a.answered++
+	if at.Sub(a.rotatedAt) > remembered {
+		a.older, a.recent, a.rotatedAt = a.recent, make(map[string]answer), at
 	}
+	a.recent[part] = answer{searcher, at}
 }
 
 // Received records that the last byte of a part's frame has arrived at a searcher. It counts a violation if the part was
 // answered more than Slack before.
 func (a *Audit) Received(part, searcher string, at time.Time) {
-	if a == nil {
-		return
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	first, known := a.answers[part]
+	first, known := a.firstAnswer(part)
 	if !known || at.Sub(first.at) <= Slack {
 		return
 	}
@@ -65,12 +79,12 @@
 func (a *Audit) Counts() (answered, sentAgain int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.answers), a.sentAgain
+	return a.answered, a.sentAgain
 }
 
 // Violations returns the texts of the first violations.
 func (a *Audit) Violations() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return append([]string(nil), a.violations...)
+	return slices.Clone(a.violations)
 }
--- a/internal/trial/soak/audit.go
+++ b/internal/trial/soak/audit.go
@@ -204,3 +204,10 @@
 	}
 	return porcupine.CheckOperationsTimeout(model.ToModel(), ops, linearizeTimeout)
 }
+
+// checkParts adds the parts that were sent after their answer to the report.
+func (r *run) checkParts() {
+	_, r.report.SentAfterAnswer = r.deployment.Audit.Counts()
+	violations := r.deployment.Audit.Violations()
+	r.report.Faults = append(r.report.Faults, violations[:min(len(violations), maxViolations-min(len(r.report.Faults), maxViolations))]...)
+}
--- a/internal/trial/soak/config.go
+++ b/internal/trial/soak/config.go
@@ -188,6 +188,7 @@
 	report.NotSent = int(r.unsentQueries.Load())
 	report.DuplicateReservations = len(r.store.DuplicateReservations())
 	report.Reserved, report.Repeated = r.store.ReservationCounts()
+	r.checkParts()
 	report.Linearizable = string(r.audit.checkReservations(initialStock, time.Now()))
 	return report, err
 }
--- a/internal/trial/soak/soak.go
+++ b/internal/trial/soak/soak.go
@@ -52,6 +52,7 @@
 	Inconsistent                           int    `json:"Mixed"` // answers that mix epochs, or are wrong in another way
 	NotWhole                               int    // answers marked whole that lack a key
 	DuplicateReservations                  int    `json:"Doubled"` // reservations made more than once
+	SentAfterAnswer                        int    // parts sent after a searcher had answered them
 	Taken, Ended                           int    // queries, by the gatherers' counters
 	NotSent                                int    `json:"Held"` // queries not sent because too many were open
 	Linearizable                           string // result of the check of the reservations, a porcupine.CheckResult
@@ -80,9 +81,9 @@
 // Err returns an error if an invariant was violated.
 func (r Report) Err() error {
 	switch {
-	case r.Lost+r.Inconsistent+r.NotWhole+r.DuplicateReservations > 0 || r.Taken != r.Ended || r.Linearizable != string(porcupine.Ok):
-		return fmt.Errorf("%d queries lost, %d answers inconsistent, %d marked whole but incomplete, %d reservations made twice, %d queries taken and %d ended, reservations linearizable: %s; %v",
-			r.Lost, r.Inconsistent, r.NotWhole, r.DuplicateReservations, r.Taken, r.Ended, r.Linearizable, r.Faults)
+	case r.Lost+r.Inconsistent+r.NotWhole+r.DuplicateReservations+r.SentAfterAnswer > 0 || r.Taken != r.Ended || r.Linearizable != string(porcupine.Ok):
+		return fmt.Errorf("%d queries lost, %d answers inconsistent, %d marked whole but incomplete, %d reservations made twice, %d parts sent after their answer, %d queries taken and %d ended, reservations linearizable: %s; %v",
+			r.Lost, r.Inconsistent, r.NotWhole, r.DuplicateReservations, r.SentAfterAnswer, r.Taken, r.Ended, r.Linearizable, r.Faults)
 	case r.Whole == 0:
 		return errors.New("no query was answered whole")
 	}
@@ -209,6 +210,7 @@
 	}
 	report.DuplicateReservations = len(r.store.DuplicateReservations())
 	report.Reserved, report.Repeated = r.store.ReservationCounts()
+	r.checkParts()
 	report.Linearizable = string(r.audit.checkReservations(initialStock, time.Now()))
 	report.Epochs = r.latestLayout.Load().Epoch()
 	return report, err
--- a/internal/trial/testcluster/searcher.go
+++ b/internal/trial/testcluster/searcher.go
@@ -5,9 +5,11 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eiderwinch/internal/trial/fake"
+	"eiderwinch/internal/trial/partaudit"
 )
 
 // searcher is a fake searcher that answers each part after a fixed time and records which process sent it.
@@ -16,6 +18,7 @@
 	id           string
 	cell         int
 	partDuration time.Duration
+	audit        *partaudit.Audit
 
 	mu      sync.Mutex
 	started time.Time // its last start; zero if it has been warm from the beginning
@@ -30,8 +33,8 @@
 }
 
 // newSearcher starts a searcher in a cell. It answers each part after the given time.
-func newSearcher(id string, cell int, partDuration time.Duration) (*searcher, error) {
-	searcher := &searcher{id: id, cell: cell, partDuration: partDuration}
+func newSearcher(id string, cell int, partDuration time.Duration, audit *partaudit.Audit) (*searcher, error) {
+	searcher := &searcher{id: id, cell: cell, partDuration: partDuration, audit: audit}
 	var err error
 	searcher.server, err = fake.Listen(searcher.serve)
 	return searcher, err
@@ -39,6 +42,8 @@
 
 // serve answers the calls on a connection until it is closed.
 func (s *searcher) serve(c net.Conn) {
+	var ended atomic.Bool // the gatherer has closed the connection, which gives up all parts on it
+	defer ended.Store(true)
 	for {
 		letter, payload, err := fake.ReadFrame(c)
 		if err != nil {
@@ -57,12 +62,21 @@
 			s.mu.Lock()
 			s.parts = append(s.parts, arrival{now, processOf(trace), s.started})
 			s.mu.Unlock()
-			text := fmt.Sprintf("a%s served 1 -\nv", p.ID)
-			time.AfterFunc(s.partDuration, func() { fake.WriteFrame(c, text) })
+			s.audit.Received(p.ID, s.id, now)
+			time.AfterFunc(s.partDuration, func() { s.answer(c, p, &ended) })
 		}
 	}
 }
 
+// answer answers a part. Its cancel is not read before: a gatherer cancels a part after a much longer time than it takes.
+func (s *searcher) answer(c net.Conn, p fake.Part, ended *atomic.Bool) {
+	if ended.Load() {
+		return
+	}
+	fake.WriteFrame(c, fmt.Sprintf("a%s served 1 -\nv", p.ID))
+	s.audit.Answered(p.ID, s.id, time.Now())
+}
+
 // member returns the searcher's entry of the member list. If restarted is set, the searcher counts as just started.
 func (s *searcher) member(restarted bool) fake.Member {
 	s.mu.Lock()
--- a/internal/trial/testcluster/testcluster.go
+++ b/internal/trial/testcluster/testcluster.go
@@ -28,6 +28,7 @@
 	"eiderwinch/internal/fleet/share"
 	"eiderwinch/internal/trial/ask"
 	"eiderwinch/internal/trial/fake"
+	"eiderwinch/internal/trial/partaudit"
 )
 
 // Config configures a Cluster.
@@ -72,6 +73,7 @@
 	searchers    []*searcher
 	coldSearcher *searcher // one of searchers
 	gatherers    []*gatherer
+	audit        *partaudit.Audit
 	history      *history
 	historyFile  *os.File
 	ctx          context.Context
@@ -96,7 +98,7 @@
 
 // New starts a test cluster and its clients.
 func New(cfg Config) (c *Cluster, err error) {
-	c = &Cluster{cfg: cfg}
+	c = &Cluster{cfg: cfg, audit: partaudit.New()}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	defer func() {
 		if err != nil {
@@ -114,7 +116,7 @@
 		return c, err
 	}
 	for i := range 3 { // the last is the cold searcher, alone in its cell
-		s, err := newSearcher(fmt.Sprint("s-0", i), i/2, partDuration)
+		s, err := newSearcher(fmt.Sprint("s-0", i), i/2, partDuration, c.audit)
 		if err != nil {
 			return c, err
 		}
@@ -615,5 +617,8 @@
 			h.recordViolationLocked("the cold searcher got %d parts in %v, want %.0f at most in a turn", n, limitWindow, allowed)
 		}
 	}
+	for _, violation := range c.audit.Violations() {
+		h.recordViolationLocked("%s", violation)
+	}
 	report.ColdParts, report.Queries, report.ViewChanges, report.MaxHeldSlots, report.Violations = len(parts), h.Queries, h.viewChanges, h.maxHeldSlots, h.violations
 }
