Look for a drain before unread data bars a call for a while

So a retry could go to a searcher that had begun to drain while it waited.

TestUnreadDataHidesNoDrain fails without the change (found 'unread', wanted 'not_ready') and passes with it.

--- a/internal/gatherer/sending.go
+++ b/internal/gatherer/sending.go
@@ -39,13 +39,11 @@
 
 // SendBar returns why the first byte of an attempt must not be written.
 func (c *Core) SendBar(now time.Time, a *Attempt) SendBar {
-	if bar := c.CompletionBar(now, a); bar != SendAllowed {
-		return bar
-	}
-	if c.notReady(a.Searcher) {
+	bar := c.CompletionBar(now, a)
+	if passes := bar == SendAllowed || bar == AnswerUnread; passes && c.notReady(a.Searcher) {
 		return SearcherNotReady
 	}
-	return SendAllowed
+	return bar
 }
 
 // CompletionBar returns why the rest of an attempt must not be written whose first byte was. An attempt takes effect with
--- a/internal/gatherer/sending_test.go
+++ b/internal/gatherer/sending_test.go
@@ -80,3 +80,15 @@
 	h.clientLeft = true
 	h.checkEqual("last byte for a client that has left", h.CompletionBar(h.at, a), ResultUnwanted)
 }
+
+// Guards against a part that is sent to a searcher that drains because its call also waits for unread data.
+func TestUnreadDataHidesNoDrain(t *testing.T) {
+	h, part := startKeyed(t)
+	h.send(part, "a")
+	copied := h.send(part, "b")
+	h.dataUnread = true
+	h.checkEqual("unread data", h.SendBar(h.at, copied), AnswerUnread)
+	h.UpdateMembers(h.at, eiderwinch.Changes, []Member{{ID: "b", State: eiderwinch.Draining}})
+	h.checkEqual("first byte", h.SendBar(h.at, copied), SearcherNotReady)
+	h.checkEqual("last byte", h.CompletionBar(h.at, copied), AnswerUnread)
+}
