Keep neither client nor values of an ended query for its abandoned attempts

Since late answers count, a connection keeps the attempts that were abandoned on it, up to 256 of them, until they are answered or it ends; each kept its query's client and the values of its part. They are let go with the query now.

TestEndedQueryKeepsNoClientAndNoValues; the gatherer's and the emulator's tests pass. No measurement of memory was made of this alone.

--- a/internal/gatherer/answers.go
+++ b/internal/gatherer/answers.go
@@ -61,6 +61,13 @@
 	return time.Time{}
 }
 
+// forgetValues forgets the values, which nobody needs any more once the part's query or step has ended.
+func (p *partAnswers) forgetValues() {
+	for _, x := range p.list {
+		x.value = ""
+	}
+}
+
 // overBar returns why nothing more may be sent for a part because it is over. Each path to a send asks it.
 func (p *part) overBar() SendBar {
 	switch {
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -328,9 +328,10 @@
 	}
 	c.recordOutcome(c.now, q.class, reply, took)
 	c.logCompletion(q, reply, took)
+	client := q.client
 	c.removeQuery(c.now, q)
 	reply.Epoch, reply.Generation = q.epoch(), q.liveSettings.Generation
-	q.client.Reply(reply)
+	client.Reply(reply)
 }
 
 // replyKindNames are the names of reply kinds in the log.
--- a/internal/gatherer/memory_test.go
+++ b/internal/gatherer/memory_test.go
@@ -79,3 +79,22 @@
 		})
 	}
 }
+
+// Guards against clients and values that are kept for as long as a searcher does not answer an abandoned attempt.
+func TestEndedQueryKeepsNoClientAndNoValues(t *testing.T) {
+	h := newHarness(t)
+	h.settings.Module.MaxAttempts = 4
+	id := h.submit("search", "t", 0)
+	h.advance(5*ms, eiderwinch.Send{Part: id + 1, Replica: "a"}, eiderwinch.Wake{After: 5 * ms})
+	abandoned := h.calls[0][0]
+	h.advance(5*ms, eiderwinch.Cancel{Part: id + 1}, eiderwinch.Send{Part: id + 1, Replica: "b"})
+	h.Result(h.at, h.calls[1][0], eiderwinch.OK, 1, "v")
+	h.advance(5*ms, eiderwinch.Answer{Query: id, Whole: true})
+	h.checkEqual("replies", h.replies, []Reply{{Whole: true, Values: []ShardValue{{0, "v"}}}})
+	part := abandoned.part
+	if part.query.client != nil || part.query.text != "" || part.answers.list[0].value != "" {
+		t.Errorf("kept: client %v, text %q, value %q", part.query.client, part.query.text, part.answers.list[0].value)
+	}
+	h.LateResult(h.at, abandoned, false, 1, "late")
+	h.checkEqual("late answers that count", h.stats.LateAnswers, 0)
+}
--- a/internal/gatherer/records.go
+++ b/internal/gatherer/records.go
@@ -136,6 +136,7 @@
 func (c *Core) removeParts(q *query) {
 	for _, p := range q.parts {
 		p.removed = true
+		p.answers.forgetValues()
 		if len(p.inFlight) == 0 {
 			delete(c.parts, p.id)
 		}
@@ -157,7 +158,7 @@
 	delete(c.queries, q.id)
 	delete(c.queriesByTrace, q.trace)
 	q.hold(-q.size)
-	q.text = "" // attempts that are still in flight keep the record
+	q.text, q.client = "", nil // attempts that are in flight, or were abandoned and may be answered, keep the record
 }
 
 // removeEndedAttempts drops the attempts that have ended, and the removed parts
