Blame no searcher for an answer in doubt whose connection was closed here

An answer in doubt counts as a failed call of its searcher, which one such call ejects.

TestDoubtByAnOwnCloseBlamesNoSearcher fails without the change in the row 'closed here' and passes with it.

--- a/answers.go
+++ b/answers.go
@@ -98,7 +98,9 @@
 		return
 	}
 	a.updateAnswer(attempt.part)
-	a.recordFailure(attempt.searcher, attempt, 1)
+	if !event.ClosedByGatherer {
+		a.recordFailure(attempt.searcher, attempt, 1)
+	}
 }
 
 // handleLateAnswer uses an answer that came after the end of its attempt.
--- a/api.go
+++ b/api.go
@@ -173,6 +173,10 @@
 type InDoubt struct {
 	Part    uint64
 	Attempt int
+
+	// ClosedByGatherer is whether the gatherer itself has closed the connection because of another part: the
+	// replica is not to blame then.
+	ClosedByGatherer bool
 }
 
 // Load is what a replica reports of itself. It may be seconds old and is somewhat noisy.
--- a/doubtful_answer_test.go
+++ b/doubtful_answer_test.go
@@ -111,7 +111,7 @@
 		d.checkEqual(name+": sends", len(sent), 2)
 		actions := d.after(20*ms, provisional(okOutcome(10, 0, sent[0].Replica)))
 		d.checkEqual(name+": answers", len(actionsOf[Answer](actions)), 0)
-		actions = d.after(20*ms, InDoubt{10, 0}, InDoubt{10, 0}, okOutcome(11, 0, sent[1].Replica))
+		actions = d.after(20*ms, InDoubt{Part: 10}, InDoubt{Part: 10}, okOutcome(11, 0, sent[1].Replica))
 		d.checkEqual(name+": answers with a part in doubt", len(actionsOf[Answer](actions)), 0)
 		d.checkEqual(name+": sent again", len(actionsOf[Send](actions)), 0)
 		d.checkEqual(name+": refused at once", len(actionsOf[Refuse](actions)) == 1, name == "read")
@@ -126,7 +126,7 @@
 	d := startAggregator(t, s)
 	sent := actionsOf[Send](d.turn(newQuery(1, 3, 0, 1)))
 	d.after(20*ms, provisional(okOutcome(10, 0, sent[0].Replica)))
-	actions := d.after(20*ms, InDoubt{10, 0}, withStatus(okOutcome(11, 0, sent[1].Replica), Reset))
+	actions := d.after(20*ms, InDoubt{Part: 10}, withStatus(okOutcome(11, 0, sent[1].Replica), Reset))
 	again := actionsOf[Send](actions)
 	if len(again) != 1 || again[0].Part != 11 {
 		t.Fatalf("sent again: %v, want part 11 alone", again)
@@ -165,7 +165,7 @@
 		"the copy's answer is final": {func(at string) []Event { return []Event{okOutcome(10, 1, at)} }, true},
 		"the copy's is confirmed":    {func(at string) []Event { return []Event{provisional(okOutcome(10, 1, at)), Confirmed{10, 1}} }, true},
 		"the copy fails":             {func(at string) []Event { return []Event{withStatus(okOutcome(10, 1, at), Failed)} }, false},
-		"the first is in doubt then": {func(at string) []Event { return []Event{InDoubt{10, 0}, okOutcome(10, 1, at)} }, true},
+		"the first is in doubt then": {func(at string) []Event { return []Event{InDoubt{Part: 10}, okOutcome(10, 1, at)} }, true},
 	} {
 		d := startAggregator(t, testSettings())
 		d.aggregator.secondCopyCredit = maxSecondCopyCredit
@@ -201,3 +201,14 @@
 		d.checkEqual(name+": answers", actionsOf[Answer](actions), []Answer{{1, true}})
 	}
 }
+
+// Guards against a searcher that is ejected because the gatherer itself has closed the connection of its answer.
+func TestDoubtByAnOwnCloseBlamesNoSearcher(t *testing.T) {
+	for name, closedHere := range map[string]bool{"closed here": true, "ended by the searcher": false} {
+		d := startAggregator(t, testSettings())
+		sent := actionsOf[Send](d.turn(newQuery(1, 0, 0, 1)))
+		d.after(20*ms, provisional(okOutcome(10, 0, sent[0].Replica)))
+		d.after(5*ms, InDoubt{Part: 10, ClosedByGatherer: closedHere})
+		d.checkEqual(name+": ejected", d.aggregator.searchersByID[sent[0].Replica].ejected, !closedHere)
+	}
+}
--- a/internal/gatherer/completion.go
+++ b/internal/gatherer/completion.go
@@ -114,7 +114,7 @@
 	}
 	c.stats.InDoubt++
 	c.stats.InDoubtBy[string(reason)]++
-	c.addEvent(now, eiderwinch.InDoubt{Part: p.id, Attempt: x.attempt.number})
+	c.addEvent(now, eiderwinch.InDoubt{Part: p.id, Attempt: x.attempt.number, ClosedByGatherer: reason == ClosedHere})
 	return true
 }
 
