Split what becomes of attempts from the final answers of the core

One script serves the tests of late and unread answers. Tests of gatherer and those of netio that use the script pass.

--- a/internal/gatherer/core.go
+++ b/internal/gatherer/core.go
@@ -13,7 +13,10 @@
 //	turn           runs a turn of the aggregator and carries out its actions
 //	attempts       starts, cancels and times out attempts
 //	sending        until when an attempt may be sent
-//	completion     records results and gives clients their final answers
+//	answers        the answers to a part, which decide whether it is over
+//	results        records what becomes of attempts and of their answers
+//	completion     gives clients their final answers
+//	attempt_log    logs the changes of attempts
 //	records        the records of queries, parts and members
 //	used_ids       the ids of ended queries, which are not taken again
 //	start_times    converts reported start times of searchers to the monotonic clock
--- a/internal/netio/overparts_test.go
+++ b/internal/netio/overparts_test.go
@@ -84,21 +84,29 @@
 	h.checkNothingArrives()
 }
 
-// cancelThen scripts an aggregator that sends the part of a query to "s", and cancels that attempt for another one at "o" once the
-// test signals. It answers when the part is answered, and sends it to "s" if it was reset.
-func cancelThen(h *harness, cancelNow <-chan bool) {
+// sendAgainThen scripts an aggregator that sends the part of a query to "s" and, once the test signals, to "o" as well; with cancels,
+// the first attempt is cancelled before. It answers when the part is answered, and sends the part to "s" if it was reset.
+func sendAgainThen(h *harness, signal <-chan bool, cancels bool) {
 	var query, part uint64
 	h.decide = func(e eiderwinch.Event) []eiderwinch.Action {
+		answer := []eiderwinch.Action{eiderwinch.Answer{Query: query, Whole: true}}
 		switch e := e.(type) {
 		case eiderwinch.Query:
 			query, part = e.ID, e.Parts[0].ID
 			return []eiderwinch.Action{eiderwinch.Send{Part: part, Replica: "s"}, eiderwinch.Wake{}}
 		case eiderwinch.Woken:
-			return onceSignalled(cancelNow, eiderwinch.Cancel{Part: part}, eiderwinch.Send{Part: part, Replica: "o"})
+			again := []eiderwinch.Action{eiderwinch.Cancel{Part: part}, eiderwinch.Send{Part: part, Replica: "o"}}
+			if !cancels {
+				again = again[1:]
+			}
+			return onceSignalled(signal, again...)
 		case eiderwinch.LateAnswer:
-			return []eiderwinch.Action{eiderwinch.Answer{Query: query, Whole: true}}
+			return answer
 		case eiderwinch.Outcome:
-			if e.Status == eiderwinch.Reset {
+			switch e.Status {
+			case eiderwinch.OK:
+				return answer
+			case eiderwinch.Reset:
 				return []eiderwinch.Action{eiderwinch.Send{Part: part, Replica: "s"}}
 			}
 		}
@@ -110,15 +118,15 @@
 // late answer: its searcher answered before it read the cancel.
 func TestQueuedRetryIsNotSentAfterALateAnswer(t *testing.T) {
 	var other *testpeer.Searcher
-	cancelNow, dialed, release := make(chan bool, 1), make(chan bool, 10), make(chan bool)
+	sendNow, dialed, release := make(chan bool, 1), make(chan bool, 10), make(chan bool)
 	h := startHarness(t, func(h *harness) {
 		other = withOther(t, h)
-		cancelThen(h, cancelNow)
+		sendAgainThen(h, sendNow, true)
 		h.beforeDial(other.Addr, waitFor(dialed, release))
 	})
 	client := h.sendQuery("search", "t", time.Minute, 1)
 	first := h.nextPart()
-	cancelNow <- true
+	sendNow <- true
 	testpeer.Receive(t, dialed, "a dial for the retry")
 	first.Answer("served", 1, wholeValue)
 	if resp, body := client.ReadResponse(); resp.StatusCode != 200 || body != wholeBody {
@@ -135,10 +143,10 @@
 // Guards against a third attempt after a late answer to the first one, which ended while the second was in flight.
 func TestPartIsNotSentAgainAfterALateAnswer(t *testing.T) {
 	var other *testpeer.Searcher
-	cancelNow := make(chan bool, 1)
+	sendNow := make(chan bool, 1)
 	h := startHarness(t, func(h *harness) {
 		other = withOther(t, h)
-		cancelThen(h, cancelNow)
+		sendAgainThen(h, sendNow, true)
 		withoutAnswer := h.decide
 		h.decide = func(e eiderwinch.Event) []eiderwinch.Action {
 			if _, late := e.(eiderwinch.LateAnswer); late {
@@ -149,7 +157,7 @@
 	})
 	h.sendQuery("search", "t", time.Minute, 1)
 	first := h.nextPart()
-	cancelNow <- true
+	sendNow <- true
 	second := testpeer.Receive(t, other.Parts, "the retry")
 	first.Answer("served", 1, wholeValue)
 	h.waitUntil("the late answer is read", func() bool { return h.stats.LateAnswers == 1 })
@@ -207,12 +215,11 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var other *testpeer.Searcher
-			cancelNow := make(chan bool, 1)
+			sendNow := make(chan bool, 1)
 			h := startHarness(t, func(h *harness) {
 				other = withOther(t, h)
-				cancelThen(h, cancelNow)
+				sendAgainThen(h, sendNow, !copies)
 				if copies {
-					copyThen(h, cancelNow)
 					allowSecondCopies(h)
 				}
 			})
@@ -224,8 +231,8 @@
 				c := h.pool.searchers["s"].conns[0]
 				p.Answer("served", 1, wholeValue)
 				h.spinUntil("the answer is received", func() bool { return pendingBytes(c.conn.FD()) > 0 })
-				cancelNow <- true
-				for len(cancelNow) > 0 {
+				sendNow <- true
+				for len(sendNow) > 0 {
 					h.runTurn()
 				}
 			})
@@ -276,25 +283,6 @@
 	}
 }
 
-// copyThen is cancelThen without the cancel: the second attempt is a copy of the first.
-func copyThen(h *harness, copyNow <-chan bool) {
-	var query, part uint64
-	h.decide = func(e eiderwinch.Event) []eiderwinch.Action {
-		switch e := e.(type) {
-		case eiderwinch.Query:
-			query, part = e.ID, e.Parts[0].ID
-			return []eiderwinch.Action{eiderwinch.Send{Part: part, Replica: "s"}, eiderwinch.Wake{}}
-		case eiderwinch.Woken:
-			return onceSignalled(copyNow, eiderwinch.Send{Part: part, Replica: "o"})
-		case eiderwinch.Outcome:
-			if e.Status == eiderwinch.OK {
-				return []eiderwinch.Action{eiderwinch.Answer{Query: query, Whole: true}}
-			}
-		}
-		return nil
-	}
-}
-
 // dialFor opens a connection to a searcher.
 func (p *pool) dialFor(id string) {
 	s := p.searchers[id]
