--- a/answers.go
+++ b/answers.go
@@ -20,9 +20,6 @@
 	return slices.ContainsFunc(p.attempts, func(t *attempt) bool { return t.answer != noAnswer })
 }
 
-// isInDoubt reports whether a part is over and has no answer that may be used.
-func (p *part) isInDoubt() bool { return p.answeredBy == nil && p.isOver() }
-
 // chooseAnswer returns the attempt whose answer is to be used: the first final one or, without any, the first
 // provisional one; nil if there is none.
 func (p *part) chooseAnswer() (chosen *attempt) {
