Let a queued call wait for unread data anew once it has a connection

One that then waited for its connection did not look again, so that an answer that had arrived meanwhile could lie unread as the call was written. The count begins anew where a call finds no connection.

No test forces this order; the tests of queued calls, copies and unread data pass.

--- a/internal/netio/pool.go
+++ b/internal/netio/pool.go
@@ -124,6 +124,7 @@
 		}
 		c := s.pickConn(now, call.attempts, p.node.cfg.Multiplex, p.maxIdle())
 		if c == nil {
+			call.unreadAnswers = rounds{} // what is unread once there is a connection is another matter
 			break
 		}
 		s.dequeue(p, call)
