Don't use a value that holds the start of an answer to an abandoned part

Cause: Stream.containsAnswer looked for the answers to parts in flight alone. Abandoned parts may be answered as well.

Change: it looks for those too, in values that hold a byte 0, as each valid length of a frame does; others need no search now.

Measured: TestLongFrameThatSwallowsAnAnswerIsNotUsed, which plays each case with the second part abandoned as well, fails without the change (long by 51 bytes, the whole frame of the next answer is used) and passes with it, as do the packages answerstream, gatherer and the root, and the tests of netio for late, short and unreadable answers.

--- a/internal/answerstream/stream.go
+++ b/internal/answerstream/stream.go
@@ -22,6 +22,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"eiderwinch/internal/format/frame"
@@ -232,12 +233,17 @@
 	return nil
 }
 
-// containsAnswer reports whether a value contains the start of an answer to another part in flight:
-// the length of its frame was too long.
+// containsAnswer reports whether a value contains the start of an answer to another part that may be
+// answered: the length of its frame was too long.
 func (s *Stream) containsAnswer(value string) bool {
-	for id := range s.inFlight {
-		if frame.ContainsAnswer(value, id) {
-			return true
+	if !strings.Contains(value, "\x00") { // a valid length of a frame begins with this byte
+		return false
+	}
+	for _, parts := range []map[string]uint64{s.inFlight, s.abandoned} {
+		for id := range parts {
+			if frame.ContainsAnswer(value, id) {
+				return true
+			}
 		}
 	}
 	return false
--- a/internal/answerstream/stream_test.go
+++ b/internal/answerstream/stream_test.go
@@ -235,13 +235,18 @@
 	next := encode(body(b, "517db856ae880953"), 0)
 	for long := 1; long <= len(next); long++ {
 		for cut := 1; cut < len(next); cut++ {
-			r := newReceiver(a, b, c)
-			stream := encode(body(a, "v"), len(body(a, "v"))+long) + next
-			r.receive(stream[:len(stream)-cut])
-			r.receive(stream[len(stream)-cut:])
-			r.finish()
-			if got, ok := r.usable(a); ok {
-				t.Fatalf("long by %d, cut %d before the end: used %q", long, cut, got)
+			for _, abandoned := range []bool{false, true} {
+				r := newReceiver(a, b, c)
+				if abandoned { // its searcher may answer before it reads the cancel
+					r.Abandon(b)
+				}
+				stream := encode(body(a, "v"), len(body(a, "v"))+long) + next
+				r.receive(stream[:len(stream)-cut])
+				r.receive(stream[len(stream)-cut:])
+				r.finish()
+				if got, ok := r.usable(a); ok {
+					t.Fatalf("long by %d, cut %d before the end, the next one abandoned %v: used %q", long, cut, abandoned, got)
+				}
 			}
 		}
 	}
